Add the stand-ins as processes, the caller and the fleet harness

Cause: the whole path and its failures can only be shown on real processes against small fakes of the platform and the back ends.

The engine server drives the pure engine model in real time; the text of an answer follows from the request id, so a foreign, missing or doubled piece shows.

Entry and endpoint processes are not there yet, so the fleet itself was not run.

--- /dev/null
+++ b/packages/sycamore-standins/src/sycamore_standins/caller/caller.py
@@ -0,0 +1,272 @@
+"""The caller: HTTP towards the entries, by the curl client of tornado."""
+
+import time
+from collections.abc import Sequence
+from typing import Self
+
+import msgspec
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.httputil import HTTPHeaders
+
+from ..client import LOST, fetch
+from .answers import Answer, PlainAnswer, Problem
+from .asks import Ask, PlainAsk
+from .events import EventParser
+
+_STREAM = 'text/event-stream'
+_JSON = 'application/json'
+_PROBLEM = 'application/problem+json'
+_MAX_CLIENTS = 512
+#: Longer than any time limit in the tests: the caller never gives up first.
+_REQUEST_SECONDS = 150.0
+_ID_HEADER = 'request-id:'
+
+
+class CallerIdentity(msgspec.Struct, frozen=True):
+    """Whose requests they are, and where the entries are."""
+
+    workspace: str
+    api_key: str
+    entries: Sequence[str]
+
+
+class ModelBody(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Body of a model request."""
+
+    max_output_tokens: int
+    prompt: str | None = None
+    tokens: Sequence[int] | None = None
+
+
+class PlainBody(msgspec.Struct, frozen=True):
+    """Body of a call to the plain service."""
+
+    business_id: str
+
+
+class Stream:
+    """One connection over which events come."""
+
+    def __init__(self, answer: Answer) -> None:
+        self.answer = answer
+        self.parser = EventParser()
+        self.is_stream = False
+        self.rest = b''
+        self.started = time.monotonic()
+
+    def on_header(self, line: str) -> None:
+        """Take one line of the head of the answer."""
+        lowered = line.strip().lower()
+        if lowered.startswith('http/'):
+            self.answer.status = int(lowered.split()[1])
+        if lowered.startswith(_ID_HEADER):
+            _, _, request_id = line.partition(':')
+            self.answer.request_id = request_id.strip()
+        if _STREAM in lowered:
+            self.is_stream = True
+
+    def on_chunk(self, chunk: bytes) -> None:
+        """Take some bytes of the body."""
+        if not self.is_stream:
+            self.rest += chunk
+            return
+        for event in self.parser.feed(chunk):
+            if self.answer.first_token_seconds == 0:
+                self.answer.first_token_seconds = self.elapsed()
+            self.answer.take(event)
+
+    def finish(self) -> Answer:
+        """Return the answer once the connection is over."""
+        self.answer.total_seconds = self.elapsed()
+        if not self.is_stream:
+            self.answer.problem = read_problem(self.rest)
+        self.answer.end()
+        return self.answer
+
+    def elapsed(self) -> float:
+        """Return the seconds since the request was sent."""
+        return time.monotonic() - self.started
+
+
+class Caller:
+    """One guest, instructor or member of a workspace."""
+
+    def __init__(self, identity: CallerIdentity) -> None:
+        self.identity = identity
+        self.client = CurlAsyncHTTPClient(
+            force_instance=True,
+            max_clients=_MAX_CLIENTS,
+        )
+
+    def __enter__(self) -> Self:
+        """Return the caller."""
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        """Close all connections."""
+        self.client.close()
+
+    async def ask(self, ask: Ask) -> Answer:
+        """Send a model request and read its stream to the end."""
+        url = self._service_url(ask, 'requests')
+        return await self.stream(self.request(ask, url), Answer())
+
+    async def run_reserved(self, ask: Ask, request_id: str) -> Answer:
+        """Run a model request under a reserved id; read its stream."""
+        request = self.request(ask, self._request_url(request_id, ask.entry))
+        request.method = 'PUT'
+        return await self.stream(request, Answer(request_id=request_id))
+
+    async def resume(self, answer: Answer, entry: int) -> Answer:
+        """Come back for the rest of an answer through an entry."""
+        url = self._request_url(answer.request_id, entry)
+        request = HTTPRequest(
+            f'{url}?after={answer.last}',
+            headers=self._headers(accept=_STREAM),
+            request_timeout=_REQUEST_SECONDS,
+        )
+        rest = Answer(answer.request_id, answer.pieces)
+        return await self.stream(request, rest)
+
+    async def reserve(self, service: str, entry: int = 0) -> PlainAnswer:
+        """Ask for an id that is bound to one endpoint process."""
+        ask = Ask(service=service, entry=entry)
+        response = await self.fetch(
+            HTTPRequest(
+                self._service_url(ask, 'reservations'),
+                method='POST',
+                headers=self._headers(),
+                body=b'',
+            ),
+        )
+        return plain_answer(response)
+
+    async def call(self, ask: PlainAsk, request_id: str = '') -> PlainAnswer:
+        """Call a plain service, under a reserved id if one is given."""
+        url = self._service_url(ask, f'call/{ask.path}')
+        if request_id:
+            url = self._request_url(request_id, ask.entry)
+        headers = self._headers()
+        _add_options(headers, ask)
+        body = msgspec.json.encode(PlainBody(ask.business_id))
+        response = await self.fetch(
+            HTTPRequest(
+                url,
+                method='PUT' if request_id else ask.method,
+                headers=headers,
+                body=body,
+                request_timeout=_REQUEST_SECONDS,
+            ),
+        )
+        return plain_answer(response)
+
+    async def give_up(self, request_id: str, entry: int = 0) -> PlainAnswer:
+        """Tell the system that the answer is no longer wanted."""
+        response = await self.fetch(
+            HTTPRequest(
+                self._request_url(request_id, entry),
+                method='DELETE',
+                headers=self._headers(),
+            ),
+        )
+        return plain_answer(response)
+
+    def request(self, ask: Ask, url: str) -> HTTPRequest:
+        """Return the HTTP request of a model request."""
+        headers = self._headers(accept=_STREAM)
+        _add_options(headers, ask)
+        return HTTPRequest(
+            url,
+            method='POST',
+            headers=headers,
+            body=msgspec.json.encode(_model_body(ask)),
+            request_timeout=_REQUEST_SECONDS,
+        )
+
+    async def stream(self, request: HTTPRequest, answer: Answer) -> Answer:
+        """Send a request and read the events of its answer."""
+        reading = Stream(answer)
+        request.header_callback = reading.on_header
+        request.streaming_callback = reading.on_chunk
+        await self.fetch(request)
+        return reading.finish()
+
+    async def fetch(self, request: HTTPRequest) -> HTTPResponse:
+        """Send a request; a lost connection is an answer of status 599."""
+        return await fetch(request, self.client)
+
+    def _headers(self, accept: str = _JSON) -> HTTPHeaders:
+        key = self.identity.api_key
+        return HTTPHeaders(
+            {
+                'Authorization': f'Bearer {key}',
+                'Accept': accept,
+                'Content-Type': _JSON,
+                'Expect': '',
+            },
+        )
+
+    def _service_url(self, ask: Ask | PlainAsk, rest: str) -> str:
+        parts = (
+            self.identity.entries[ask.entry],
+            'v1/workspaces',
+            self.identity.workspace,
+            'services',
+            ask.service,
+            rest,
+        )
+        return '/'.join(parts)
+
+    def _request_url(self, request_id: str, entry: int) -> str:
+        base = self.identity.entries[entry]
+        return f'{base}/v1/requests/{request_id}'
+
+
+def read_problem(body: bytes) -> Problem | None:
+    """Return the problem document in a body, if it is one."""
+    if not body:
+        return None
+    try:
+        return msgspec.json.decode(body, type=Problem)
+    except msgspec.DecodeError:
+        return Problem(title='unreadable', detail=body.decode(errors='replace'))
+
+
+def plain_answer(response: HTTPResponse) -> PlainAnswer:
+    """Return what a response says."""
+    lost = response.code == LOST
+    answer = PlainAnswer(
+        status=0 if lost else response.code,
+        request_id=response.headers.get('Request-Id', ''),
+    )
+    if _PROBLEM in response.headers.get('Content-Type', ''):
+        answer.problem = read_problem(response.body)
+    elif response.body and not lost:
+        answer.business_id = _business_id(response.body)
+    return answer
+
+
+def _business_id(body: bytes) -> str:
+    try:
+        return msgspec.json.decode(body, type=PlainBody).business_id
+    except msgspec.DecodeError:
+        return ''
+
+
+def _model_body(ask: Ask) -> ModelBody:
+    if ask.tokens:
+        return ModelBody(ask.max_output_tokens, tokens=range_of(ask.tokens))
+    return ModelBody(ask.max_output_tokens, prompt=ask.prompt)
+
+
+def range_of(tokens: int) -> list[int]:
+    """Return as many token ids."""
+    return list(range(tokens))
+
+
+def _add_options(headers: HTTPHeaders, ask: Ask | PlainAsk) -> None:
+    headers['Time-Limit'] = str(ask.time_limit)
+    headers['Idempotent'] = 'true' if ask.idempotent else 'false'
+    if ask.idempotency_key:
+        headers['Idempotency-Key'] = ask.idempotency_key
--- /dev/null
+++ b/packages/sycamore-standins/src/sycamore_standins/tests/test_caller.py
@@ -0,0 +1,58 @@
+"""What a caller finds wrong with an answer."""
+
+import zlib
+
+import msgspec
+import pytest
+
+from ..caller import Answer, Event, Fault
+from ..engine.answers import step_text
+
+
+def closing(frames: int, text: str) -> Event:
+    body = {
+        'outcome': 'complete',
+        'frames': frames,
+        'checksum': zlib.crc32(text.encode()),
+    }
+    return Event(frames, 'close', msgspec.json.encode(body).decode())
+
+
+def own(number: int) -> Event:
+    return Event(number, text=step_text('mine', number))
+
+
+def taken(*events: Event) -> Answer:
+    answer = Answer('mine')
+    for event in events:
+        answer.take(event)
+    answer.end()
+    return answer
+
+
+WHOLE = step_text('mine', 0) + step_text('mine', 1)
+
+
+def test_whole_answer() -> None:
+    assert taken(own(0), own(1), closing(2, WHOLE)).whole
+
+
+@pytest.mark.parametrize(
+    ('events', 'fault'),
+    [
+        ((own(0), own(1)), Fault.CUT),
+        ((own(1), own(0), closing(2, WHOLE)), Fault.NUMBERING),
+        ((own(0), own(0), own(1), closing(2, WHOLE)), Fault.NUMBERING),
+        ((own(0), closing(2, WHOLE)), Fault.COUNT),
+        ((own(0), own(1), closing(2, 'other')), Fault.CHECKSUM),
+        (
+            (Event(0, text=step_text('other', 0)), closing(1, 'x')),
+            Fault.FOREIGN,
+        ),
+    ],
+)
+def test_fault_is_found(events: tuple[Event, ...], fault: Fault) -> None:
+    """A stream was cut, disordered, doubled or mixed up with another's."""
+    answer = taken(*events)
+    assert fault in answer.faults
+    assert not answer.whole
