Share the ranking of endpoints and pin requests to an endpoint

Cause: an entry and an endpoint process must agree on the home of a caller's key, and a request under a bound id may run at one endpoint only. Ruled out: each process with a ranking of its own (they would drift), and letting pinned requests pass by the scheduler (they would pass by fairness).

--- a/packages/sycamore-core/src/sycamore_core/decisions/naive.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/naive.py
@@ -125,6 +125,7 @@
             for view in self.endpoints.values()
             if view.service == request.service
             and view.phase == EndpointPhase.LIVE
+            and request.pinned_to in {None, view.endpoint}
         ]
         if not names:
             return None
--- a/packages/sycamore-core/src/sycamore_core/decisions/requests.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/requests.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ..ids import BlockHash, RequestId, ServiceId, WorkspaceId
+from ..ids import BlockHash, EndpointId, RequestId, ServiceId, WorkspaceId
 from ..states import EndpointKind, PromptBand
 
 
@@ -20,6 +20,10 @@
         Share of the workspace relative to the others.
     prefix_blocks
         Hashes of the blocks of the prompt, the first block first.
+    pinned_to
+        The only endpoint that may run the request: the one that its id is
+        bound to, or the home of its caller's key. If that endpoint cannot,
+        the request is refused; it is never placed elsewhere.
     """
 
     request_id: RequestId
@@ -36,6 +40,7 @@
     penalty: float = 0
     weight: float = 1
     prefix_blocks: tuple[BlockHash, ...] = ()
+    pinned_to: EndpointId | None = None
 
     @property
     def lease_tokens(self) -> int:
--- a/packages/sycamore-core/src/sycamore_core/identity/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/identity/__init__.py
@@ -1,6 +1,18 @@
 """Request ids that say where they came from and cannot be forged."""
 
 from .claims import IdKind, RequestClaims
+from .rendezvous import (
+    home_endpoint,
+    rendezvous_ranking,
+    rendezvous_score,
+)
 from .signer import RequestIdSigner
 
-__all__ = ('IdKind', 'RequestClaims', 'RequestIdSigner')
+__all__ = (
+    'IdKind',
+    'RequestClaims',
+    'RequestIdSigner',
+    'home_endpoint',
+    'rendezvous_ranking',
+    'rendezvous_score',
+)
