Add the entry process: exchanges, links, web handlers

Cause: callers need HTTP with typed refusals, numbered streams and resume; the life of a request has to be followed without ever calling a run not run. Ruled out: a callback for each message of a request (the order of steps could not be read); each exchange is one task with a mailbox, written straight down. Conclusion: to be run against the endpoint process and the stand-ins next.

--- a/packages/sycamore-core/src/sycamore_core/messages/requests.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/requests.py
@@ -5,6 +5,7 @@
 from ..ids import (
     Attempt,
     BlockHash,
+    EndpointId,
     IdempotencyKey,
     Incarnation,
     RequestId,
@@ -116,12 +117,19 @@
 
 
 class RunReport(BaseMessage, frozen=True):
-    """Answers `Withdraw` and `Attach` with the state in the run ledger."""
+    """Answers `Withdraw` and `Attach` with the state in the run ledger.
+
+    Attributes
+    ----------
+    endpoint
+        Endpoint whose process reports; the receiver fills it in.
+    """
 
     request_id: RequestId
     attempt: Attempt
     state: RunState
     execution: Execution
+    endpoint: EndpointId = EndpointId('')
 
 
 class Cancel(BaseMessage, frozen=True):
--- a/packages/sycamore-core/src/sycamore_core/transport/node.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/node.py
@@ -44,7 +44,8 @@
         Reads and signs packets.
     serve_peer
         Coroutine function that handles one peer until cancelled; it reads
-        `Peer.inbound` and writes with `Peer.post`.
+        `Peer.inbound` and writes with `Peer.post`. It may be set later, but
+        before `start`.
     """
 
     def __init__(
@@ -52,12 +53,12 @@
         address: NodeAddress,
         codec: PacketCodec,
         clock: Clock,
-        serve_peer: PeerTask,
+        serve_peer: PeerTask | None = None,
     ) -> None:
         self.address = address
         self.codec = codec
         self.clock = clock
-        self.serve_peer = serve_peer
+        self.serve_peer = serve_peer or _serve_nobody
         self.counts = TransportCounts()
         self.peers: dict[str, Peer] = {}
         self._tasks: dict[str, list[asyncio.Task[None]]] = {}
@@ -148,3 +149,7 @@
             for address, peer in tuple(self.peers.items()):
                 if 0 < peer.last_heard < horizon:
                     self.forget(address)
+
+
+async def _serve_nobody(peer: Peer) -> None:
+    """Take no message; a node without a task for its peers only sends."""
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the binary as a module."""
+
+from .cli import main
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/intake.py
@@ -0,0 +1,158 @@
+"""Turning a checked call into a request that can be offered."""
+
+import msgspec
+from sycamore_core.decisions import RequestView
+from sycamore_core.identity import RequestClaims, home_endpoint
+from sycamore_core.ids import EndpointId, Incarnation, RequestId, ServiceId
+from sycamore_core.messages import PlainCall
+from sycamore_core.settings import (
+    FleetSettings,
+    ServiceSettings,
+    WorkspaceSettings,
+)
+from sycamore_core.states import EndpointKind, PromptBand, RefusalReason
+
+from .errors import RefusedError
+from .exchanges import CallerRequest
+from .web.limits import CallTerms
+from .web.prompts import Prompt
+
+
+class Intake(msgspec.Struct, frozen=True, kw_only=True):
+    """What is known of a call before its body is read.
+
+    Attributes
+    ----------
+    arrival
+        Monotonic time, in seconds.
+    claims
+        Content of a reserved id, if the caller used one.
+    """
+
+    fleet: FleetSettings
+    workspace: WorkspaceSettings
+    service_id: ServiceId
+    terms: CallTerms
+    arrival: float
+    claims: RequestClaims | None = None
+
+    @property
+    def service(self) -> ServiceSettings:
+        """The values in force for the service."""
+        return self.workspace.services[self.service_id]
+
+    @property
+    def bound_incarnation(self) -> Incarnation:
+        """Incarnation to which the id is bound, or 0."""
+        return (
+            Incarnation(0) if self.claims is None else self.claims.incarnation
+        )
+
+
+def make_model_request(
+    intake: Intake,
+    request_id: RequestId,
+    prompt: Prompt,
+) -> CallerRequest:
+    """Return a request for a model.
+
+    Raises
+    ------
+    RefusedError
+        If the prompt is larger than the service takes, or the service is a
+        plain one.
+    """
+    service = intake.service
+    if service.kind != EndpointKind.MODEL:
+        raise RefusedError(
+            RefusalReason.BAD_REQUEST,
+            'this is a plain service; use its path "call"',
+        )
+    if prompt.tokens > service.max_prompt_tokens:
+        raise RefusedError(
+            RefusalReason.PROMPT_TOO_LONG,
+            f'the prompt has more than {service.max_prompt_tokens} tokens',
+        )
+    view = _make_view(intake, request_id, prompt)
+    return CallerRequest(
+        view=view,
+        payload=prompt.payload,
+        idempotency_key=intake.terms.idempotency_key,
+        bound_incarnation=intake.bound_incarnation,
+        settings_version=intake.fleet.version,
+    )
+
+
+def make_plain_request(
+    intake: Intake,
+    request_id: RequestId,
+    call: PlainCall,
+    body: bytes,
+) -> CallerRequest:
+    """Return a call to a plain service.
+
+    Raises
+    ------
+    RefusedError
+        If the service is a model.
+    """
+    if intake.service.kind != EndpointKind.PLAIN:
+        raise RefusedError(
+            RefusalReason.BAD_REQUEST,
+            'this is a model; use its path "requests"',
+        )
+    return CallerRequest(
+        view=_make_view(intake, request_id, Prompt(b'', 0, 0, ())),
+        payload=body,
+        plain_call=call,
+        idempotency_key=intake.terms.idempotency_key,
+        bound_incarnation=intake.bound_incarnation,
+        settings_version=intake.fleet.version,
+    )
+
+
+def _make_view(
+    intake: Intake,
+    request_id: RequestId,
+    prompt: Prompt,
+) -> RequestView:
+    service = intake.service
+    band = intake.fleet.policy.bands.band_of(prompt.tokens)
+    target = service.target_for(band)
+    return RequestView(
+        request_id=request_id,
+        workspace=intake.workspace.workspace,
+        service=intake.service_id,
+        kind=service.kind,
+        band=PromptBand(band),
+        prompt_tokens=prompt.tokens,
+        max_output_tokens=_output_tokens(service, prompt),
+        arrival=intake.arrival,
+        deadline=intake.arrival + intake.terms.time_limit,
+        idempotent=intake.terms.idempotent,
+        target_seconds=0 if target is None else target.first_token_seconds,
+        penalty=0 if target is None else target.penalty,
+        weight=intake.workspace.weight,
+        prefix_blocks=prompt.blocks,
+        pinned_to=_pinned_to(intake),
+    )
+
+
+def _output_tokens(service: ServiceSettings, prompt: Prompt) -> int:
+    if service.kind == EndpointKind.PLAIN:
+        return 0
+    asked = prompt.max_output_tokens or service.max_output_tokens
+    return min(asked, service.max_output_tokens)
+
+
+def _pinned_to(intake: Intake) -> EndpointId | None:
+    if intake.claims is not None:
+        return EndpointId(intake.claims.minter)
+    if intake.terms.idempotency_key:
+        return home_endpoint(
+            intake.fleet,
+            intake.workspace.workspace,
+            intake.service_id,
+            intake.terms.idempotency_key,
+        )
+    return None
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/overview.py
@@ -0,0 +1,56 @@
+"""What an operator sees of the fleet through one entry process."""
+
+import msgspec
+from sycamore_core.decisions import SchedulerSnapshot
+from sycamore_core.ids import EndpointId, Incarnation
+from sycamore_core.messages import LoadReport
+
+from .exchanges import EntryContext
+
+
+class LinkOverview(msgspec.Struct, frozen=True):
+    """One endpoint as this entry sees it; no report means silent.
+
+    Attributes
+    ----------
+    report_age
+        Seconds since its last report.
+    """
+
+    endpoint: EndpointId
+    address: str
+    incarnation: Incarnation
+    report_age: float
+    report: LoadReport | None
+
+
+class Overview(msgspec.Struct, frozen=True):
+    """The whole view."""
+
+    settings_version: int
+    exchanges: int
+    stray_events: int
+    scheduler: SchedulerSnapshot
+    links: tuple[LinkOverview, ...]
+
+
+def make_overview(context: EntryContext) -> Overview:
+    """Return the view as it is now."""
+    now = context.now()
+    links = context.links.links.values()
+    return Overview(
+        settings_version=context.links.claim().rank.version,
+        exchanges=len(context.registry),
+        stray_events=context.registry.stray,
+        scheduler=context.scheduler.snapshot(now),
+        links=tuple(
+            LinkOverview(
+                endpoint=link.endpoint,
+                address=link.address,
+                incarnation=link.incarnation,
+                report_age=now - link.reported_at,
+                report=link.report,
+            )
+            for link in links
+        ),
+    )
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/web/handlers/operator.py
@@ -0,0 +1,57 @@
+"""``/v1/operator/...``: what operators see of this entry process."""
+
+from sycamore_core.ids import RequestId
+from sycamore_core.states import RefusalReason
+
+from ...errors import RefusedError
+from ...overview import make_overview
+from ..auth import check_operator
+from .base import BaseHandler
+
+_NEWEST = 100
+
+
+class OperatorHandler(BaseHandler):
+    """Open to operators only."""
+
+    def prepare(self) -> None:
+        """Check the operator's key."""
+        check_operator(self.context.fleet(), self.authorization)
+
+
+class FleetHandler(OperatorHandler):
+    """Endpoints, leases, queues and the versions in force."""
+
+    def get(self) -> None:
+        """Answer with the overview."""
+        self.write_json(make_overview(self.context.entry))
+
+
+class AttainmentHandler(OperatorHandler):
+    """Targets met and missed, and the penalties owed."""
+
+    def get(self) -> None:
+        """Answer with one row for each target."""
+        self.write_json(self.context.entry.attainment.rows())
+
+
+class RecordsHandler(OperatorHandler):
+    """The newest refused or failed requests."""
+
+    def get(self) -> None:
+        """Answer with the newest records."""
+        self.write_json(self.context.entry.records.newest(_NEWEST))
+
+
+class RecordHandler(OperatorHandler):
+    """One refused or failed request."""
+
+    def get(self, request_id: str) -> None:
+        """Answer with the record."""
+        record = self.context.entry.records.find(RequestId(request_id))
+        if record is None:
+            raise RefusedError(
+                RefusalReason.UNKNOWN_REQUEST,
+                'this entry has no record of the request',
+            )
+        self.write_json(record)
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/web/handlers/reservations.py
@@ -0,0 +1,64 @@
+"""``POST /v1/workspaces/{w}/services/{s}/reservations``: an id, nothing run."""
+
+import random
+
+import msgspec
+from sycamore_core.ids import RequestId, ServiceId, WorkspaceId
+from sycamore_core.states import EndpointPhase
+
+from ...fleet import EndpointLink
+from ..auth import check_workspace, find_service
+from .base import BaseHandler
+
+_CREATED = 201
+
+
+class ReservationBody(msgspec.Struct, frozen=True):
+    """The id, and for how many seconds it can be used."""
+
+    request_id: RequestId
+    expires_in: float
+
+
+class ReservationsHandler(BaseHandler):
+    """Has an endpoint process mint an id."""
+
+    async def post(self, workspace: str, service: str) -> None:
+        """Answer with the id."""
+        self.context.check_open()
+        fleet = self.context.fleet()
+        known = check_workspace(
+            fleet,
+            WorkspaceId(workspace),
+            self.authorization,
+        )
+        find_service(known, ServiceId(service))
+        names = [one.endpoint for one in fleet.endpoints_of(service)]
+        links = [self.context.entry.links.find(name) for name in names]
+        reserved = await self.context.reservations.reserve(
+            _by_load([link for link in links if link is not None]),
+            known.workspace,
+            ServiceId(service),
+        )
+        self.set_status(_CREATED)
+        self.set_header('Request-Id', reserved.request_id)
+        self.write_json(
+            ReservationBody(reserved.request_id, reserved.expires_in),
+        )
+
+
+def _by_load(links: list[EndpointLink]) -> list[EndpointLink]:
+    """Order live endpoints: the less busy of each random two comes first."""
+    live = [
+        link
+        for link in links
+        if link.report is not None and link.report.phase == EndpointPhase.LIVE
+    ]
+    random.shuffle(live)
+    first_two = sorted(live[:2], key=_busyness)
+    return first_two + live[2:]
+
+
+def _busyness(link: EndpointLink) -> int:
+    report = link.report
+    return 0 if report is None else report.running + report.waiting
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/web/limits.py
@@ -0,0 +1,82 @@
+"""What a caller asks for in headers, checked against its service's limits."""
+
+import uuid
+from collections.abc import Mapping
+
+import msgspec
+from sycamore_core.ids import IdempotencyKey
+from sycamore_core.settings import ServiceSettings
+from sycamore_core.states import RefusalReason
+
+from ..errors import RefusedError
+
+_TIME_ORDERED_VERSION = 7
+_FLAGS = ('true', 'false')
+
+
+class CallTerms(msgspec.Struct, frozen=True):
+    """Time limit in seconds, and whether and how the call may be repeated."""
+
+    time_limit: float
+    idempotent: bool
+    idempotency_key: IdempotencyKey
+
+
+def read_terms(
+    headers: Mapping[str, str],
+    service: ServiceSettings,
+) -> CallTerms:
+    """Read the headers of a request.
+
+    Raises
+    ------
+    RefusedError
+        If one of them is missing or out of its limits.
+    """
+    return CallTerms(
+        time_limit=_time_limit(headers.get('Time-Limit', ''), service),
+        idempotent=_idempotent(headers.get('Idempotent', ''), service),
+        idempotency_key=_key(headers.get('Idempotency-Key', '')),
+    )
+
+
+def _time_limit(text: str, service: ServiceSettings) -> float:
+    if not text:
+        if service.default_time_limit_seconds:
+            return service.default_time_limit_seconds
+        raise RefusedError(
+            RefusalReason.TIME_LIMIT_MISSING,
+            'name a time limit in seconds in the header Time-Limit',
+        )
+    try:
+        seconds = float(text)
+    except ValueError as error:
+        raise _bad('Time-Limit is not a number of seconds') from error
+    if not 0 < seconds <= service.longest_time_limit_seconds:
+        longest = service.longest_time_limit_seconds
+        raise _bad(f'Time-Limit is not between 0 and {longest} seconds')
+    return seconds
+
+
+def _idempotent(text: str, service: ServiceSettings) -> bool:
+    if not text:
+        return service.idempotent
+    if text.lower() not in _FLAGS:
+        raise _bad('Idempotent is neither true nor false')
+    return text.lower() == 'true'
+
+
+def _key(text: str) -> IdempotencyKey:
+    if not text:
+        return IdempotencyKey('')
+    try:
+        version = uuid.UUID(text).version
+    except ValueError:
+        version = None
+    if version != _TIME_ORDERED_VERSION:
+        raise _bad('Idempotency-Key is not a UUID of version 7')
+    return IdempotencyKey(text.lower())
+
+
+def _bad(detail: str) -> RefusedError:
+    return RefusedError(RefusalReason.BAD_REQUEST, detail)
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/web/problems.py
@@ -0,0 +1,89 @@
+"""Refusals as typed JSON documents, never with a stack trace."""
+
+import http
+from types import MappingProxyType
+
+import msgspec
+from sycamore_core.ids import RequestId
+from sycamore_core.states import Execution, RefusalReason
+
+from ..errors import RefusedError
+
+PROBLEM_TYPE = 'application/problem+json'
+_TYPE_PREFIX = 'urn:sycamorestack:refusal:'
+
+_BAD = http.HTTPStatus.BAD_REQUEST
+_BUSY = http.HTTPStatus.SERVICE_UNAVAILABLE
+_TOO_MANY = http.HTTPStatus.TOO_MANY_REQUESTS
+_GATEWAY = http.HTTPStatus.BAD_GATEWAY
+_TOO_LARGE = http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+_TIMEOUT = http.HTTPStatus.GATEWAY_TIMEOUT
+
+#: HTTP status of each reason; all others are 503, come back later.
+STATUSES = MappingProxyType(
+    {
+        RefusalReason.BAD_REQUEST: _BAD,
+        RefusalReason.TIME_LIMIT_MISSING: _BAD,
+        RefusalReason.TIME_LIMIT_TOO_SHORT: _BAD,
+        RefusalReason.FORGED_REQUEST_ID: http.HTTPStatus.FORBIDDEN,
+        RefusalReason.UNAUTHENTICATED: http.HTTPStatus.UNAUTHORIZED,
+        RefusalReason.UNKNOWN_WORKSPACE: http.HTTPStatus.NOT_FOUND,
+        RefusalReason.UNKNOWN_SERVICE: http.HTTPStatus.NOT_FOUND,
+        RefusalReason.UNKNOWN_REQUEST: http.HTTPStatus.NOT_FOUND,
+        RefusalReason.BODY_TOO_LARGE: _TOO_LARGE,
+        RefusalReason.PROMPT_TOO_LONG: _TOO_LARGE,
+        RefusalReason.OVER_SHARE: _TOO_MANY,
+        RefusalReason.OVERLOADED: _TOO_MANY,
+        RefusalReason.QUEUE_FULL: _TOO_MANY,
+        RefusalReason.DEADLINE_PASSED: _TIMEOUT,
+        RefusalReason.KEY_IN_DOUBT: http.HTTPStatus.CONFLICT,
+        RefusalReason.RESERVATION_EXPIRED: http.HTTPStatus.GONE,
+        RefusalReason.OUTCOME_UNKNOWN: _GATEWAY,
+        RefusalReason.BACKEND_FAILED: _GATEWAY,
+    }
+)
+
+
+class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Body of a refusal, in the form of RFC 9457.
+
+    Attributes
+    ----------
+    not_run
+        True if the request was surely not run, False if it was, and the text
+        ``unknown`` if nobody can tell.
+    retry_after
+        When to come back, in seconds.
+    """
+
+    type: str
+    title: str
+    status: int
+    reason: RefusalReason
+    not_run: bool | str
+    request_id: str = ''
+    retry_after: float = 0
+    detail: str = ''
+
+
+def make_problem(
+    refused: RefusedError,
+    request_id: RequestId | None = None,
+) -> Problem:
+    """Return the document that tells a caller of a refusal."""
+    return Problem(
+        type=_TYPE_PREFIX + refused.reason.value,
+        title=refused.reason.value.replace('_', ' '),
+        status=STATUSES.get(refused.reason, _BUSY).value,
+        reason=refused.reason,
+        not_run=_not_run(refused.execution),
+        request_id=request_id or '',
+        retry_after=refused.retry_after,
+        detail=refused.detail,
+    )
+
+
+def _not_run(execution: Execution) -> bool | str:
+    if execution == Execution.UNKNOWN:
+        return execution.value
+    return execution == Execution.NOT_RUN
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/web/shared.py
@@ -0,0 +1,68 @@
+"""What all handlers share."""
+
+import asyncio
+import dataclasses
+from collections.abc import Callable
+
+from sycamore_core.identity import RequestIdSigner
+from sycamore_core.ids import RequestId
+from sycamore_core.settings import FleetSettings
+from sycamore_core.states import RefusalReason
+
+from ..errors import RefusedError
+from ..exchanges import EntryContext
+from ..reservations import Reservations
+
+_COME_BACK_SECONDS = 1.0
+
+
+@dataclasses.dataclass
+class WebContext:
+    """The parts of the entry process that handlers use.
+
+    Attributes
+    ----------
+    current_fleet
+        Returns the settings in force, or None before the first ones.
+    draining
+        Set once the process takes no new requests.
+    """
+
+    entry: EntryContext
+    signer: RequestIdSigner
+    reservations: Reservations
+    current_fleet: Callable[[], FleetSettings | None]
+    new_request_id: Callable[..., RequestId]
+    draining: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    def fleet(self) -> FleetSettings:
+        """Return the settings in force.
+
+        Raises
+        ------
+        RefusedError
+            If there are none yet.
+        """
+        fleet = self.current_fleet()
+        if fleet is None:
+            raise RefusedError(
+                RefusalReason.SETTINGS_NOT_READY,
+                'no settings have been accepted yet',
+                retry_after=_COME_BACK_SECONDS,
+            )
+        return fleet
+
+    def check_open(self) -> None:
+        """Refuse new work while the process drains.
+
+        Raises
+        ------
+        RefusedError
+            If the process is shutting down.
+        """
+        if self.draining.is_set():
+            raise RefusedError(
+                RefusalReason.SHUTTING_DOWN,
+                'this entry is shutting down; another one serves',
+                retry_after=_COME_BACK_SECONDS,
+            )
