Append the settings digest and age to heartbeats, seed peers to the process files

Cause: the version number in a heartbeat does not tell two trees of one number apart, and a process that does not read the platform itself learns nothing of how old its view is. A starting process knew no peer to ask. Fields are appended with defaults, so old and new processes run together. Verdicts on trees and outcomes of reads get enumerations for the counters.

--- a/packages/sycamore-core/src/sycamore_core/messages/heartbeats.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/heartbeats.py
@@ -6,12 +6,20 @@
 
 
 class Heartbeat(BaseMessage, frozen=True):
-    """Sign of life of an entry, with the settings version it serves on."""
+    """Sign of life of an entry, with the settings version it serves on.
+
+    Attributes
+    ----------
+    settings_digest, settings_age
+        As in `sycamore_core.platform.SettingsClaim`.
+    """
 
     entry: EntryId
     zone: ZoneId
     settings_version: int
     draining: bool = False
+    settings_digest: int = 0
+    settings_age: float = -1
 
 
 class LoadReport(BaseMessage, frozen=True):
@@ -34,6 +42,8 @@
         Time between two tokens of a stream seen lately, in seconds.
     cached_blocks
         Blocks that the engine said it caches, newest first, a few only.
+    settings_digest, settings_age
+        As in `sycamore_core.platform.SettingsClaim`.
     """
 
     endpoint: EndpointId
@@ -51,6 +61,8 @@
     service_rate: float = 0
     step_seconds: float = 0
     cached_blocks: tuple[int, ...] = ()
+    settings_digest: int = 0
+    settings_age: float = -1
 
 
 class SettingsWanted(BaseMessage, frozen=True):
--- a/packages/sycamore-core/src/sycamore_core/settings/process.py
+++ b/packages/sycamore-core/src/sycamore_core/settings/process.py
@@ -41,9 +41,13 @@
         the one told to them if it differs.
     settings_url, instances_url
         The platform's settings service and list of instances.
-    settings_cache_seconds
-        How long to wait for a first settings tree before giving up, in
-        seconds.
+    seed_peers
+        Addresses of other processes, as ``tcp://IP:PORT``, that are asked for
+        their settings at the start, beside the platform.
+    start_seconds
+        How long to wait for a first settings tree before giving up.
+    drain_seconds
+        Longest time that a graceful stop waits for requests in progress.
     """
 
     name: EntryId
@@ -59,6 +63,7 @@
     log_level: str = 'INFO'
     start_seconds: float = 30
     drain_seconds: float = 600
+    seed_peers: tuple[str, ...] = ()
 
 
 class EndpointProcessSettings(
@@ -77,6 +82,8 @@
         Where operators read metrics; port 0 serves none.
     engine_checks_fencing
         Whether the engine refuses an order with an old fencing number.
+    seed_peers, start_seconds, drain_seconds
+        As in `EntryProcessSettings`.
     """
 
     name: EndpointId
@@ -95,3 +102,4 @@
     log_level: str = 'INFO'
     start_seconds: float = 30
     drain_seconds: float = 600
+    seed_peers: tuple[str, ...] = ()
--- a/packages/sycamore-core/src/sycamore_core/states.py
+++ b/packages/sycamore-core/src/sycamore_core/states.py
@@ -137,3 +137,22 @@
     ENTRY_SILENT = 'entry_silent'
     OPERATOR = 'operator'
     SUPERSEDED = 'superseded'
+
+
+class SettingsVerdict(enum.StrEnum):
+    """What became of a settings tree that the platform or a peer offered."""
+
+    ACCEPTED = 'accepted'
+    KNOWN = 'known'
+    OLDER = 'older'
+    #: Another tree of the version in force, which is kept.
+    CONFLICT = 'conflict'
+    INVALID = 'invalid'
+
+
+class ReadOutcome(enum.StrEnum):
+    """How one read of the settings service ended."""
+
+    CHANGED = 'changed'
+    UNCHANGED = 'unchanged'
+    FAILED = 'failed'
