Keep settings from platform and peers, never going back

Need: each process takes newer settings from the platform or from a peer, refuses an invalid tree and keeps the last good one, and never reverts. Ways weighed: order by version alone (two operators racing leave the fleet split until the next version); last one read wins (goes back when the service does); order by version, then content digest (taken: the highest of a set, the same everywhere whatever the order of arrival).

--- a/packages/sycamore-core/src/sycamore_core/platform/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/platform/__init__.py
@@ -1,5 +1,18 @@
 """Reading of what the platform publishes: settings and instances."""
 
+from .accepted import (
+    MAX_SETTINGS_BYTES,
+    AcceptedSettings,
+    RefusedTree,
+    TreeRank,
+    digest_of,
+)
+from .claims import SettingsClaim
+from .http_sources import HttpInstanceSource, HttpSettingsSource
+from .keeper import SettingsKeeper, ZoneMember
+from .pace import ReadPace
+from .peers import NoPeers, SeedPeers, SettingsPeers
+from .readers import is_reader, rank_in_zone
 from .sources import (
     InstanceEntry,
     InstanceSource,
@@ -9,9 +22,25 @@
 )
 
 __all__ = (
+    'MAX_SETTINGS_BYTES',
+    'AcceptedSettings',
+    'HttpInstanceSource',
+    'HttpSettingsSource',
     'InstanceEntry',
     'InstanceSource',
     'InstanceState',
+    'NoPeers',
     'PublishedSettings',
+    'ReadPace',
+    'RefusedTree',
+    'SeedPeers',
+    'SettingsClaim',
+    'SettingsKeeper',
+    'SettingsPeers',
     'SettingsSource',
+    'TreeRank',
+    'ZoneMember',
+    'digest_of',
+    'is_reader',
+    'rank_in_zone',
 )
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/platform/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the readers of the platform's services."""
--- a/packages/sycamore-core/src/sycamore_core/telemetry/metrics.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/metrics.py
@@ -4,7 +4,13 @@
 from opentelemetry.sdk.metrics import MeterProvider
 from prometheus_client import REGISTRY, generate_latest
 
-from ..states import PromptBand, RefusalReason, RetryReason
+from ..states import (
+    PromptBand,
+    ReadOutcome,
+    RefusalReason,
+    RetryReason,
+    SettingsVerdict,
+)
 
 
 class Metrics:
@@ -23,6 +29,13 @@
         self._first_token = meter.create_histogram(
             'sycamore_first_token_seconds',
         )
+        self._settings_reads = meter.create_counter('sycamore_settings_reads')
+        self._settings_offers = meter.create_counter(
+            'sycamore_settings_offers',
+        )
+        self._settings_version = meter.create_gauge(
+            'sycamore_settings_version',
+        )
 
     def refused(self, reason: RefusalReason) -> None:
         """Count a refusal."""
@@ -36,6 +49,18 @@
         """Record a time to first token, in seconds."""
         self._first_token.record(seconds, {'band': band.value})
 
+    def settings_read(self, outcome: ReadOutcome) -> None:
+        """Count a read of the settings service."""
+        self._settings_reads.add(1, {'outcome': outcome.value})
+
+    def settings_offered(self, verdict: SettingsVerdict) -> None:
+        """Count a settings tree that the platform or a peer offered."""
+        self._settings_offers.add(1, {'verdict': verdict.value})
+
+    def settings_version(self, version: int) -> None:
+        """Record the settings version in force."""
+        self._settings_version.set(version)
+
     def page(self) -> bytes:
         """Return the Prometheus page."""
         return generate_latest(REGISTRY)
