--- a/packages/sycamore-standins/src/sycamore_standins/engine/__init__.py
+++ b/packages/sycamore-standins/src/sycamore_standins/engine/__init__.py
@@ -1,6 +1,7 @@
 """A model engine: the pure model of one, and a server that runs it."""
 
-from .model import DuplicateError, EngineModel, OutOfMemoryError
+from .memory import DuplicateError, EngineError, OutOfMemoryError
+from .model import EngineModel
 from .prefix_cache import CacheEvent
 from .profile import EngineProfile
 from .sequences import EngineLoad, SequenceRequest, SpanRequest, StepResult
@@ -8,6 +9,7 @@
 __all__ = (
     'CacheEvent',
     'DuplicateError',
+    'EngineError',
     'EngineLoad',
     'EngineModel',
     'EngineProfile',
--- a/packages/sycamore-standins/src/sycamore_standins/engine/model.py
+++ b/packages/sycamore-standins/src/sycamore_standins/engine/model.py
@@ -6,8 +6,8 @@
 How to drive it::
 
     model = EngineModel(EngineProfile(), draw)
-    model.submit(SequenceRequest(...), now)     # OutOfMemoryError, DuplicateError
-    model.prepare_span(SpanRequest(...), now)   # handle comes in StepResult.spans
+    model.submit(SequenceRequest(...), now)    # or OutOfMemoryError,
+    model.prepare_span(SpanRequest(...), now)  # or DuplicateError
     while ...:
         wake = model.next_event()               # inf when idle
         for step in model.advance(wake):        # all steps that end by `wake`
@@ -23,13 +23,14 @@
 by running sequences, which are counted once for each.
 """
 
-from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
-from sycamore_core.errors import BackendError
 from sycamore_core.ids import GroupId, RequestId
 
-from .prefix_cache import CacheEvent, PrefixCache
+from .batch import Batch, StepPlan
+from .gauge import LoadGauge
+from .memory import EngineMemory
+from .prefix_cache import CacheEvent
 from .profile import EngineProfile
 from .sequences import (
     EngineLoad,
@@ -39,25 +40,9 @@
     Work,
 )
 
-#: Weight of the last step in the averages that the engine reports.
-_SMOOTHING = 0.2
-#: Snapshots kept within the report's lag, so that its age is right to a tenth.
-_SNAPSHOTS_PER_LAG = 10
 _NEVER = float('inf')
 
 
-class EngineError(BackendError):
-    """The engine model refuses what it was asked."""
-
-
-class OutOfMemoryError(EngineError):
-    """The engine has no memory left for a sequence or a span."""
-
-
-class DuplicateError(EngineError):
-    """A request with the same id is in the engine."""
-
-
 def _always_published() -> float:
     return 1
 
@@ -79,26 +64,13 @@
         draw: Callable[[], float] = _always_published,
     ) -> None:
         self.profile = profile
-        self.cache = PrefixCache(
-            profile.block_tokens,
-            profile.event_loss,
-            draw,
-        )
-        self.work: dict[str, Work] = {}
-        self.batch: dict[str, Work] = {}
-        self.leased_tokens = 0
-        self.step_seconds: float = 0
-        self.prefill_rate: float = 0
+        self.memory = EngineMemory(profile, draw)
+        self.gauge = LoadGauge(profile.report_lag_seconds)
+        self.batch = Batch()
         self.step_started: float = 0
         self.step_ends = _NEVER
-        self._plan: list[tuple[Work, int]] = []
+        self._plan = StepPlan()
         self._order = 0
-        self._snapshots: deque[EngineLoad] = deque()
-
-    @property
-    def free_tokens(self) -> int:
-        """Memory that is not leased, in tokens."""
-        return self.profile.memory_tokens - self.leased_tokens
 
     def submit(self, request: SequenceRequest, now: float) -> None:
         """Take a sequence; its memory is leased until it ends.
@@ -149,7 +121,7 @@
 
     def cancel(self, request_id: RequestId, now: float) -> bool:
         """End a sequence and free its memory; False if it is not here."""
-        work = self.work.get(request_id)
+        work = self.memory.work.get(request_id)
         if work is None:
             return False
         self._drop(work, now)
@@ -158,25 +130,28 @@
     def release_group(self, group: GroupId, now: float) -> int:
         """Free all spans of a group; return how many tokens were freed."""
         held = [
-            work
-            for work in self.work.values()
+            name
+            for name, work in self.memory.work.items()
             if work.span is not None and work.span.group == group
         ]
-        for work in held:
-            self._drop(work, now)
-        return sum(work.lease for work in held)
+        before = self.memory.leased_tokens
+        for name in held:
+            self._drop(self.memory.work[name], now)
+        return before - self.memory.leased_tokens
 
     def spans(self) -> tuple[SpanRequest, ...]:
         """Return the spans that are held or being computed."""
         return tuple(
-            work.span for work in self.work.values() if work.span is not None
+            work.span
+            for work in self.memory.work.values()
+            if work.span is not None
         )
 
     def sequences(self) -> dict[RequestId, int]:
         """Return the memory leased by each sequence, in tokens; exact."""
         return {
             work.request.request_id: work.lease
-            for work in self.work.values()
+            for work in self.memory.work.values()
             if work.request is not None
         }
 
@@ -193,191 +168,89 @@
 
     def load(self, now: float) -> EngineLoad:
         """Return the load as it is."""
-        waiting = sum(
-            1 for work in self.work.values() if work.name not in self.batch
-        )
+        held = sum(1 for work in self.memory.work.values() if work.is_held_span)
+        backlog = sum(work.prefill_left for work in self.memory.work.values())
         return EngineLoad(
             at=now,
-            running=len(self.batch),
-            waiting=waiting - self._held_spans(),
-            backlog_tokens=sum(w.prefill_left for w in self.work.values()),
-            used_tokens=self.leased_tokens,
+            running=len(self.batch.members),
+            waiting=len(self.memory.work) - len(self.batch.members) - held,
+            backlog_tokens=backlog,
+            used_tokens=self.memory.leased_tokens,
             capacity_tokens=self.profile.memory_tokens,
-            step_seconds=self.step_seconds,
-            prefill_rate=self.prefill_rate,
+            step_seconds=self.gauge.step_seconds,
+            prefill_rate=self.gauge.prefill_rate,
         )
 
     def lagged_load(self, now: float) -> EngineLoad:
         """Return the load as the engine publishes it: some time ago."""
-        self._note_load(now)
-        known = self._snapshots[0]
-        while self._snapshots and self._snapshots[0].at <= self._horizon(now):
-            known = self._snapshots.popleft()
-        self._snapshots.appendleft(known)
-        return known
+        if self.gauge.due(now):
+            self.gauge.record(self.load(now))
+        return self.gauge.published(now)
 
     def events_after(self, number: int, now: float) -> list[CacheEvent]:
         """Return the cache events above `number` that are published by now."""
-        return self.cache.events_after(number, self._horizon(now))
-
-    def _horizon(self, now: float) -> float:
-        return now - self.profile.report_lag_seconds
-
-    def _held_spans(self) -> int:
-        return sum(
-            1
-            for work in self.work.values()
-            if work.span is not None and not work.prefill_left
-        )
+        horizon = now - self.profile.report_lag_seconds
+        return self.memory.cache.events_after(number, horizon)
 
     def _take(self, work: Work, now: float) -> None:
-        if work.name in self.work:
-            raise DuplicateError(work.name)
-        if work.lease > self.free_tokens:
-            raise OutOfMemoryError(
-                f'{work.lease} tokens wanted, {self.free_tokens} free',
-            )
+        self.memory.lease(work, now)
         self._order += 1
-        self.leased_tokens += work.lease
-        self.cache.shrink(self.free_tokens, now)
-        self.work[work.name] = work
-        if not self._plan:
+        if not self._plan.chunks:
             self._begin_step(now)
 
     def _drop(self, work: Work, now: float) -> None:
-        self.work.pop(work.name)
-        self.batch.pop(work.name, None)
-        self.leased_tokens -= work.lease
-        if work.request is not None and work.pinned:
-            self.cache.unpin(work.request.blocks[: work.pinned])
-        self.cache.shrink(self.free_tokens, now)
+        self.memory.release(work, now)
+        self.batch.members.pop(work.name, None)
         work.prefill_left = 0
 
     def _begin_step(self, now: float) -> None:
-        self._fill_batch(now)
-        self._plan = self._planned(now)
+        self.batch.fill(self.memory, self.profile.max_sequences, now)
+        self._plan = self.batch.plan(self.profile)
         self.step_started = now
-        if self._plan:
-            self.step_ends = now + self._duration()
-        else:
-            self.step_ends = min(
-                (w.ready_at for w in self.work.values() if w.ready_at > now),
-                default=_NEVER,
-            )
-
-    def _fill_batch(self, now: float) -> None:
-        room = self.profile.max_sequences - len(self.batch)
-        if room <= 0 or len(self.work) == len(self.batch):
-            return
-        candidates = [
-            work
-            for work in self.work.values()
-            if work.name not in self.batch
-            and work.ready_at <= now
-            and not (work.span is not None and not work.prefill_left)
-        ]
-        candidates.sort(key=lambda work: work.rank)
-        for work in candidates[:room]:
-            self._look_up(work, now)
-            self.batch[work.name] = work
-
-    def _look_up(self, work: Work, now: float) -> None:
-        if work.request is None or work.looked_up:
+        if self._plan.chunks:
+            self.step_ends = now + self._plan.seconds
             return
-        work.looked_up = True
-        matched = self.cache.matched_tokens(work.request.blocks)
-        work.prefill_left = max(work.prefill_left - matched, 1)
-        work.pinned = matched // self.profile.block_tokens
-        self.cache.pin(work.request.blocks[: work.pinned], now)
-
-    def _planned(self, now: float) -> list[tuple[Work, int]]:
-        plan = [
-            (work, 0) for work in self.batch.values() if not work.prefill_left
-        ]
-        prefilling = sorted(
-            (work for work in self.batch.values() if work.prefill_left),
-            key=lambda work: work.rank,
+        self.step_ends = min(
+            (
+                work.ready_at
+                for work in self.memory.work.values()
+                if work.ready_at > now
+            ),
+            default=_NEVER,
         )
-        room = self.profile.prefill_chunk_tokens
-        for work in prefilling:
-            chunk = min(room, work.prefill_left)
-            if chunk:
-                plan.append((work, chunk))
-            room -= chunk
-        return plan
-
-    def _duration(self) -> float:
-        prefill = sum(chunk for _, chunk in self._plan)
-        decoding = sum(1 for _, chunk in self._plan if not chunk)
-        profile = self.profile
-        steps = profile.step_base_seconds
-        steps += profile.step_slope_seconds * decoding
-        return steps + prefill / profile.prefill_rate
 
     def _end_step(self, now: float) -> StepResult:
-        plan = self._plan
-        self._note_speed(plan, now)
-        tokens: list[RequestId] = []
-        first: list[RequestId] = []
-        finished: list[RequestId] = []
-        spans: list[str] = []
-        for work, chunk in plan:
-            if self.work.get(work.name) is not work:
-                continue
-            work.prefill_left -= chunk
-            if work.prefill_left:
-                continue
-            if work.request is None:
-                self.batch.pop(work.name)
-                spans.append(work.name)
-                continue
-            self._generate(work, now)
-            tokens.append(work.request.request_id)
-            if work.generated == 1:
-                first.append(work.request.request_id)
-            if work.name not in self.work:
-                finished.append(work.request.request_id)
+        self._note_step(now)
+        ready = self._plan.completed(self.memory.work)
+        sequences = [work for work in ready if work.request is not None]
+        spans = [work.name for work in ready if work.request is None]
+        for sequence in sequences:
+            self._generate(sequence, now)
+        for handle in spans:
+            self.batch.members.pop(handle)
         self._begin_step(now)
         return StepResult(
             now,
-            tuple(tokens),
-            tuple(first),
-            tuple(finished),
-            tuple(spans),
+            tokens=_names(sequences),
+            first=_names(seq for seq in sequences if seq.generated == 1),
+            finished=_names(seq for seq in sequences if seq.is_complete),
+            spans=tuple(spans),
         )
 
     def _generate(self, work: Work, now: float) -> None:
-        request = work.request
-        if request is None:
-            return
         if not work.generated:
-            self.cache.pin(request.blocks[work.pinned :], now)
-            work.pinned = len(request.blocks)
+            self.memory.keep_blocks(work, now)
         work.generated += 1
-        if work.generated >= request.length:
+        if work.is_complete:
             self._drop(work, now)
 
-    def _note_speed(self, plan: list[tuple[Work, int]], now: float) -> None:
-        if not plan:
-            return
-        seconds = now - self.step_started
-        prefill = sum(chunk for _, chunk in plan)
-        self.step_seconds = _smoothed(self.step_seconds, seconds)
-        if prefill:
-            self.prefill_rate = _smoothed(self.prefill_rate, prefill / seconds)
-        self._note_load(now)
-
-    def _note_load(self, now: float) -> None:
-        interval = self.profile.report_lag_seconds / _SNAPSHOTS_PER_LAG
-        if self._snapshots and now < self._snapshots[-1].at + interval:
-            return
-        self._snapshots.append(self.load(now))
-        horizon = self._horizon(now)
-        while len(self._snapshots) > 1 and self._snapshots[1].at <= horizon:
-            self._snapshots.popleft()
+    def _note_step(self, now: float) -> None:
+        if self._plan.chunks:
+            seconds = now - self.step_started
+            self.gauge.note_step(seconds, self._plan.prefill_tokens)
+        if self.gauge.due(now):
+            self.gauge.record(self.load(now))
 
 
-def _smoothed(average: float, sample: float) -> float:
-    if not average:
-        return sample
-    return average + _SMOOTHING * (sample - average)
+def _names(sequences: Iterable[Work]) -> tuple[RequestId, ...]:
+    return tuple(RequestId(work.name) for work in sequences)
--- a/packages/sycamore-standins/src/sycamore_standins/engine/prefix_cache.py
+++ b/packages/sycamore-standins/src/sycamore_standins/engine/prefix_cache.py
@@ -73,14 +73,14 @@
     def pin(self, blocks: Sequence[BlockHash], now: float) -> None:
         """Note that a sequence uses these blocks."""
         for block in blocks:
-            if block in self.pinned:
-                self.pinned[block] += 1
+            users = self.pinned.get(block, 0)
+            self.pinned[block] = users + 1
+            if users:
                 continue
             if block in self.unpinned:
                 self.unpinned.pop(block)
             else:
                 self._publish('stored', block, now)
-            self.pinned[block] = 1
 
     def unpin(self, blocks: Sequence[BlockHash]) -> None:
         """Note that a sequence no longer uses these blocks."""
@@ -98,7 +98,7 @@
             self._publish('evicted', block, now)
 
     def events_after(self, number: int, until: float) -> list[CacheEvent]:
-        """Return the published events above `number`, not newer than `until`."""
+        """Return published events above `number`, not newer than `until`."""
         return [
             event
             for event in self.events
--- a/packages/sycamore-standins/src/sycamore_standins/engine/sequences.py
+++ b/packages/sycamore-standins/src/sycamore_standins/engine/sequences.py
@@ -92,6 +92,18 @@
         """Order in which the engine serves: by priority, then first come."""
         return (self.priority, self.order)
 
+    @property
+    def is_held_span(self) -> bool:
+        """Whether it is a span that is computed and only held in memory."""
+        return self.span is not None and not self.prefill_left
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all tokens of the answer have been generated."""
+        if self.request is None:
+            return False
+        return self.generated >= self.request.length
+
 
 class StepResult(msgspec.Struct, frozen=True):
     """What one step of the engine has brought.
--- a/packages/sycamore-standins/src/sycamore_standins/engine/tests/test_model.py
+++ b/packages/sycamore-standins/src/sycamore_standins/engine/tests/test_model.py
@@ -2,7 +2,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from ..model import DuplicateError, EngineModel, OutOfMemoryError
+from ..memory import DuplicateError, OutOfMemoryError
+from ..model import EngineModel
 from ..profile import EngineProfile
 from ..sequences import SequenceRequest, SpanRequest
 
@@ -40,7 +41,7 @@
     assert [step.first for step in steps[:2]] == [(), ('a',)]
     assert steps[1].at == pytest.approx(1.02)
     assert steps[-1].finished == ('a',)
-    assert model.leased_tokens == 0
+    assert model.memory.leased_tokens == 0
 
 
 def test_better_priority_overtakes_a_long_prompt():
@@ -81,9 +82,9 @@
     model.prepare_span(SpanRequest(group='g', span=0, tokens=4000), 0)
     steps = run_out(model)
     assert steps[-1].spans == ('g/0',)
-    assert model.leased_tokens == 4000
+    assert model.memory.leased_tokens == 4000
     assert model.release_group('g', 9) == 4000
-    assert model.leased_tokens == 0
+    assert model.memory.leased_tokens == 0
 
 
 def test_published_load_is_as_old_as_the_lag():
@@ -118,7 +119,7 @@
         model.advance(number + 0.5)
         if cancelled:
             model.cancel(name, number + 0.5)
-        assert 0 <= model.leased_tokens <= PROFILE.memory_tokens
+        assert 0 <= model.memory.leased_tokens <= PROFILE.memory_tokens
     run_out(model)
-    assert model.leased_tokens == 0
-    assert not model.work
+    assert model.memory.leased_tokens == 0
+    assert not model.memory.work
