--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/decisions/pool.py
@@ -0,0 +1,99 @@
+"""Candidates for placement, found by position or by endpoint.
+
+Load pattern: thousands of placements a second among hundreds of endpoints.
+Without the index, each placement would walk all endpoints only to find the
+two or three that matter, which costs more than the rest of the decision.
+"""
+
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Self
+
+import msgspec
+
+from ..ids import EndpointId
+from .views import EndpointView
+
+
+class Candidate(msgspec.Struct, kw_only=True):
+    """An endpoint that a request may go to; changed in place.
+
+    Attributes
+    ----------
+    sent_tokens, sent_requests
+        Prompt tokens and requests that this entry has sent to it since its
+        last report.
+    weight
+        From 0, nothing is sent, to 1, its full part; health times pace.
+    """
+
+    view: EndpointView
+    sent_tokens: int = 0
+    sent_requests: int = 0
+    weight: float = 1
+
+
+class CandidatePool(Sequence[Candidate]):
+    """The candidates of one service; each endpoint is in it once.
+
+    Examples
+    --------
+    >>> view = EndpointView(endpoint='e1', service='chat', zone='a')
+    >>> pool = CandidatePool([Candidate(view=view)])
+    >>> pool.find('e1').weight
+    1
+    >>> pool.remove('e1')
+    >>> len(pool)
+    0
+    """
+
+    def __init__(self, candidates: Iterable[Candidate] = ()) -> None:
+        self.members: list[Candidate] = []
+        self.positions: dict[EndpointId, int] = {}
+        #: Grows whenever an endpoint joins or leaves.
+        self.generation = 0
+        for candidate in candidates:
+            self.put(candidate)
+
+    @classmethod
+    def from_candidates(cls, candidates: Sequence[Candidate]) -> Self:
+        """Return `candidates` itself if it is a pool, else a new pool."""
+        return candidates if isinstance(candidates, cls) else cls(candidates)
+
+    def __getitem__(self, index: int) -> Candidate:
+        """Return the candidate at a position; positions may change."""
+        return self.members[index]
+
+    def __iter__(self) -> Iterator[Candidate]:
+        """Walk all candidates."""
+        return iter(self.members)
+
+    def __len__(self) -> int:
+        """Return the number of candidates."""
+        return len(self.members)
+
+    def find(self, endpoint: EndpointId) -> Candidate | None:
+        """Return the candidate of an endpoint, or None."""
+        position = self.positions.get(endpoint)
+        return None if position is None else self.members[position]
+
+    def put(self, candidate: Candidate) -> None:
+        """Add a candidate, or replace that of the same endpoint."""
+        endpoint = candidate.view.endpoint
+        position = self.positions.get(endpoint)
+        if position is not None:
+            self.members[position] = candidate
+            return
+        self.positions[endpoint] = len(self.members)
+        self.members.append(candidate)
+        self.generation += 1
+
+    def remove(self, endpoint: EndpointId) -> None:
+        """Take an endpoint out; the last one takes its position."""
+        position = self.positions.pop(endpoint, None)
+        if position is None:
+            return
+        last = self.members.pop()
+        if position < len(self.members):
+            self.members[position] = last
+            self.positions[last.view.endpoint] = position
+        self.generation += 1
