--- a/packages/sycamore-standins/src/sycamore_standins/engine/handlers.py
+++ b/packages/sycamore-standins/src/sycamore_standins/engine/handlers.py
@@ -3,7 +3,7 @@
 from sycamore_core.errors import BackendError
 
 from ..web import JsonHandler
-from .model import OutOfMemoryError
+from .memory import OutOfMemoryError
 from .orders import OrderBook
 from .runner import EngineRunner
 from .wire import ErrorBody
--- a/packages/sycamore-standins/src/sycamore_standins/engine/testing.py
+++ b/packages/sycamore-standins/src/sycamore_standins/engine/testing.py
@@ -24,7 +24,7 @@
         model = self.runner.model
         self.send(
             EngineMemory(
-                model.leased_tokens,
+                model.memory.leased_tokens,
                 len(model.sequences()),
                 len(model.spans()),
             ),
