Test what the entry process tells a caller when attempts fail

Cause: the exchange decides on retries and on what is said of a run; both promises break silently if a step notes the wrong thing. Ruled out: testing through sockets only; a scripted peer makes each loss exact. Conclusion: unknown is never told as not run in the cases listed.

--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/exchange.py
@@ -132,7 +132,7 @@
         return tuple(link.address for link in links if link is not None)
 
     def _after_offer(self, state: AttemptState, offer: AttemptOffer) -> None:
-        if offer.declined is not None:
+        if offer.declined:
             self.progress.declined(offer.declined)
         elif state == AttemptState.BARRED:
             self.progress.barred()
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/builders.py
@@ -0,0 +1,160 @@
+"""Builders for tests of exchanges: a context without a network."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import cast
+
+from sycamore_core.clock import SystemClock
+from sycamore_core.decisions import EndpointView, NaiveScheduler, RequestView
+from sycamore_core.ids import (
+    Attempt,
+    EndpointId,
+    Incarnation,
+    RequestId,
+    ServiceId,
+    WorkspaceId,
+    ZoneId,
+)
+from sycamore_core.messages import Close, Frame, LoadReport, Message, Offer
+from sycamore_core.states import EndpointPhase, PromptBand
+from sycamore_core.telemetry import Log, Metrics
+from sycamore_core.transport import Peer
+
+from ...answers import AnswerSink
+from ...errors import RefusedError
+from ...fleet import EndpointLink, EndpointLinks
+from ...records import RecordBook
+from .. import CallerRequest, EntryContext, ExchangeEvent, ExchangeRegistry
+
+REQUEST = RequestId('request')
+SERVICE = ServiceId('chat')
+WORKSPACE = WorkspaceId('school')
+Answer = Callable[[Message], Iterable[ExchangeEvent]]
+
+
+class ScriptedPeer:
+    """Answers what is posted to it by a function, at once."""
+
+    def __init__(self, registry: ExchangeRegistry, answer: Answer) -> None:
+        self.registry = registry
+        self.answer = answer
+        self.posted: list[Message] = []
+
+    def post(self, message: Message, *, urgent: bool = True) -> bool:
+        self.posted.append(message)
+        for event in self.answer(message):
+            self.registry.deliver(REQUEST, event)
+        return True
+
+    def posted_of(self, kind: type) -> list[Message]:
+        return [message for message in self.posted if isinstance(message, kind)]
+
+
+def make_offer(attempt: Attempt) -> Offer:
+    return Offer(
+        request_id=REQUEST,
+        attempt=attempt,
+        incarnation=Incarnation(1),
+        workspace=WORKSPACE,
+        service=SERVICE,
+        budget=1,
+        prompt_tokens=1,
+        max_output_tokens=1,
+        idempotent=True,
+        payload=b'',
+    )
+
+
+class RecordingSink(AnswerSink):
+    """Keeps what the caller receives."""
+
+    def __init__(self) -> None:
+        self.frames: list[Frame] = []
+        self.closed: Close | None = None
+        self.refused: RefusedError | None = None
+
+    async def admitted(self, request_id: RequestId) -> None:
+        """Nothing to keep."""
+
+    async def frame(self, frame: Frame) -> None:
+        self.frames.append(frame)
+
+    async def close(self, close: Close) -> None:
+        self.closed = close
+
+    async def refuse(
+        self,
+        request_id: RequestId,
+        refused: RefusedError,
+    ) -> None:
+        self.refused = refused
+
+
+class StillLinks(EndpointLinks):
+    """Links that no heartbeat keeps and no silence ends."""
+
+    def __init__(self) -> None:
+        self.links = {}
+
+
+def make_request(*, idempotent: bool, seconds: float = 20) -> CallerRequest:
+    now = SystemClock().monotonic()
+    view = RequestView(
+        request_id=REQUEST,
+        workspace=WORKSPACE,
+        service=SERVICE,
+        band=PromptBand.SHORT,
+        prompt_tokens=10,
+        max_output_tokens=10,
+        arrival=now,
+        deadline=now + seconds,
+        idempotent=idempotent,
+    )
+    return CallerRequest(view=view, payload=b'"text"')
+
+
+def make_context() -> EntryContext:
+    return EntryContext(
+        clock=SystemClock(),
+        scheduler=NaiveScheduler(),
+        links=StillLinks(),
+        registry=ExchangeRegistry(),
+        records=RecordBook(),
+        metrics=Metrics('test'),
+        log=Log('test'),
+    )
+
+
+def add_endpoint(
+    context: EntryContext,
+    name: str,
+    answer: Answer,
+) -> ScriptedPeer:
+    peer = ScriptedPeer(context.registry, answer)
+    endpoint = EndpointId(name)
+    context.links.links[endpoint] = EndpointLink(
+        endpoint=endpoint,
+        address=name,
+        peer=cast(Peer, peer),
+        incarnation=Incarnation(1),
+        report=LoadReport(
+            endpoint=endpoint,
+            service=SERVICE,
+            zone=ZoneId('a'),
+            incarnation=Incarnation(1),
+            phase=EndpointPhase.LIVE,
+            settings_version=1,
+        ),
+    )
+    view = EndpointView(endpoint=endpoint, service=SERVICE, zone=ZoneId('a'))
+    context.scheduler.update_endpoint(view, 0)
+    return peer
+
+
+async def dispatch_until(context: EntryContext, task: asyncio.Task) -> None:
+    """Run the dispatcher's work until an exchange is over."""
+    async with asyncio.timeout(20):
+        while not task.done():
+            for decision in context.scheduler.dispatch(context.now()):
+                context.registry.deliver(decision.request_id, decision)
+            await asyncio.sleep(0.01)
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/test_exchange.py
@@ -0,0 +1,233 @@
+"""Tests of what a caller is told when attempts fail."""
+
+import asyncio
+import itertools
+import zlib
+from collections.abc import Iterable
+
+from sycamore_core.ids import Attempt, EndpointId, Sequence
+from sycamore_core.messages import (
+    Accepted,
+    Attach,
+    Cancel,
+    Close,
+    Declined,
+    Frame,
+    Message,
+    Offer,
+    RunReport,
+    Withdraw,
+)
+from sycamore_core.states import (
+    Execution,
+    Outcome,
+    RefusalReason,
+    RunState,
+)
+
+from .. import EndpointLost, EntryContext, Exchange, ExchangeEvent
+from .builders import (
+    REQUEST,
+    RecordingSink,
+    add_endpoint,
+    dispatch_until,
+    make_context,
+    make_offer,
+    make_request,
+)
+
+Events = Iterable[ExchangeEvent]
+
+
+def serve_whole(message: Message) -> Events:
+    """Behave as an endpoint process that runs what it is offered."""
+    if not isinstance(message, Offer):
+        return ()
+    close = Close(Outcome.COMPLETE, 1, zlib.crc32(b'hello'), 1)
+    return (
+        Accepted(REQUEST, message.attempt),
+        Frame(REQUEST, message.attempt, Sequence(0), b'hello', 1),
+        Frame(REQUEST, message.attempt, Sequence(1), close=close),
+    )
+
+
+def decline(message: Message) -> Events:
+    if isinstance(message, Offer):
+        reason = RefusalReason.MEMORY_FULL
+        return (Declined(REQUEST, message.attempt, reason, 0.01),)
+    return ()
+
+
+def lose_reply_then_bar(message: Message) -> Events:
+    if isinstance(message, Withdraw):
+        return (
+            RunReport(
+                REQUEST,
+                message.attempt,
+                RunState.WITHDRAWN,
+                Execution.NOT_RUN,
+            ),
+        )
+    return ()
+
+
+def restart_after_offer(message: Message) -> Events:
+    if isinstance(message, (Offer, Withdraw)):
+        return (EndpointLost(EndpointId('a'), restarted=True),)
+    return ()
+
+
+def die_after_first_frame(message: Message) -> Events:
+    if isinstance(message, Offer):
+        accepted, first, _ = serve_whole(message)
+        lost = EndpointLost(EndpointId('a'), restarted=True)
+        return (accepted, first, lost)
+    return ()
+
+
+def run_exchange(
+    context: EntryContext,
+    *,
+    idempotent: bool,
+    seconds: float = 20,
+) -> RecordingSink:
+    sink = RecordingSink()
+    request = make_request(idempotent=idempotent, seconds=seconds)
+
+    async def main() -> None:
+        task = asyncio.create_task(Exchange(context, request, sink).run())
+        await dispatch_until(context, task)
+        await task
+
+    asyncio.run(main())
+    return sink
+
+
+def test_answer_reaches_its_caller() -> None:
+    context = make_context()
+    add_endpoint(context, 'a', serve_whole)
+    sink = run_exchange(context, idempotent=True)
+    assert [frame.payload for frame in sink.frames] == [b'hello']
+    assert sink.closed.outcome == Outcome.COMPLETE
+    assert not context.registry.mailboxes
+
+
+def test_declined_request_is_offered_again() -> None:
+    context = make_context()
+    add_endpoint(context, 'a', decline)
+    add_endpoint(context, 'b', serve_whole)
+    sink = run_exchange(context, idempotent=False)
+    assert sink.closed is not None
+
+
+def test_lost_reply_is_withdrawn_before_another_attempt() -> None:
+    """The reply to an offer is lost on the way back to the entry.
+
+    A deposit must neither be run twice nor be given up although it could
+    run, so the first endpoint is asked to bar it before it goes elsewhere.
+    """
+    context = make_context()
+    first = add_endpoint(context, 'a', lose_reply_then_bar)
+    second = add_endpoint(context, 'b', lose_reply_then_bar)
+    third = add_endpoint(context, 'c', serve_whole)
+    sink = run_exchange(context, idempotent=False)
+    assert sink.closed is not None
+    for silent in (first, second):
+        offers = len(silent.posted_of(Offer))
+        assert len(silent.posted_of(Withdraw)) == offers
+    assert len(third.posted_of(Offer)) == 1
+
+
+def test_restart_leaves_the_outcome_unknown() -> None:
+    """The endpoint process is killed between an offer and its reply.
+
+    Nobody can tell whether the deposit was recorded. The caller must be told
+    just that, and the deposit must not be offered to another endpoint.
+    """
+    context = make_context()
+    add_endpoint(context, 'a', restart_after_offer)
+    sink = run_exchange(context, idempotent=False)
+    assert sink.refused.reason == RefusalReason.OUTCOME_UNKNOWN
+    assert sink.refused.execution == Execution.UNKNOWN
+
+
+def test_idempotent_request_survives_a_restart() -> None:
+    """The endpoint process is killed before the first token of a chat turn.
+
+    The guest must still get an answer, from another endpoint.
+    """
+    context = make_context()
+    tries = itertools.count()
+
+    def restart_once(message: Message) -> Events:
+        if isinstance(message, Offer) and not next(tries):
+            return restart_after_offer(message)
+        return serve_whole(message)
+
+    add_endpoint(context, 'a', restart_once)
+    sink = run_exchange(context, idempotent=True)
+    assert [frame.payload for frame in sink.frames] == [b'hello']
+
+
+def test_answer_that_began_is_not_continued_by_another_run() -> None:
+    """The endpoint process is killed in the middle of an answer.
+
+    A second run would give other words; the caller would read the beginning
+    of one answer and the end of another.
+    """
+    context = make_context()
+    add_endpoint(context, 'a', die_after_first_frame)
+    add_endpoint(context, 'b', die_after_first_frame)
+    sink = run_exchange(context, idempotent=True)
+    assert len(sink.frames) == 1
+    assert sink.closed is None
+    assert sink.refused.reason == RefusalReason.OUTCOME_UNKNOWN
+
+
+def test_gap_is_asked_for_again() -> None:
+    """A packet with the middle of an answer is lost.
+
+    The rest waits at the entry until the missing frame came; the caller sees
+    a short pause and nothing else.
+    """
+    context = make_context()
+    whole = tuple(serve_whole(make_offer(Attempt(1))))
+
+    def lose_first_frame(message: Message) -> Events:
+        if isinstance(message, Offer):
+            return (whole[0], whole[2])
+        if isinstance(message, Attach):
+            return whole[message.after + 2 :]
+        return ()
+
+    peer = add_endpoint(context, 'a', lose_first_frame)
+    sink = run_exchange(context, idempotent=True)
+    assert [frame.payload for frame in sink.frames] == [b'hello']
+    assert peer.posted_of(Attach)
+
+
+def test_time_limit_cancels_the_run() -> None:
+    """An endpoint accepts a request and then sends nothing.
+
+    The caller gets its final answer at the time limit, and the run is
+    cancelled so that its memory comes back.
+    """
+    context = make_context()
+
+    def accept_only(message: Message) -> Events:
+        if isinstance(message, Offer):
+            return (Accepted(REQUEST, message.attempt),)
+        return ()
+
+    peer = add_endpoint(context, 'a', accept_only)
+    sink = run_exchange(context, idempotent=True, seconds=0.3)
+    assert sink.refused.reason == RefusalReason.DEADLINE_PASSED
+    assert sink.refused.execution == Execution.RAN
+    assert peer.posted_of(Cancel)
+
+
+def test_request_that_waited_in_vain_was_not_run() -> None:
+    context = make_context()
+    sink = run_exchange(context, idempotent=False, seconds=0.2)
+    assert sink.refused.reason == RefusalReason.DEADLINE_PASSED
+    assert sink.refused.execution == Execution.NOT_RUN
