Send an offer under a reserved id again instead of withdrawing it

Cause: a withdrawal bars the id; a caller whose reservation lost one packet would have had to reserve again. Ruled out: withdrawing and offering a higher attempt (the ledger would have to undo a bar, which is what makes 'not run' true). Figures: the new test fails before (the id was barred) and passes after. Conclusion: copies of one offer are answered the same, so sending is safe.

--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/attempt.py
@@ -27,6 +27,8 @@
 #: How long the reply to an offer is waited for. A reply takes a few
 #: milliseconds; the packet of a prompt of a million tokens some tens.
 OFFER_REPLY_SECONDS = 1.0
+#: How often an offer under an id that may be sent again is made.
+OFFER_TRIES = 5
 #: Pause between two withdrawals.
 WITHDRAW_SECONDS = 0.3
 #: How long a silent endpoint process is asked before the outcome is unknown.
@@ -86,15 +88,29 @@
             Addresses of the other endpoint processes of a group.
         """
         self.mailbox.endpoint = self.link.endpoint
-        self.link.post(self._offer(budget, priority, members))
-        reply = await self._reply()
+        offer = self._offer(budget, priority, members)
+        reply = await self._reply_to(offer)
         if isinstance(reply, Accepted):
             return AttemptState.RUNNING
         if isinstance(reply, Declined):
             self.declined = reply
             return AttemptState.DECLINED
+        if self.is_repeatable_id:
+            return AttemptState.UNKNOWN
         return await self._withdraw()
 
+    async def _reply_to(self, offer: Offer) -> Accepted | Declined | None:
+        # An id that its caller may send again may run at this endpoint only,
+        # and the run ledger there answers each copy of an offer the same. So
+        # it is sent again; to withdraw it would bar the caller's id for good.
+        tries = OFFER_TRIES if self.is_repeatable_id else 1
+        for _ in range(tries):
+            self.link.post(offer)
+            reply = await self._reply()
+            if reply is not None:
+                return reply
+        return None
+
     async def _reply(self) -> Accepted | Declined | None:
         kinds = (Accepted, Declined, EndpointLost)
         while True:
--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/builders.py
@@ -97,7 +97,12 @@
         self.links = {}
 
 
-def make_request(*, idempotent: bool, seconds: float = 20) -> CallerRequest:
+def make_request(
+    *,
+    idempotent: bool,
+    seconds: float = 20,
+    bound: bool = False,
+) -> CallerRequest:
     now = SystemClock().monotonic()
     view = RequestView(
         request_id=REQUEST,
@@ -110,7 +115,11 @@
         deadline=now + seconds,
         idempotent=idempotent,
     )
-    return CallerRequest(view=view, payload=b'"text"')
+    return CallerRequest(
+        view=view,
+        payload=b'"text"',
+        bound_incarnation=Incarnation(1 if bound else 0),
+    )
 
 
 def make_context() -> EntryContext:
--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/test_exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/test_exchange.py
@@ -90,9 +90,14 @@
     *,
     idempotent: bool,
     seconds: float = 20,
+    bound: bool = False,
 ) -> RecordingSink:
     sink = RecordingSink()
-    request = make_request(idempotent=idempotent, seconds=seconds)
+    request = make_request(
+        idempotent=idempotent,
+        seconds=seconds,
+        bound=bound,
+    )
 
     async def main() -> None:
         task = asyncio.create_task(Exchange(context, request, sink).run())
@@ -138,6 +143,26 @@
     assert len(third.posted_of(Offer)) == 1
 
 
+def test_reserved_id_is_offered_again_and_never_barred() -> None:
+    """The reply to an offer under a reserved id is lost.
+
+    The id may run at that endpoint only. To bar it would make the caller
+    reserve again; the same offer sent twice is answered twice the same.
+    """
+    context = make_context()
+    tries = itertools.count()
+
+    def lose_first_reply(message: Message) -> Events:
+        if isinstance(message, Offer) and not next(tries):
+            return ()
+        return serve_whole(message)
+
+    peer = add_endpoint(context, 'a', lose_first_reply)
+    sink = run_exchange(context, idempotent=False, bound=True)
+    assert sink.closed is not None
+    assert not peer.posted_of(Withdraw)
+
+
 def test_restart_leaves_the_outcome_unknown() -> None:
     """The endpoint process is killed between an offer and its reply.
 
