Build the entry's parts inside its event loop and end with a dead task

Cause: the settings reader made its HTTP client before the loop ran, so its task waited on another loop for ever, and the process said only that no settings came. Ruled out: the platform stand-in (it answered the same reader in a script) and the tree (it was accepted when offered by hand). Conclusion: parts are made in the loop; a task that dies ends the process.

--- a/packages/sycamore-entry/src/sycamore_entry/cli.py
+++ b/packages/sycamore-entry/src/sycamore_entry/cli.py
@@ -27,7 +27,12 @@
     """Serve until SIGTERM, then finish what is in progress."""
     loaded = load_process_settings(settings, EntryProcessSettings)
     start_logging(loaded.log_level)
-    asyncio.run(EntryProcess.from_settings(loaded).run())
+    asyncio.run(serve(loaded))
+
+
+async def serve(settings: EntryProcessSettings) -> None:
+    """Run one process; its parts need the running event loop."""
+    await EntryProcess.from_settings(settings).run()
 
 
 def main() -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/process.py
@@ -48,7 +48,7 @@
         await self._start_tasks()
         version = self.parts.keeper.version
         self.log.info('entry_ready', settings_version=version)
-        await stop.wait()
+        await self._wait_for_end(stop)
         await self._drain()
         server.stop()
         await self._end_tasks()
@@ -77,6 +77,22 @@
         self._tasks.append(asyncio.create_task(context.links.run()))
         self._tasks.append(asyncio.create_task(Dispatcher(context).run()))
 
+    async def _wait_for_end(self, stop: asyncio.Event) -> None:
+        """Return when told to stop, or when one of the tasks has failed.
+
+        What goes wrong otherwise: a task dies of a fault of ours, and the
+        process goes on half alive, healthy to the balancer and deaf to new
+        settings. It ends instead, and the platform starts it anew.
+        """
+        stopped = asyncio.create_task(stop.wait())
+        ended, _ = await asyncio.wait(
+            (stopped, *self._tasks),
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in ended.difference({stopped}):
+            self.log.error('task_failed', error=repr(task.exception()))
+        stopped.cancel()
+
     async def _drain(self) -> None:
         """Take nothing new and wait for the exchanges in progress.
 
