Read peer keys also from environment variables, never showing them

Cause: from_files put the path into the error; an operator who pastes the key itself there would find it in the log. env:NAME had no meaning.

--- a/packages/sycamore-core/src/sycamore_core/messages/keys.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/keys.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import hmac
+import os
 import pathlib
 from collections.abc import Mapping
 from typing import Self
@@ -12,6 +13,7 @@
 #: Length of a signature; 128 bits withstand guessing at any rate of messages.
 SIGNATURE_BYTES = 16
 _MINIMAL_KEY_BYTES = 16
+_ENVIRONMENT = 'env:'
 
 
 class PeerKeys:
@@ -46,14 +48,23 @@
 
     @classmethod
     def from_files(cls, files: Mapping[KeyId, str], signing: KeyId) -> Self:
-        """Read each secret from the file that the settings name."""
-        try:
-            secrets = {
-                key_id: pathlib.Path(name).read_bytes().strip()
-                for key_id, name in files.items()
-            }
-        except OSError as error:
-            raise SettingsError(f'peer key: {error}') from error
+        """Read each secret from where the settings say that it is.
+
+        Parameters
+        ----------
+        files
+            Path of a file, or ``env:NAME`` for an environment variable, by
+            key id.
+
+        Raises
+        ------
+        SettingsError
+            If a secret is not there.
+        """
+        secrets = {
+            key_id: _read_secret(key_id, place)
+            for key_id, place in files.items()
+        }
         return cls(secrets, signing)
 
     def sign(self, text: bytes) -> bytes:
@@ -75,6 +86,24 @@
             raise AuthenticationError('wrong signature')
 
 
+def _read_secret(key_id: KeyId, place: str) -> bytes:
+    if place.startswith(_ENVIRONMENT):
+        variable = place.removeprefix(_ENVIRONMENT)
+        secret = os.environ.get(variable)
+        if secret is None:
+            raise SettingsError(
+                f'peer key {key_id!r}: variable {variable} is not set',
+            )
+        return secret.strip().encode()
+    try:
+        return pathlib.Path(place).read_bytes().strip()
+    except OSError as error:
+        # The place is left out of the message: an operator may have put the
+        # key itself there.
+        reason = error.strerror
+        raise SettingsError(f'peer key {key_id!r}: {reason}') from None
+
+
 def _signature(secret: bytes, text: bytes) -> bytes:
     hashed = hashlib.blake2b(text, key=secret, digest_size=SIGNATURE_BYTES)
     return hashed.digest()
