Check settings whole: every problem at once, with what is accepted

Cause: msgspec stops at the first problem and checks types only, so that a tree with unknown zones, weights below 0 or misspelt services was accepted, and each of several mistakes cost one publication. Ways weighed: msgspec alone (first problem only); a schema library (another dependency to hold in 64 MB); a walk over the types that runs only after msgspec has failed (taken: good settings cost nothing more).

--- a/packages/sycamore-core/src/sycamore_core/settings/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/settings/__init__.py
@@ -1,7 +1,14 @@
 """Settings: the process file, the published tree, and what they resolve to."""
 
 from .files import load_process_settings
-from .process import EndpointProcessSettings, EntryProcessSettings, PeerKeyFiles
+from .problems import SettingsProblem, SettingsProblemsError
+from .process import (
+    EndpointProcessSettings,
+    EntryProcessSettings,
+    LogLevel,
+    PeerKeyFiles,
+)
+from .resolve import read_tree, resolve_tree
 from .resolved import (
     BandLimits,
     EndpointSettings,
@@ -11,19 +18,27 @@
     Target,
     WorkspaceSettings,
 )
-from .tree import resolve_tree
+from .tree import EndpointNode, ServiceNode, TreeNode, WorkspaceNode
 
 __all__ = (
     'BandLimits',
+    'EndpointNode',
     'EndpointProcessSettings',
     'EndpointSettings',
     'EntryProcessSettings',
     'FleetSettings',
+    'LogLevel',
     'PeerKeyFiles',
     'PolicySettings',
+    'ServiceNode',
     'ServiceSettings',
+    'SettingsProblem',
+    'SettingsProblemsError',
     'Target',
+    'TreeNode',
+    'WorkspaceNode',
     'WorkspaceSettings',
     'load_process_settings',
+    'read_tree',
     'resolve_tree',
 )
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/settings/checking.py
@@ -0,0 +1,135 @@
+"""Check of plain values against a type, which finds all problems at once.
+
+`msgspec.convert` stops at the first problem. This check runs only once that
+has failed, so that good settings cost nothing more.
+"""
+
+import difflib
+from collections.abc import Iterable, Iterator
+from typing import Any, get_args, get_origin
+
+import msgspec
+
+from .problems import Path, SettingsProblem
+from .shapes import bare, describe, is_secret
+
+_LONGEST_SHOWN = 60
+_ELLIPSIS = '...'
+
+
+def find_problems(
+    content: Any,
+    annotation: Any,
+    path: Path = (),
+) -> Iterator[SettingsProblem]:
+    """Yield all that keeps `content` from being used as `annotation`.
+
+    Examples
+    --------
+    >>> for problem in find_problems([1, 'x', 'y'], tuple[int, ...]):
+    ...     print(problem)
+    1: found 'x'; accepted: a whole number
+    2: found 'y'; accepted: a whole number
+    """
+    kind = bare(annotation)
+    if _is_struct(kind) and isinstance(content, dict):
+        yield from _struct_problems(content, kind, path)
+    elif get_origin(kind) is dict and isinstance(content, dict):
+        yield from _dict_problems(content, get_args(kind), path)
+    elif get_origin(kind) is tuple and isinstance(content, list):
+        yield from _list_problems(content, get_args(kind)[0], path)
+    else:
+        yield from _leaf_problems(content, annotation, path)
+
+
+def nearest(name: str, names: Iterable[str]) -> str:
+    """Return in words which of `names` was meant, or which there are.
+
+    Examples
+    --------
+    >>> nearest('wieght', ['weight', 'services'])
+    'weight (nearest name)'
+    """
+    known = sorted(names)
+    close = difflib.get_close_matches(name, known, n=1)
+    if close:
+        return f'{close[0]} (nearest name)'
+    choices = ', '.join(known) or '(none)'
+    return f'one of {choices}'
+
+
+def _is_struct(kind: Any) -> bool:
+    return isinstance(kind, type) and issubclass(kind, msgspec.Struct)
+
+
+def _struct_problems(
+    content: dict[str, Any],
+    kind: type[msgspec.Struct],
+    path: Path,
+) -> Iterator[SettingsProblem]:
+    fields = msgspec.structs.fields(kind)
+    names = frozenset(field.name for field in fields)
+    for key in content:
+        if key not in names:
+            accepted = nearest(key, names)
+            yield SettingsProblem((*path, key), 'unknown key', accepted)
+    for field in fields:
+        place = (*path, field.name)
+        entry = content.get(field.name, msgspec.UNSET)
+        if entry is not msgspec.UNSET:
+            yield from find_problems(entry, field.type, place)
+        elif field.required:
+            yield SettingsProblem(place, 'missing', describe(field.type))
+
+
+def _dict_problems(
+    content: dict[str, Any],
+    annotations: tuple[Any, Any],
+    path: Path,
+) -> Iterator[SettingsProblem]:
+    key_annotation, entry_annotation = annotations
+    for key, entry in content.items():
+        if not _converts(key, key_annotation):
+            yield SettingsProblem(
+                (*path, key),
+                'not a key that can stand here',
+                describe(key_annotation),
+            )
+        yield from find_problems(entry, entry_annotation, (*path, key))
+
+
+def _list_problems(
+    content: list[Any],
+    annotation: Any,
+    path: Path,
+) -> Iterator[SettingsProblem]:
+    for position, entry in enumerate(content):
+        yield from find_problems(entry, annotation, (*path, position))
+
+
+def _leaf_problems(
+    content: Any,
+    annotation: Any,
+    path: Path,
+) -> Iterator[SettingsProblem]:
+    if not _converts(content, annotation):
+        found = _found(content, annotation)
+        yield SettingsProblem(path, found, describe(annotation))
+
+
+def _converts(content: Any, annotation: Any) -> bool:
+    try:
+        msgspec.convert(content, annotation)
+    except msgspec.ValidationError:
+        return False
+    return True
+
+
+def _found(content: Any, annotation: Any) -> str:
+    # A key that stands where its hash belongs must not reach a log.
+    if is_secret(annotation):
+        return 'found something else (not shown)'
+    shown = repr(content)
+    if len(shown) > _LONGEST_SHOWN:
+        shown = shown[:_LONGEST_SHOWN] + _ELLIPSIS
+    return f'found {shown}'
--- a/packages/sycamore-core/src/sycamore_core/settings/process.py
+++ b/packages/sycamore-core/src/sycamore_core/settings/process.py
@@ -4,9 +4,35 @@
 and where secrets are. All else is in the published tree.
 """
 
+import enum
+
 import msgspec
 
-from ..ids import EndpointId, EntryId, KeyId, RegionId, ZoneId
+from ..ids import RegionId
+from .values import (
+    EndpointName,
+    HttpAddress,
+    HttpAddressOrNone,
+    KeyName,
+    PeerAddress,
+    PeerAddressOrNone,
+    Port,
+    PortOrNone,
+    ProcessName,
+    RegionName,
+    Seconds,
+    SecretPlace,
+    ZoneName,
+)
+
+
+class LogLevel(enum.StrEnum):
+    """Least level of the log lines that are written."""
+
+    DEBUG = 'DEBUG'
+    INFO = 'INFO'
+    WARNING = 'WARNING'
+    ERROR = 'ERROR'
 
 
 class PeerKeyFiles(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -17,11 +43,12 @@
     signing
         Id of the key that signs.
     files
-        File with the secret, by key id; all of them verify.
+        Where each secret is, by key id: the path of a file, or ``env:NAME``
+        for an environment variable. All of them verify.
     """
 
-    signing: KeyId
-    files: dict[KeyId, str]
+    signing: KeyName
+    files: dict[KeyName, SecretPlace]
 
 
 class EntryProcessSettings(
@@ -34,6 +61,10 @@
 
     Attributes
     ----------
+    name
+        Name of the process; no other process has it.
+    zone, region
+        Where the process runs.
     http_host, http_port
         Where callers and operators are served.
     listen, advertise
@@ -41,29 +72,33 @@
         the one told to them if it differs.
     settings_url, instances_url
         The platform's settings service and list of instances.
-    seed_peers
-        Addresses of other processes, as ``tcp://IP:PORT``, that are asked for
-        their settings at the start, beside the platform.
+    peer_keys
+        The keys that sign messages between the processes.
+    log_level
+        Least level of the log lines that are written.
     start_seconds
         How long to wait for a first settings tree before giving up.
     drain_seconds
         Longest time that a graceful stop waits for requests in progress.
+    seed_peers
+        Addresses of other processes, as ``tcp://IP:PORT``, that are asked for
+        their settings at the start, beside the platform.
     """
 
-    name: EntryId
-    zone: ZoneId
-    region: RegionId = RegionId('local')
+    name: ProcessName
+    zone: ZoneName
+    region: RegionName = RegionId('local')
     http_host: str = '127.0.0.1'
-    http_port: int
-    listen: str
-    advertise: str = ''
-    settings_url: str
-    instances_url: str = ''
+    http_port: Port
+    listen: PeerAddress
+    advertise: PeerAddressOrNone = ''
+    settings_url: HttpAddress
+    instances_url: HttpAddressOrNone = ''
     peer_keys: PeerKeyFiles
-    log_level: str = 'INFO'
-    start_seconds: float = 30
-    drain_seconds: float = 600
-    seed_peers: tuple[str, ...] = ()
+    log_level: LogLevel = LogLevel.INFO
+    start_seconds: Seconds = 30
+    drain_seconds: Seconds = 600
+    seed_peers: tuple[PeerAddress, ...] = ()
 
 
 class EndpointProcessSettings(
@@ -76,30 +111,36 @@
 
     Attributes
     ----------
-    backend_url
-        Base address of the engine or plain service beside this process.
+    name
+        Name of the endpoint in the published tree.
+    zone, region, listen, advertise, settings_url, instances_url, peer_keys
+        As for an entry process.
+    log_level, start_seconds, drain_seconds, seed_peers
+        As for an entry process.
     http_host, http_port
         Where operators read metrics; port 0 serves none.
+    backend_url
+        Base address of the engine or plain service beside this process.
+    weights_url
+        The platform's weight store, for its rate.
     engine_checks_fencing
         Whether the engine refuses an order with an old fencing number.
-    seed_peers, start_seconds, drain_seconds
-        As in `EntryProcessSettings`.
     """
 
-    name: EndpointId
-    zone: ZoneId
-    region: RegionId = RegionId('local')
+    name: EndpointName
+    zone: ZoneName
+    region: RegionName = RegionId('local')
     http_host: str = '127.0.0.1'
-    http_port: int = 0
-    listen: str
-    advertise: str = ''
-    backend_url: str
-    settings_url: str
-    instances_url: str = ''
-    weights_url: str = ''
+    http_port: PortOrNone = 0
+    listen: PeerAddress
+    advertise: PeerAddressOrNone = ''
+    backend_url: HttpAddress
+    settings_url: HttpAddress
+    instances_url: HttpAddressOrNone = ''
+    weights_url: HttpAddressOrNone = ''
     engine_checks_fencing: bool = True
     peer_keys: PeerKeyFiles
-    log_level: str = 'INFO'
-    start_seconds: float = 30
-    drain_seconds: float = 600
-    seed_peers: tuple[str, ...] = ()
+    log_level: LogLevel = LogLevel.INFO
+    start_seconds: Seconds = 30
+    drain_seconds: Seconds = 600
+    seed_peers: tuple[PeerAddress, ...] = ()
--- a/packages/sycamore-core/src/sycamore_core/settings/resolved.py
+++ b/packages/sycamore-core/src/sycamore_core/settings/resolved.py
@@ -18,6 +18,7 @@
     ZoneId,
 )
 from ..states import EndpointKind, PromptBand
+from .values import Penalty, Seconds, Share, TargetShare, Tokens
 
 
 class Target(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -25,6 +26,8 @@
 
     Attributes
     ----------
+    band
+        Size class of the prompts.
     first_token_seconds
         Time to first token that a request must meet, in seconds.
     share
@@ -34,9 +37,9 @@
     """
 
     band: PromptBand
-    first_token_seconds: float
-    share: float = 0.95
-    penalty: float = 1
+    first_token_seconds: Seconds
+    share: TargetShare = 0.95
+    penalty: Penalty = 1
 
 
 class ServiceSettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -114,11 +117,17 @@
 
 
 class BandLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Largest prompt of each band, in tokens; above `long` it is `HUGE`."""
+    """Largest prompt of each band, in tokens; above `long` it is `HUGE`.
 
-    short: int = 4096
-    medium: int = 32_768
-    long: int = 100_000
+    Attributes
+    ----------
+    short, medium, long
+        Largest prompt of the band, in tokens.
+    """
+
+    short: Tokens = 4096
+    medium: Tokens = 32_768
+    long: Tokens = 100_000
 
     def band_of(self, prompt_tokens: int) -> PromptBand:
         """Return the band of a prompt.
@@ -142,6 +151,8 @@
 
     Attributes
     ----------
+    bands
+        Where the bands of prompts end.
     short_emphasis
         From 0 to 1: 1 puts the slowdown of short requests first, 0 the time
         to first token over all lengths.
@@ -152,9 +163,9 @@
     """
 
     bands: BandLimits = BandLimits()
-    short_emphasis: float = 0.5
-    long_work_share: float = 0.5
-    floor_share: float = 0.5
+    short_emphasis: Share = 0.5
+    long_work_share: Share = 0.5
+    floor_share: Share = 0.5
 
 
 class FleetSettings(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/sycamore-core/src/sycamore_core/settings/tree.py
+++ b/packages/sycamore-core/src/sycamore_core/settings/tree.py
@@ -1,33 +1,30 @@
-"""The published settings tree and its inheritance.
+"""The published settings tree: what each of its levels may hold.
 
 A value for a service of a workspace comes from the nearest of: the service in
 the workspace, the defaults of the workspace, the service of the deployment,
 the defaults of the deployment, and the default of the type.
 """
 
-from collections.abc import Mapping
-
 import msgspec
 
-from ..errors import SettingsError
-from ..ids import (
-    EndpointId,
-    ModelId,
-    RegionId,
-    ServiceId,
-    SettingsVersion,
-    WorkspaceId,
-    ZoneId,
-)
 from ..states import EndpointKind
-from .files import parse_commented_json
-from .resolved import (
-    EndpointSettings,
-    FleetSettings,
-    PolicySettings,
-    ServiceSettings,
-    Target,
-    WorkspaceSettings,
+from .resolved import PolicySettings, Target
+from .values import (
+    BodyBytes,
+    EndpointName,
+    KeyHash,
+    ModelName,
+    PeerAddress,
+    RegionName,
+    Seconds,
+    SecondsOrNone,
+    ServiceName,
+    Tokens,
+    TokensOrNone,
+    Version,
+    Weight,
+    WorkspaceName,
+    ZoneName,
 )
 
 
@@ -36,17 +33,42 @@
     frozen=True,
     kw_only=True,
     forbid_unknown_fields=True,
+    omit_defaults=True,
 ):
-    """What one level of the tree overrides; see `ServiceSettings`."""
+    """What one level of the tree overrides for a service.
+
+    Attributes
+    ----------
+    kind
+        Whether a model engine or a plain service answers.
+    model
+        Model that the engines must have loaded.
+    max_prompt_tokens, max_output_tokens
+        Largest sizes taken, in tokens.
+    default_time_limit_seconds
+        Used when a caller names no time limit; 0 means that one is required.
+    longest_time_limit_seconds
+        Longest time limit that a caller may ask for, in seconds.
+    idempotent
+        Whether a request may run more than once unless its caller says
+        otherwise.
+    max_body_bytes
+        Largest request body taken, in bytes.
+    targets
+        What is committed to, one entry for each band; a list replaces that
+        of the level above whole.
+    """
 
     kind: EndpointKind | msgspec.UnsetType = msgspec.UNSET
-    model: ModelId | msgspec.UnsetType = msgspec.UNSET
-    max_prompt_tokens: int | msgspec.UnsetType = msgspec.UNSET
-    max_output_tokens: int | msgspec.UnsetType = msgspec.UNSET
-    default_time_limit_seconds: float | msgspec.UnsetType = msgspec.UNSET
-    longest_time_limit_seconds: float | msgspec.UnsetType = msgspec.UNSET
+    model: ModelName | msgspec.UnsetType = msgspec.UNSET
+    max_prompt_tokens: Tokens | msgspec.UnsetType = msgspec.UNSET
+    max_output_tokens: Tokens | msgspec.UnsetType = msgspec.UNSET
+    default_time_limit_seconds: SecondsOrNone | msgspec.UnsetType = (
+        msgspec.UNSET
+    )
+    longest_time_limit_seconds: Seconds | msgspec.UnsetType = msgspec.UNSET
     idempotent: bool | msgspec.UnsetType = msgspec.UNSET
-    max_body_bytes: int | msgspec.UnsetType = msgspec.UNSET
+    max_body_bytes: BodyBytes | msgspec.UnsetType = msgspec.UNSET
     targets: tuple[Target, ...] | msgspec.UnsetType = msgspec.UNSET
 
 
@@ -55,13 +77,26 @@
     frozen=True,
     kw_only=True,
     forbid_unknown_fields=True,
+    omit_defaults=True,
 ):
-    """One workspace of the tree; it may use the services that it names."""
+    """One workspace of the tree.
+
+    Attributes
+    ----------
+    weight
+        Share of the capacity relative to the other workspaces.
+    api_key_hashes
+        SHA-256 of each API key of the workspace.
+    defaults
+        What all its services override.
+    services
+        The services that it may use, and what it overrides for each.
+    """
 
-    weight: float = 1
-    api_key_hashes: tuple[str, ...] = ()
+    weight: Weight = 1
+    api_key_hashes: tuple[KeyHash, ...] = ()
     defaults: ServiceNode = ServiceNode()
-    services: dict[ServiceId, ServiceNode] = {}
+    services: dict[ServiceName, ServiceNode] = {}
 
 
 class EndpointNode(
@@ -69,14 +104,29 @@
     frozen=True,
     kw_only=True,
     forbid_unknown_fields=True,
+    omit_defaults=True,
 ):
-    """One endpoint of the tree; see `EndpointSettings`."""
+    """One endpoint of the tree.
+
+    Attributes
+    ----------
+    service
+        The service that it serves.
+    zone
+        Its availability zone.
+    address
+        Where its endpoint process listens.
+    draining
+        Set to take the endpoint out of service: it gets no new work.
+    capacity_tokens
+        Memory of the engine, in tokens; 0 for a plain service.
+    """
 
-    service: ServiceId
-    zone: ZoneId
-    address: str
+    service: ServiceName
+    zone: ZoneName
+    address: PeerAddress
     draining: bool = False
-    capacity_tokens: int = 0
+    capacity_tokens: TokensOrNone = 0
 
 
 class TreeNode(
@@ -84,93 +134,38 @@
     frozen=True,
     kw_only=True,
     forbid_unknown_fields=True,
+    omit_defaults=True,
 ):
-    """The root of a published tree."""
+    """The root of a published tree.
+
+    Attributes
+    ----------
+    version
+        Number of the tree; each publication has a higher one.
+    name
+        Name of the deployment.
+    regions
+        Availability zones of each region.
+    defaults
+        What all services of the deployment override.
+    services
+        What the deployment overrides for each service.
+    workspaces
+        The workspaces, by name.
+    endpoints
+        The endpoints of the fleet, by name.
+    policy
+        What operators choose of the decisions under load.
+    operator_key_hashes
+        SHA-256 of each operator's key.
+    """
 
-    version: SettingsVersion
+    version: Version
     name: str
-    regions: dict[RegionId, tuple[ZoneId, ...]] = {}
+    regions: dict[RegionName, tuple[ZoneName, ...]] = {}
     defaults: ServiceNode = ServiceNode()
-    services: dict[ServiceId, ServiceNode] = {}
-    workspaces: dict[WorkspaceId, WorkspaceNode] = {}
-    endpoints: dict[EndpointId, EndpointNode] = {}
+    services: dict[ServiceName, ServiceNode] = {}
+    workspaces: dict[WorkspaceName, WorkspaceNode] = {}
+    endpoints: dict[EndpointName, EndpointNode] = {}
     policy: PolicySettings = PolicySettings()
-    operator_key_hashes: tuple[str, ...] = ()
-
-
-def resolve_tree(body: bytes) -> FleetSettings:
-    """Check a published tree whole and resolve its inheritance.
-
-    Raises
-    ------
-    SettingsError
-        If the tree cannot be used; it names the path and the reason.
-    """
-    try:
-        tree = msgspec.convert(
-            parse_commented_json(body.decode('utf-8')),
-            TreeNode,
-        )
-    except (msgspec.ValidationError, UnicodeDecodeError) as error:
-        raise SettingsError(str(error)) from error
-    return FleetSettings(
-        version=tree.version,
-        name=tree.name,
-        zones={
-            zone: region
-            for region, zones in tree.regions.items()
-            for zone in zones
-        },
-        workspaces={
-            name: _resolve_workspace(tree, name) for name in tree.workspaces
-        },
-        endpoints={
-            name: _resolve_endpoint(name, node)
-            for name, node in tree.endpoints.items()
-        },
-        policy=tree.policy,
-        operator_key_hashes=tree.operator_key_hashes,
-    )
-
-
-def _resolve_workspace(tree: TreeNode, name: WorkspaceId) -> WorkspaceSettings:
-    node = tree.workspaces[name]
-    services: Mapping[ServiceId, ServiceSettings] = {
-        service: _resolve_service(
-            tree.defaults,
-            tree.services.get(service, ServiceNode()),
-            node.defaults,
-            override,
-        )
-        for service, override in node.services.items()
-    }
-    return WorkspaceSettings(
-        workspace=name,
-        weight=node.weight,
-        api_key_hashes=node.api_key_hashes,
-        services=services,
-    )
-
-
-def _resolve_service(*levels: ServiceNode) -> ServiceSettings:
-    merged: dict[str, object] = {}
-    for level in levels:
-        merged.update(
-            {
-                field: getattr(level, field)
-                for field in ServiceNode.__struct_fields__
-                if getattr(level, field) is not msgspec.UNSET
-            },
-        )
-    return ServiceSettings(**merged)
-
-
-def _resolve_endpoint(name: EndpointId, node: EndpointNode) -> EndpointSettings:
-    return EndpointSettings(
-        endpoint=name,
-        service=node.service,
-        zone=node.zone,
-        address=node.address,
-        draining=node.draining,
-        capacity_tokens=node.capacity_tokens,
-    )
+    operator_key_hashes: tuple[KeyHash, ...] = ()
