Show refusals, times, attainment and transport counts on the metrics page

Cause: one global registry mixed the figures of process objects in one interpreter; targets, waits, settings and transport were not counted. Measured (50,000 calls, processor time each): an OpenTelemetry counter 18.9 microseconds, a histogram record 12.1 to 20.4. Ruled out: exemplars (16.9 without them against 17.4). So reasons are counted in a plain dictionary that an observable counter shows: 18.9 before, 1.35 microseconds after. The time between tokens is recorded once a stream, since once a token would take about a twelfth of a core at 7,400 tokens a second.

--- a/packages/sycamore-core/src/sycamore_core/messages/keys.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/keys.py
@@ -88,11 +88,11 @@
 
 def _read_secret(key_id: KeyId, place: str) -> bytes:
     if place.startswith(_ENVIRONMENT):
-        variable = place.removeprefix(_ENVIRONMENT)
-        secret = os.environ.get(variable)
+        name = place.removeprefix(_ENVIRONMENT)
+        secret = os.environ.get(name)
         if secret is None:
             raise SettingsError(
-                f'peer key {key_id!r}: variable {variable} is not set',
+                f'peer key {key_id!r}: variable {name} is not set',
             )
         return secret.strip().encode()
     try:
--- a/packages/sycamore-core/src/sycamore_core/platform/keeper.py
+++ b/packages/sycamore-core/src/sycamore_core/platform/keeper.py
@@ -16,7 +16,7 @@
     FleetSettings,
 )
 from ..states import SettingsVerdict
-from ..telemetry import Log, Metrics
+from ..telemetry import Gauge, Log, Metrics
 from .claims import SettingsClaim
 from .http_sources import HttpSettingsSource
 from .pace import ReadPace
@@ -86,6 +86,7 @@
         self.log = Log('settings')
         self._unanswered = set(self.peers.addresses)
         self._changed = asyncio.Event()
+        metrics.watch(Gauge.SETTINGS_AGE, lambda: self.age)
 
     @classmethod
     def from_settings(
--- a/packages/sycamore-core/src/sycamore_core/telemetry/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/__init__.py
@@ -1,6 +1,16 @@
 """Logs as JSON lines and metrics for operators."""
 
+from .attainment import Attainment, AttainmentKey, AttainmentRow
+from .gauges import Gauge
 from .logs import Log, start_logging
 from .metrics import Metrics
 
-__all__ = ('Log', 'Metrics', 'start_logging')
+__all__ = (
+    'Attainment',
+    'AttainmentKey',
+    'AttainmentRow',
+    'Gauge',
+    'Log',
+    'Metrics',
+    'start_logging',
+)
--- a/packages/sycamore-core/src/sycamore_core/telemetry/metrics.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/metrics.py
@@ -1,66 +1,157 @@
 """Metrics by OpenTelemetry, read as a Prometheus page."""
 
+import dataclasses
+import operator
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.sdk.metrics import MeterProvider
-from prometheus_client import REGISTRY, generate_latest
+from prometheus_client import CollectorRegistry, generate_latest
 
 from ..states import (
+    CancelReason,
     PromptBand,
     ReadOutcome,
     RefusalReason,
     RetryReason,
     SettingsVerdict,
 )
+from ..transport.counts import TransportCounts
+from .attainment import Attainment
+from .gauges import (
+    DESCRIPTIONS,
+    Gauge,
+    Read,
+    penalties_owed,
+    reading,
+    target_requests,
+)
+from .histograms import Histograms
+from .tallies import Tally
+
+_REASON = 'reason'
 
 
 class Metrics:
-    """Counters and histograms of one process.
+    """Counters, histograms and gauges of one process.
 
     Labels are bounded: reasons, bands and services, never workspaces or
-    requests, so that 2,400 workspaces do not make 2,400 series each.
+    requests, so that 2,400 workspaces do not make 2,400 series each. Each
+    object has a registry of its own.
+
+    Parameters
+    ----------
+    process
+        Name of the process.
+
+    Attributes
+    ----------
+    times
+        Distributions of times.
+    refusals, retries, cancels, reads, offers
+        Counts by reason, outcome or verdict.
+
+    Examples
+    --------
+    >>> metrics = Metrics('entry-a')
+    >>> metrics.refused(RefusalReason.OVERLOADED)
+    >>> print(metrics.page().decode().splitlines()[-1])
+    sycamore_refusals_total{reason="overloaded"} 1.0
     """
 
     def __init__(self, process: str) -> None:
-        reader = PrometheusMetricReader()
-        provider = MeterProvider(metric_readers=[reader])
-        meter = provider.get_meter(process)
-        self._refusals = meter.create_counter('sycamore_refusals')
-        self._retries = meter.create_counter('sycamore_retries')
-        self._first_token = meter.create_histogram(
-            'sycamore_first_token_seconds',
-        )
-        self._settings_reads = meter.create_counter('sycamore_settings_reads')
-        self._settings_offers = meter.create_counter(
-            'sycamore_settings_offers',
+        self.registry = CollectorRegistry()
+        reader = PrometheusMetricReader(
+            disable_target_info=True,
+            scope_info_enabled=False,
+            registry=self.registry,
         )
-        self._settings_version = meter.create_gauge(
+        # The provider's own hook at exit would hold every process object that
+        # a test builds until the interpreter ends.
+        self.provider = MeterProvider([reader], shutdown_on_exit=False)
+        self.meter = self.provider.get_meter(process)
+        self.times = Histograms(self.meter)
+        self.refusals = self._tally('refusals', _REASON)
+        self.retries = self._tally('retries', _REASON)
+        self.cancels = self._tally('cancels', _REASON)
+        self.reads = self._tally('settings_reads', 'outcome')
+        self.offers = self._tally('settings_offers', 'verdict')
+        self._settings_version = self.meter.create_gauge(
             'sycamore_settings_version',
+            description='Settings version in force',
         )
 
     def refused(self, reason: RefusalReason) -> None:
         """Count a refusal."""
-        self._refusals.add(1, {'reason': reason.value})
+        self.refusals.add(reason)
 
     def retried(self, reason: RetryReason) -> None:
         """Count a retry."""
-        self._retries.add(1, {'reason': reason.value})
+        self.retries.add(reason)
+
+    def cancelled(self, reason: CancelReason) -> None:
+        """Count a run that was given up."""
+        self.cancels.add(reason)
 
     def first_token(self, band: PromptBand, seconds: float) -> None:
         """Record a time to first token, in seconds."""
-        self._first_token.record(seconds, {'band': band.value})
+        self.times.first_token(band, seconds)
 
     def settings_read(self, outcome: ReadOutcome) -> None:
         """Count a read of the settings service."""
-        self._settings_reads.add(1, {'outcome': outcome.value})
+        self.reads.add(outcome)
 
     def settings_offered(self, verdict: SettingsVerdict) -> None:
         """Count a settings tree that the platform or a peer offered."""
-        self._settings_offers.add(1, {'verdict': verdict.value})
+        self.offers.add(verdict)
 
     def settings_version(self, version: int) -> None:
         """Record the settings version in force."""
         self._settings_version.set(version)
 
+    def watch(self, gauge: Gauge, read: Read) -> None:
+        """Show what `read` returns whenever the page is asked for."""
+        self.meter.create_observable_gauge(
+            gauge.value,
+            [reading(read)],
+            description=DESCRIPTIONS[gauge],
+        )
+
+    def watch_transport(self, counts: TransportCounts) -> None:
+        """Show the counts of what passed between this process and peers."""
+        for field in dataclasses.fields(counts):
+            self.meter.create_observable_counter(
+                f'sycamore_transport_{field.name}',
+                [reading(_count_reader(counts, field.name))],
+                description=f'Transport: {field.name} since the start',
+            )
+
+    def watch_attainment(self, attainment: Attainment) -> None:
+        """Show requests and penalties under targets, over all workspaces."""
+        self.meter.create_observable_counter(
+            'sycamore_target_requests',
+            [target_requests(attainment)],
+            description='Requests under a target by result',
+        )
+        self.meter.create_observable_counter(
+            'sycamore_penalties_owed',
+            [penalties_owed(attainment)],
+            description='Sum of the penalties owed',
+        )
+
     def page(self) -> bytes:
         """Return the Prometheus page."""
-        return generate_latest(REGISTRY)
+        return generate_latest(self.registry)
+
+    def _tally(self, name: str, label: str) -> Tally:
+        words = name.replace('_', ' ')
+        return Tally.from_meter(
+            self.meter,
+            f'sycamore_{name}',
+            label,
+            f'Number of {words} by {label}',
+        )
+
+
+def _count_reader(counts: TransportCounts, name: str) -> Read:
+    read = operator.attrgetter(name)
+    return lambda: read(counts)
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of logs, metrics and attainment."""
