Count attainment, penalties, queue wait and token gaps in the entry

Cause: every target carries a penalty, so each request has to be counted as met or missed where its first token reaches the caller. Ruled out: counting at the endpoint (it cannot see the wait in the queue). Conclusion: a request is settled once, when its exchange ends.

--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/context.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/context.py
@@ -5,7 +5,7 @@
 
 from sycamore_core.clock import Clock
 from sycamore_core.decisions import Scheduler
-from sycamore_core.telemetry import Log, Metrics
+from sycamore_core.telemetry import Attainment, Log, Metrics
 
 from ..fleet import EndpointLinks
 from ..records import RecordBook
@@ -27,6 +27,7 @@
     links: EndpointLinks
     registry: ExchangeRegistry
     records: RecordBook
+    attainment: Attainment
     metrics: Metrics
     log: Log
     wake: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/exchange.py
@@ -112,6 +112,7 @@
         if link is None or len(members) < len(dispatch.members):
             self.progress.try_again(RetryReason.ENDPOINT_SILENT)
             return False
+        self.report.offered()
         self.progress.begin_attempt(link)
         offer = AttemptOffer(
             self.request,
@@ -179,6 +180,7 @@
         A non-idempotent run goes on: to break it off half way would leave
         its caller with a deposit of which nobody can tell.
         """
+        self.report.left()
         link = self.progress.link
         if link is None or not self.request.view.idempotent:
             return
@@ -196,4 +198,5 @@
         if self.context.registry.close(self.request_id, mailbox):
             now = self.context.now()
             self.context.scheduler.finished(self.request_id, self.outcome, now)
+            self.report.settle()
             self.context.wake.set()
--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/reports.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/reports.py
@@ -2,7 +2,9 @@
 
 from sycamore_core.ids import Attempt, EndpointId, RequestId
 from sycamore_core.messages import Close, Frame
+from sycamore_core.settings import Target
 from sycamore_core.states import Execution, Outcome, RefusalReason, RetryReason
+from sycamore_core.telemetry import AttainmentKey
 
 from ..answers import AnswerSink
 from ..errors import RefusedError
@@ -17,26 +19,58 @@
     Attributes
     ----------
     first_token_seconds
-        Time from the arrival to the first frame; 0 until it came.
+        Time from the arrival to the first frame; None until it came.
     """
 
     def __init__(self, context: EntryContext, request: CallerRequest) -> None:
         self.context = context
         self.request = request
         self.arrived_at = context.clock.wall()
-        self.first_token_seconds: float = 0
+        self.first_token_seconds: float | None = None
+        self._is_offered = False
+        self._is_left = False
 
     def watch(self, sink: AnswerSink) -> 'WatchedSink':
         """Return a sink that notes the first frame on its way to `sink`."""
         return WatchedSink(sink, self)
 
+    def left(self) -> None:
+        """Note that the caller went away."""
+        self._is_left = True
+
+    def offered(self) -> None:
+        """Note that the request is offered; its wait ends the first time."""
+        if self._is_offered:
+            return
+        self._is_offered = True
+        view = self.request.view
+        wait = self.context.now() - view.arrival
+        self.context.metrics.times.queue_wait(view.band, wait)
+
     def first_frame(self) -> None:
         """Note that the first frame has reached the caller."""
         now = self.context.now()
         view = self.request.view
-        self.first_token_seconds = now - view.arrival
+        seconds = now - view.arrival
+        self.first_token_seconds = seconds
         self.context.scheduler.first_token(view.request_id, now)
-        self.context.metrics.first_token(view.band, self.first_token_seconds)
+        self.context.metrics.first_token(view.band, seconds)
+
+    def settle(self) -> None:
+        """Count the request under its target, met or missed.
+
+        A request that its caller gave up counts as missed once its target
+        time is over: the caller may have left because it waited too long.
+        """
+        target = self.request.target
+        if target is None or self._is_given_up_early(target):
+            return
+        view = self.request.view
+        self.context.attainment.record(
+            AttainmentKey(view.workspace, view.service, view.band),
+            target,
+            self.first_token_seconds,
+        )
 
     def retried(self, reason: RetryReason) -> None:
         """Note that the request will be offered again."""
@@ -59,6 +93,7 @@
         attempt: Attempt,
     ) -> None:
         """Note that the caller has the end of its answer."""
+        self._note_gap(close)
         if close.outcome == Outcome.COMPLETE:
             return
         reason = close.reason or RefusalReason.BACKEND_FAILED
@@ -100,6 +135,19 @@
             ),
         )
 
+    def _is_given_up_early(self, target: Target) -> bool:
+        waited = self.context.now() - self.request.view.arrival
+        is_early = waited < target.first_token_seconds
+        return self._is_left and self.first_token_seconds is None and is_early
+
+    def _note_gap(self, close: Close) -> None:
+        if self.first_token_seconds is None or close.output_tokens < 2:
+            return
+        since_arrival = self.context.now() - self.request.view.arrival
+        streamed = since_arrival - self.first_token_seconds
+        gaps = close.output_tokens - 1
+        self.context.metrics.times.token_gap(streamed / gaps)
+
 
 class WatchedSink(AnswerSink):
     """Hands everything on and reports the first frame."""
--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/builders.py
@@ -17,7 +17,7 @@
 )
 from sycamore_core.messages import Close, Frame, LoadReport, Message, Offer
 from sycamore_core.states import EndpointPhase, PromptBand
-from sycamore_core.telemetry import Log, Metrics
+from sycamore_core.telemetry import Attainment, Log, Metrics
 from sycamore_core.transport import Peer
 
 from ...answers import AnswerSink
@@ -129,6 +129,7 @@
         links=StillLinks(),
         registry=ExchangeRegistry(),
         records=RecordBook(),
+        attainment=Attainment(),
         metrics=Metrics('test'),
         log=Log('test'),
     )
--- a/packages/sycamore-entry/src/sycamore_entry/intake.py
+++ b/packages/sycamore-entry/src/sycamore_entry/intake.py
@@ -73,14 +73,7 @@
             RefusalReason.PROMPT_TOO_LONG,
             f'the prompt has more than {service.max_prompt_tokens} tokens',
         )
-    view = _make_view(intake, request_id, prompt)
-    return CallerRequest(
-        view=view,
-        payload=prompt.payload,
-        idempotency_key=intake.terms.idempotency_key,
-        bound_incarnation=intake.bound_incarnation,
-        settings_version=intake.fleet.version,
-    )
+    return _make_request(intake, request_id, prompt, None)
 
 
 def make_plain_request(
@@ -101,13 +94,24 @@
             RefusalReason.BAD_REQUEST,
             'this is a model; use its path "requests"',
         )
+    return _make_request(intake, request_id, Prompt(body, 0, 0, ()), call)
+
+
+def _make_request(
+    intake: Intake,
+    request_id: RequestId,
+    prompt: Prompt,
+    call: PlainCall | None,
+) -> CallerRequest:
+    view = _make_view(intake, request_id, prompt)
     return CallerRequest(
-        view=_make_view(intake, request_id, Prompt(b'', 0, 0, ())),
-        payload=body,
+        view=view,
+        payload=prompt.payload,
         plain_call=call,
         idempotency_key=intake.terms.idempotency_key,
         bound_incarnation=intake.bound_incarnation,
         settings_version=intake.fleet.version,
+        target=intake.service.target_for(view.band),
     )
 
 
--- a/packages/sycamore-entry/src/sycamore_entry/parts.py
+++ b/packages/sycamore-entry/src/sycamore_entry/parts.py
@@ -12,7 +12,7 @@
 from sycamore_core.messages import PacketCodec, PeerKeys
 from sycamore_core.platform import SeedPeers, SettingsClaim, SettingsKeeper
 from sycamore_core.settings import EntryProcessSettings, FleetSettings
-from sycamore_core.telemetry import Log, Metrics
+from sycamore_core.telemetry import Attainment, Gauge, Log, Metrics
 from sycamore_core.transport import Node, NodeAddress
 
 from .exchanges import EntryContext, ExchangeRegistry
@@ -92,6 +92,7 @@
         node = _make_node(settings, keys, incarnation, clock)
         metrics = Metrics(settings.name)
         seeds = SeedPeers(node, settings.seed_peers)
+        metrics.watch_transport(node.counts)
         keeper = SettingsKeeper.from_settings(settings, metrics, seeds)
         context = _make_context(settings, scheduler, clock, keeper)
         reservations = Reservations()
@@ -146,13 +147,23 @@
         ),
         registry=ExchangeRegistry(),
         records=RecordBook(),
+        attainment=Attainment(),
         metrics=keeper.metrics,
         log=Log('entry'),
     )
     feed.context = context
+    _watch(context, keeper)
     return context
 
 
+def _watch(context: EntryContext, keeper: SettingsKeeper) -> None:
+    metrics = context.metrics
+    registry = context.registry
+    metrics.watch(Gauge.RUNNING, lambda: len(registry))
+    metrics.watch(Gauge.SETTINGS_AGE, lambda: keeper.age)
+    metrics.watch_attainment(context.attainment)
+
+
 def _claim_of(keeper: SettingsKeeper) -> SettingsClaim:
     return keeper.claim
 
