Never call a request not run after a fault of our own

Cause: an unexpected error in a handler was answered with the default of a refusal, not run, although the request may have been offered already. Ruled out: marking only the errors after an offer (the handler cannot tell). Figures: the test of the web layer failed on 'not_run' true before, passes now. Conclusion: internal errors are answered with not_run unknown.

--- a/packages/sycamore-entry/src/sycamore_entry/web/handlers/base.py
+++ b/packages/sycamore-entry/src/sycamore_entry/web/handlers/base.py
@@ -6,7 +6,7 @@
 
 import msgspec
 from sycamore_core.ids import RequestId
-from sycamore_core.states import RefusalReason
+from sycamore_core.states import Execution, RefusalReason
 from tornado.web import HTTPError, RequestHandler, stream_request_body
 
 from ...answers import AnswerSink
@@ -141,4 +141,8 @@
         return RefusedError(RefusalReason.BAD_REQUEST, 'no such resource')
     if isinstance(error, HTTPError):
         return RefusedError(RefusalReason.BAD_REQUEST, 'not a valid call')
-    return RefusedError(RefusalReason.BACKEND_FAILED, 'an internal error')
+    return RefusedError(
+        RefusalReason.BACKEND_FAILED,
+        'an internal error',
+        execution=Execution.UNKNOWN,
+    )
