--- a/packages/sycamore-standins/src/sycamore_standins/caller/__init__.py
+++ b/packages/sycamore-standins/src/sycamore_standins/caller/__init__.py
@@ -4,6 +4,8 @@
 from .asks import Ask, PlainAsk
 from .caller import Caller, CallerIdentity
 from .events import Event, EventParser
+from .keys import new_key
+from .patience import PatientCaller, Story
 
 __all__ = (
     'Answer',
@@ -13,7 +15,10 @@
     'Event',
     'EventParser',
     'Fault',
+    'PatientCaller',
     'PlainAnswer',
     'PlainAsk',
     'Problem',
+    'Story',
+    'new_key',
 )
--- a/packages/sycamore-standins/src/sycamore_standins/caller/answers.py
+++ b/packages/sycamore-standins/src/sycamore_standins/caller/answers.py
@@ -7,10 +7,11 @@
 
 import msgspec
 
-from ..engine.answers import step_text
+from ..engine.answers import text_between
 from .events import Event
 
 _CLOSE = 'close'
+_PROBLEM = 'problem'
 _REDIRECTION = 300
 
 
@@ -25,6 +26,8 @@
     COUNT = 'count'
     #: The closing event has another checksum than the payloads.
     CHECKSUM = 'checksum'
+    #: Fewer or more tokens came than the closing event says.
+    TOKENS = 'tokens'
     #: A piece is not the text of this request.
     FOREIGN = 'foreign'
 
@@ -41,6 +44,24 @@
     detail: str = ''
 
 
+class Piece(msgspec.Struct, frozen=True):
+    """Content of an event that carries a part of the answer."""
+
+    text: str
+    tokens: int = 0
+
+
+class Document(msgspec.Struct, frozen=True, kw_only=True):
+    """A whole answer in one piece."""
+
+    request_id: str
+    outcome: str
+    text: str
+    frames: int
+    checksum: int
+    output_tokens: int = 0
+
+
 class Closing(msgspec.Struct, frozen=True, kw_only=True):
     """Content of the closing event."""
 
@@ -82,6 +103,8 @@
         Of HTTP; 0 if the connection was lost before it came.
     pieces
         Payloads of the events, by number.
+    tokens
+        Number of tokens in the pieces.
     first_token_seconds, total_seconds
         Since the request was sent; 0 if it did not come to that.
     """
@@ -90,10 +113,12 @@
         self,
         request_id: str = '',
         pieces: Iterable[str] = (),
+        tokens: int = 0,
     ) -> None:
         self.request_id = request_id
         self.status = 0
         self.pieces = list(pieces)
+        self.tokens = tokens
         self.closing: Closing | None = None
         self.problem: Problem | None = None
         self.faults: list[Fault] = []
@@ -116,6 +141,7 @@
         return (
             self.closing is not None
             and self.closing.outcome == 'complete'
+            and self.problem is None
             and not self.faults
         )
 
@@ -124,11 +150,33 @@
         if event.kind == _CLOSE:
             self._close(msgspec.json.decode(event.text, type=Closing))
             return
+        if event.kind == _PROBLEM:
+            self.problem = msgspec.json.decode(event.text, type=Problem)
+            return
         if event.number != len(self.pieces):
             self.faults.append(Fault.NUMBERING)
-        if event.text != step_text(self.request_id, event.number):
+        self.add(msgspec.json.decode(event.text, type=Piece))
+
+    def add(self, piece: Piece) -> None:
+        """Add a part of the answer and note if it is not the next."""
+        self.pieces.append(piece.text)
+        last = self.tokens + piece.tokens
+        if piece.text != text_between(self.request_id, self.tokens, last):
             self.faults.append(Fault.FOREIGN)
-        self.pieces.append(event.text)
+        self.tokens = last
+
+    def take_document(self, document: Document) -> None:
+        """Take a whole answer in one piece."""
+        self.request_id = document.request_id
+        self.add(Piece(document.text, document.output_tokens))
+        self._close(
+            Closing(
+                outcome=document.outcome,
+                frames=len(self.pieces),
+                checksum=document.checksum,
+                output_tokens=document.output_tokens,
+            ),
+        )
 
     def end(self) -> None:
         """Note that the connection is over."""
@@ -139,6 +187,8 @@
         self.closing = closing
         if closing.frames != len(self.pieces):
             self.faults.append(Fault.COUNT)
+        if closing.output_tokens != self.tokens:
+            self.faults.append(Fault.TOKENS)
         payloads = ''.join(self.pieces).encode()
         if closing.checksum != zlib.crc32(payloads):
             self.faults.append(Fault.CHECKSUM)
--- a/packages/sycamore-standins/src/sycamore_standins/caller/caller.py
+++ b/packages/sycamore-standins/src/sycamore_standins/caller/caller.py
@@ -1,6 +1,5 @@
 """The caller: HTTP towards the entries, by the curl client of tornado."""
 
-import time
 from collections.abc import Sequence
 from typing import Self
 
@@ -10,9 +9,9 @@
 from tornado.httputil import HTTPHeaders
 
 from ..client import LOST, fetch
-from .answers import Answer, PlainAnswer, Problem
+from .answers import Answer, PlainAnswer
 from .asks import Ask, PlainAsk
-from .events import EventParser
+from .stream import Stream, read_problem
 
 _STREAM = 'text/event-stream'
 _JSON = 'application/json'
@@ -20,7 +19,6 @@
 _MAX_CLIENTS = 512
 #: Longer than any time limit in the tests: the caller never gives up first.
 _REQUEST_SECONDS = 150.0
-_ID_HEADER = 'request-id:'
 
 
 class CallerIdentity(msgspec.Struct, frozen=True):
@@ -45,50 +43,6 @@
     business_id: str
 
 
-class Stream:
-    """One connection over which events come."""
-
-    def __init__(self, answer: Answer) -> None:
-        self.answer = answer
-        self.parser = EventParser()
-        self.is_stream = False
-        self.rest = b''
-        self.started = time.monotonic()
-
-    def on_header(self, line: str) -> None:
-        """Take one line of the head of the answer."""
-        lowered = line.strip().lower()
-        if lowered.startswith('http/'):
-            self.answer.status = int(lowered.split()[1])
-        if lowered.startswith(_ID_HEADER):
-            _, _, request_id = line.partition(':')
-            self.answer.request_id = request_id.strip()
-        if _STREAM in lowered:
-            self.is_stream = True
-
-    def on_chunk(self, chunk: bytes) -> None:
-        """Take some bytes of the body."""
-        if not self.is_stream:
-            self.rest += chunk
-            return
-        for event in self.parser.feed(chunk):
-            if self.answer.first_token_seconds == 0:
-                self.answer.first_token_seconds = self.elapsed()
-            self.answer.take(event)
-
-    def finish(self) -> Answer:
-        """Return the answer once the connection is over."""
-        self.answer.total_seconds = self.elapsed()
-        if not self.is_stream:
-            self.answer.problem = read_problem(self.rest)
-        self.answer.end()
-        return self.answer
-
-    def elapsed(self) -> float:
-        """Return the seconds since the request was sent."""
-        return time.monotonic() - self.started
-
-
 class Caller:
     """One guest, instructor or member of a workspace."""
 
@@ -112,6 +66,13 @@
         url = self._service_url(ask, 'requests')
         return await self.stream(self.request(ask, url), Answer())
 
+    async def ask_document(self, ask: Ask) -> Answer:
+        """Send a model request and take the answer in one piece."""
+        url = self._service_url(ask, 'requests')
+        request = self.request(ask, url)
+        request.headers['Accept'] = _JSON
+        return await self.stream(request, Answer())
+
     async def run_reserved(self, ask: Ask, request_id: str) -> Answer:
         """Run a model request under a reserved id; read its stream."""
         request = self.request(ask, self._request_url(request_id, ask.entry))
@@ -126,7 +87,7 @@
             headers=self._headers(accept=_STREAM),
             request_timeout=_REQUEST_SECONDS,
         )
-        rest = Answer(answer.request_id, answer.pieces)
+        rest = Answer(answer.request_id, answer.pieces, answer.tokens)
         return await self.stream(request, rest)
 
     async def reserve(self, service: str, entry: int = 0) -> PlainAnswer:
@@ -145,10 +106,12 @@
     async def call(self, ask: PlainAsk, request_id: str = '') -> PlainAnswer:
         """Call a plain service, under a reserved id if one is given."""
         url = self._service_url(ask, f'call/{ask.path}')
-        if request_id:
-            url = self._request_url(request_id, ask.entry)
         headers = self._headers()
         _add_options(headers, ask)
+        if request_id:
+            url = self._request_url(request_id, ask.entry)
+            headers['Call-Method'] = ask.method
+            headers['Call-Path'] = ask.path
         body = msgspec.json.encode(PlainBody(ask.business_id))
         response = await self.fetch(
             HTTPRequest(
@@ -223,16 +186,6 @@
         return f'{base}/v1/requests/{request_id}'
 
 
-def read_problem(body: bytes) -> Problem | None:
-    """Return the problem document in a body, if it is one."""
-    if not body:
-        return None
-    try:
-        return msgspec.json.decode(body, type=Problem)
-    except msgspec.DecodeError:
-        return Problem(title='unreadable', detail=body.decode(errors='replace'))
-
-
 def plain_answer(response: HTTPResponse) -> PlainAnswer:
     """Return what a response says."""
     lost = response.code == LOST
--- a/packages/sycamore-standins/src/sycamore_standins/engine/answers.py
+++ b/packages/sycamore-standins/src/sycamore_standins/engine/answers.py
@@ -26,12 +26,13 @@
     return f'{mark_of(request_id)}.{sequence} '
 
 
-def whole_text(request_id: str, steps: int) -> str:
-    """Return the text of the first `steps` steps of a request.
+def text_between(request_id: str, first: int, last: int) -> str:
+    """Return the text of the steps from `first` to before `last`.
 
     Examples
     --------
-    >>> whole_text('r1', 2) == step_text('r1', 0) + step_text('r1', 1)
+    >>> text_between('r1', 0, 2) == step_text('r1', 0) + step_text('r1', 1)
     True
     """
-    return ''.join(step_text(request_id, number) for number in range(steps))
+    steps = range(first, last)
+    return ''.join(step_text(request_id, number) for number in steps)
--- a/packages/sycamore-standins/src/sycamore_standins/fleet/fleet.py
+++ b/packages/sycamore-standins/src/sycamore_standins/fleet/fleet.py
@@ -19,6 +19,7 @@
 from .plan import FleetPlan
 from .process import ManagedProcess, ProcessError
 from .roster import PLATFORM, Roster
+from .views import read_view
 from .waiting import wait_until
 
 _OK = 200
@@ -72,14 +73,10 @@
         self.relays.start()
         for name, route in self.roster.routes.items():
             self.relays.add(name, route)
-        standins = self.roster.standins
-        self.start_processes(standins)
-        await self._all(standins, self.hooks_ready)
-        await self.publish(self.tree)
-        live = self.roster.live_instances()
-        await self.hooks(PLATFORM).change_instances(live)
+        await self._start_standins()
         self.start_processes([*self.roster.endpoints, *self.roster.entries])
         await self._all(self.roster.entries, self.serves)
+        await self._all(self.roster.entries, self.sees_all)
 
     async def stop(self) -> None:
         """End all processes that this fleet started."""
@@ -127,6 +124,12 @@
         response = await get(f'{url}/healthz')
         return response.code == _OK
 
+    async def sees_all(self, entry: str) -> bool:
+        """Return whether an entry has a report of every endpoint."""
+        url = self.roster.urls[entry]
+        view = await read_view(url, self.plan.operator_key)
+        return view.reported() == set(self.roster.endpoints)
+
     async def hooks_ready(self, name: str) -> bool:
         """Return whether a stand-in takes calls."""
         return await self.hooks(name).ready()
@@ -149,12 +152,13 @@
         process.terminate()
         return await asyncio.to_thread(process.wait, _STOP_SECONDS)
 
-    def partition(self, side: Sequence[str], other: Sequence[str]) -> None:
-        """Cut both directions between two sets of processes."""
-        for near in side:
-            for far in other:
-                self.relays.cut(near, far)
-                self.relays.cut(far, near)
+    async def _start_standins(self) -> None:
+        standins = self.roster.standins
+        self.start_processes(standins)
+        await self._all(standins, self.hooks_ready)
+        await self.publish(self.tree)
+        live = self.roster.live_instances()
+        await self.hooks(PLATFORM).change_instances(live)
 
     async def _all(
         self,
--- a/packages/sycamore-standins/src/sycamore_standins/relay/thread.py
+++ b/packages/sycamore-standins/src/sycamore_standins/relay/thread.py
@@ -1,8 +1,9 @@
 """Relays that run in a thread of their own, beside the code of a test."""
 
 import asyncio
+import itertools
 import threading
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from typing import Any
 
 from .gate import Gate
@@ -39,6 +40,12 @@
         """Let what `sender` sends to `receiver` pass again."""
         self._on_gate(receiver, sender, Gate.heal)
 
+    def partition(self, side: Iterable[str], other: Iterable[str]) -> None:
+        """Cut both directions between two sets of processes."""
+        for near, far in itertools.product(side, other):
+            self.cut(near, far)
+            self.cut(far, near)
+
     def delay(self, receiver: str, sender: str, seconds: float) -> None:
         """Let each read of what `sender` sends wait for `seconds`."""
         relay = self.relays[receiver]
--- a/packages/sycamore-standins/src/sycamore_standins/tests/test_caller.py
+++ b/packages/sycamore-standins/src/sycamore_standins/tests/test_caller.py
@@ -14,12 +14,18 @@
         'outcome': 'complete',
         'frames': frames,
         'checksum': zlib.crc32(text.encode()),
+        'output_tokens': frames,
     }
     return Event(frames, 'close', msgspec.json.encode(body).decode())
 
 
 def own(number: int) -> Event:
-    return Event(number, text=step_text('mine', number))
+    return piece('mine', number)
+
+
+def piece(request_id: str, number: int) -> Event:
+    body = {'text': step_text(request_id, number), 'tokens': 1}
+    return Event(number, 'tokens', msgspec.json.encode(body).decode())
 
 
 def taken(*events: Event) -> Answer:
@@ -46,7 +52,7 @@
         ((own(0), closing(2, WHOLE)), Fault.COUNT),
         ((own(0), own(1), closing(2, 'other')), Fault.CHECKSUM),
         (
-            (Event(0, text=step_text('other', 0)), closing(1, 'x')),
+            (piece('other', 0), closing(1, 'x')),
             Fault.FOREIGN,
         ),
     ],
