Number the requests for leases of a group

Cause: a late or repeated GroupAnswer could not be matched to the request that it answers, so the leader would have to count the lease from the arrival of the answer and believe in it after the member has let it expire.

Ruled out: counting from the first request only, which can't be renewed. Fields are appended with defaults; a member returns the number it was asked with.

--- a/packages/sycamore-core/src/sycamore_core/messages/groups.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/groups.py
@@ -9,6 +9,11 @@
 
     The lease expires by itself after `lease_seconds` unless it is renewed,
     so that the death of the leader leaks nothing.
+
+    Attributes
+    ----------
+    number
+        Number of the request, which the answer returns.
     """
 
     group: GroupId
@@ -16,15 +21,24 @@
     span: int
     tokens: int
     lease_seconds: float
+    number: int = 0
 
 
 class GroupAnswer(BaseMessage, frozen=True):
-    """Whether the member holds the lease that was asked for or renewed."""
+    """Whether the member holds the lease that was asked for or renewed.
+
+    Attributes
+    ----------
+    number
+        Number of the request that is answered. The leader counts the lease
+        from when it sent that one, however late the answer comes.
+    """
 
     group: GroupId
     span: int
     granted: bool
     retry_after: float = 0
+    number: int = 0
 
 
 class GroupRenew(BaseMessage, frozen=True):
@@ -32,6 +46,7 @@
 
     group: GroupId
     lease_seconds: float
+    number: int = 0
 
 
 class GroupRelease(BaseMessage, frozen=True):
