--- a/packages/sycamore-core/src/sycamore_core/cli/app.py
+++ b/packages/sycamore-core/src/sycamore_core/cli/app.py
@@ -1,7 +1,7 @@
 """The command line that both binaries share."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from importlib import metadata
 from typing import Annotated, Any, Generic, TypeVar
 
@@ -21,8 +21,6 @@
 
 Settings = TypeVar('Settings', EntryProcessSettings, EndpointProcessSettings)
 
-_Named = tuple[str, Callable[..., None]]
-
 SettingsFile = Annotated[
     str,
     typer.Option('--settings', help='Settings file of this process.'),
@@ -127,19 +125,21 @@
     )
     commands = ProcessCommands(name, run, kind)
     app.callback(invoke_without_command=True)(commands.about)
-    for command_name, command in _commands(commands):
+    for command_name, command in _commands(commands).items():
         app.command(command_name)(command)
     return app
 
 
-def _commands(own: ProcessCommands[Settings]) -> tuple[_Named, ...]:
-    return (
-        ('run', own.run),
-        ('check-settings', own.check_settings),
-        ('show-settings', settings_commands.show_settings),
-        ('schema', own.schema),
-        ('explain', explain_case),
-        ('fleet', operator_commands.fleet),
-        ('attainment', operator_commands.attainment),
-        ('record', operator_commands.record),
-    )
+def _commands(
+    own: ProcessCommands[Settings],
+) -> Mapping[str, Callable[..., None]]:
+    return {
+        'run': own.run,
+        'check-settings': own.check_settings,
+        'show-settings': settings_commands.show_settings,
+        'schema': own.schema,
+        'explain': explain_case,
+        'fleet': operator_commands.fleet,
+        'attainment': operator_commands.attainment,
+        'record': operator_commands.record,
+    }
