Link an entry to a subset of endpoints and retire links gently

Cause: a heartbeat to each of 770 endpoints breaks 19 KB/s, and an endpoint taken out of the settings had its link dropped under its running answers. Ruled out: keeping a link for every endpoint; dropping on the next heartbeat. Conclusion: others are met on demand; a retired link ends with its last run.

--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/attach.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/attach.py
@@ -70,9 +70,9 @@
         mailbox: Mailbox,
     ) -> None:
         report = await self._find(fleet, mailbox)
-        link = self.context.links.find(report.endpoint)
+        link = self.context.links.open(report.endpoint)
         if link is None:
-            raise _lost('the endpoint that has the answer fell silent')
+            raise _lost('the endpoint that has the answer is gone')
         mailbox.endpoint = link.endpoint
         await sink.admitted(self.request_id)
         stream = AnswerStream(
@@ -117,7 +117,7 @@
         else:
             service = fleet.endpoints_of(self.claims.service)
             names = [endpoint.endpoint for endpoint in service]
-        links = [self.context.links.find(name) for name in names]
+        links = [self.context.links.open(name) for name in names]
         return [link for link in links if link is not None]
 
     def _end(self, mailbox: Mailbox) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/exchange.py
@@ -79,6 +79,9 @@
             ) from error
 
     async def _serve(self, mailbox: Mailbox) -> None:
+        pinned = self.request.view.pinned_to
+        if pinned is not None:
+            await self.context.links.reach(pinned)
         self._submit()
         is_over = False
         while not is_over:
--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/registry.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/registry.py
@@ -46,6 +46,12 @@
         """Return whether no other exchange has superseded this one."""
         return self.mailboxes.get(request_id) is mailbox
 
+    def uses(self, endpoint: EndpointId) -> bool:
+        """Return whether an exchange talks to an endpoint."""
+        return any(
+            mailbox.endpoint == endpoint for mailbox in self.mailboxes.values()
+        )
+
     def open(self, request_id: RequestId) -> Mailbox:
         """Return a new mailbox, which supersedes an earlier one."""
         self.deliver(request_id, Superseded())
--- a/packages/sycamore-entry/src/sycamore_entry/fleet/links.py
+++ b/packages/sycamore-entry/src/sycamore_entry/fleet/links.py
@@ -7,44 +7,29 @@
 
 import abc
 import asyncio
-import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from sycamore_core.clock import Clock
 from sycamore_core.decisions import EndpointView
-from sycamore_core.ids import EndpointId, EntryId, Incarnation, ZoneId
-from sycamore_core.messages import Heartbeat, LoadReport, Message
+from sycamore_core.decisions.subset import SubsetChooser
+from sycamore_core.ids import EndpointId, EntryId, ZoneId
+from sycamore_core.messages import Heartbeat, LoadReport
 from sycamore_core.platform import SettingsClaim
 from sycamore_core.settings import EndpointSettings, FleetSettings
-from sycamore_core.states import EndpointPhase
-from sycamore_core.transport import Node, Peer
+from sycamore_core.transport import Node
+
+from .link import EndpointLink, view_of
 
 #: A heartbeat and its report cost about 0.3 KB and 0.5 ms at both ends
 #: together; one a second to each endpoint of a subset stays in the budget.
 HEARTBEAT_SECONDS = 1.0
 #: Three heartbeats: one lost packet does not make an endpoint silent.
 SILENT_SECONDS = 3.5
-
-
-@dataclasses.dataclass
-class EndpointLink:
-    """One endpoint of the settings and its last report."""
-
-    endpoint: EndpointId
-    address: str
-    peer: Peer
-    incarnation: Incarnation = Incarnation(0)
-    report: LoadReport | None = None
-    reported_at: float = 0
-
-    @property
-    def is_heard(self) -> bool:
-        """Whether the endpoint has reported and was not found silent since."""
-        return self.report is not None
-
-    def post(self, message: Message, *, urgent: bool = True) -> bool:
-        """Queue a message for the endpoint process."""
-        return self.peer.post(message, urgent=urgent)
+#: How long a link beyond the subset is kept after it was last asked for.
+ON_DEMAND_SECONDS = 60.0
+#: How long the first report of such an endpoint is waited for. It takes one
+#: round trip, a few milliseconds.
+REACH_SECONDS = 1.0
 
 
 class LinkEvents(abc.ABC):
@@ -56,7 +41,15 @@
 
     @abc.abstractmethod
     def endpoint_lost(self, endpoint: EndpointId, *, restarted: bool) -> None:
-        """Note that an endpoint is silent, gone or has restarted."""
+        """Note that an endpoint is silent or has restarted."""
+
+    @abc.abstractmethod
+    def endpoint_retired(self, endpoint: EndpointId) -> None:
+        """Note that an endpoint gets no new work; its runs go on."""
+
+    @abc.abstractmethod
+    def is_in_use(self, endpoint: EndpointId) -> bool:
+        """Whether a request is in progress at an endpoint."""
 
 
 class EndpointLinks:
@@ -84,14 +77,26 @@
         self.events = events
         self.claim = claim
         self.links: dict[EndpointId, EndpointLink] = {}
+        self.retired: list[EndpointLink] = []
         self.draining = False
         self._addresses: dict[str, EndpointId] = {}
+        self._fleet: FleetSettings | None = None
+        self._node: Node | None = None
 
     def update(self, fleet: FleetSettings, node: Node) -> None:
         """Follow the endpoints of a newer settings tree."""
-        for gone in set(self.links).difference(fleet.endpoints):
-            self._drop(gone, node)
-        for endpoint in fleet.endpoints.values():
+        self._fleet = fleet
+        self._node = node
+        for link in tuple(self.links.values()):
+            known = fleet.endpoints.get(link.endpoint)
+            if known is None or known.address != link.address:
+                self._retire(link)
+        chosen = self._choose(fleet)
+        now = self.clock.monotonic()
+        for link in tuple(self.links.values()):
+            if link.endpoint not in chosen and link.wanted_until <= now:
+                self._retire(link)
+        for endpoint in chosen.values():
             self._follow(endpoint, node)
 
     def find(self, endpoint: EndpointId) -> EndpointLink | None:
@@ -101,6 +106,31 @@
             return None
         return link
 
+    def open(self, endpoint: EndpointId) -> EndpointLink | None:
+        """Return the link of any endpoint of the settings, heard or not.
+
+        A request under a bound id, a caller's key or an answer to come back
+        for may be at an endpoint beyond the subset.
+        """
+        link = self.links.get(endpoint)
+        if link is None:
+            link = self._open_beyond_subset(endpoint)
+        if link is not None and link.wanted_until:
+            link.wanted_until = self.clock.monotonic() + ON_DEMAND_SECONDS
+        return link
+
+    async def reach(self, endpoint: EndpointId) -> EndpointLink | None:
+        """Return the link of an endpoint once it is heard, or None."""
+        link = self.open(endpoint)
+        if link is None:
+            return None
+        try:
+            async with asyncio.timeout(REACH_SECONDS):
+                await link.heard.wait()
+        except TimeoutError:
+            return None
+        return link
+
     def at_address(self, address: str) -> EndpointLink | None:
         """Return the link of the endpoint that listens at `address`."""
         endpoint = self._addresses.get(address)
@@ -109,19 +139,12 @@
     def take_report(self, report: LoadReport) -> None:
         """Note a report and tell of a restart that it shows."""
         link = self.links.get(report.endpoint)
-        if link is None:
-            return
-        if link.is_heard and report.incarnation < link.incarnation:
-            # A process that was paused and replaced woke up. A replacement
-            # on an instance whose clock is behind has a lower number as
-            # well; it is taken once the one before it has fallen silent.
+        if link is None or link.is_older(report):
             return
-        if link.incarnation not in {0, report.incarnation}:
+        if link.shows_restart(report):
             self.events.endpoint_lost(link.endpoint, restarted=True)
-        link.incarnation = report.incarnation
-        link.report = report
-        link.reported_at = self.clock.monotonic()
-        self.events.endpoint_reported(_view(report, link.reported_at))
+        link.take(report, self.clock.monotonic())
+        self.events.endpoint_reported(view_of(report, link.reported_at))
 
     async def run(self) -> None:
         """Send heartbeats and find silent endpoints until cancelled."""
@@ -131,6 +154,17 @@
 
     def beat(self) -> None:
         """Send one heartbeat to each endpoint and look for silent ones."""
+        now = self.clock.monotonic()
+        self._send_heartbeat((*self.links.values(), *self.retired))
+        for link in tuple(self.links.values()):
+            if link.is_heard and link.reported_at < now - SILENT_SECONDS:
+                link.fall_silent()
+                self.events.endpoint_lost(link.endpoint, restarted=False)
+            if 0 < link.wanted_until < now:
+                self._retire(link)
+        self._forget_retired()
+
+    def _send_heartbeat(self, links: Iterable[EndpointLink]) -> None:
         claim = self.claim()
         heartbeat = Heartbeat(
             entry=self.entry,
@@ -140,48 +174,67 @@
             settings_digest=claim.rank.digest,
             settings_age=claim.age,
         )
-        horizon = self.clock.monotonic() - SILENT_SECONDS
-        for link in tuple(self.links.values()):
+        for link in links:
             link.post(heartbeat)
-            if link.is_heard and link.reported_at < horizon:
-                link.report = None
-                self.events.endpoint_lost(link.endpoint, restarted=False)
 
-    def _follow(self, endpoint: EndpointSettings, node: Node) -> None:
+    def _choose(
+        self,
+        fleet: FleetSettings,
+    ) -> dict[EndpointId, EndpointSettings]:
+        chooser = SubsetChooser(self.entry, self.zone, fleet.zones)
+        services = {one.service for one in fleet.endpoints.values()}
+        return {
+            chosen.endpoint: chosen
+            for service in sorted(services)
+            for chosen in chooser.choose(fleet.endpoints_of(service))
+        }
+
+    def _open_beyond_subset(self, endpoint: EndpointId) -> EndpointLink | None:
+        if self._fleet is None or self._node is None:
+            return None
+        known = self._fleet.endpoints.get(endpoint)
+        if known is None:
+            return None
+        link = self._follow(known, self._node)
+        link.wanted_until = self.clock.monotonic() + ON_DEMAND_SECONDS
+        self._send_heartbeat((link,))
+        return link
+
+    def _follow(self, endpoint: EndpointSettings, node: Node) -> EndpointLink:
         known = self.links.get(endpoint.endpoint)
-        if known is not None and known.address == endpoint.address:
-            return
         if known is not None:
-            self._drop(endpoint.endpoint, node)
-        self._addresses[endpoint.address] = endpoint.endpoint
-        self.links[endpoint.endpoint] = EndpointLink(
+            known.wanted_until = 0
+            return known
+        link = EndpointLink(
             endpoint=endpoint.endpoint,
             address=endpoint.address,
             peer=node.peer(endpoint.address),
         )
+        self._addresses[endpoint.address] = endpoint.endpoint
+        self.links[endpoint.endpoint] = link
+        return link
 
-    def _drop(self, endpoint: EndpointId, node: Node) -> None:
-        link = self.links.pop(endpoint)
+    def _retire(self, link: EndpointLink) -> None:
+        """Offer nothing more to an endpoint, and let its runs go on.
+
+        What goes wrong otherwise: an operator takes an endpoint out of the
+        settings, its link is dropped at once, and the answers that it is
+        still sending are cut off.
+        """
+        self.links.pop(link.endpoint)
+        self.retired.append(link)
+        self.events.endpoint_retired(link.endpoint)
+
+    def _forget_retired(self) -> None:
+        for link in tuple(self.retired):
+            current = self.links.get(link.endpoint)
+            if current is not None and current.address == link.address:
+                self.retired.remove(link)
+            elif not self.events.is_in_use(link.endpoint):
+                self.retired.remove(link)
+                self._drop(link)
+
+    def _drop(self, link: EndpointLink) -> None:
         self._addresses.pop(link.address, None)
-        node.forget(link.address)
-        self.events.endpoint_lost(endpoint, restarted=False)
-
-
-def _view(report: LoadReport, reported_at: float) -> EndpointView:
-    return EndpointView(
-        endpoint=report.endpoint,
-        service=report.service,
-        zone=report.zone,
-        incarnation=report.incarnation,
-        phase=EndpointPhase(report.phase),
-        reported_at=reported_at,
-        free_tokens=report.free_tokens,
-        capacity_tokens=report.capacity_tokens,
-        running=report.running,
-        waiting=report.waiting,
-        backlog_tokens=report.backlog_tokens,
-        long_tokens=report.long_tokens,
-        service_rate=report.service_rate,
-        step_seconds=report.step_seconds,
-        cached_blocks=frozenset(report.cached_blocks),
-    )
+        if self._node is not None:
+            self._node.forget(link.address)
--- a/packages/sycamore-entry/src/sycamore_entry/peers.py
+++ b/packages/sycamore-entry/src/sycamore_entry/peers.py
@@ -85,6 +85,16 @@
         self.context.scheduler.update_endpoint(view, self.context.now())
         self.context.wake.set()
 
+    def endpoint_retired(self, endpoint: EndpointId) -> None:
+        """Take an endpoint out of the scheduler; its exchanges go on."""
+        now = self.context.now()
+        self.context.scheduler.remove_endpoint(endpoint, now)
+        self.context.log.info('endpoint_retired', endpoint=endpoint)
+
+    def is_in_use(self, endpoint: EndpointId) -> bool:
+        """Whether an exchange is in progress at an endpoint."""
+        return self.context.registry.uses(endpoint)
+
     def endpoint_lost(self, endpoint: EndpointId, *, restarted: bool) -> None:
         """Take an endpoint out of the scheduler and tell its exchanges."""
         now = self.context.now()
--- a/packages/sycamore-entry/src/sycamore_entry/web/handlers/answers.py
+++ b/packages/sycamore-entry/src/sycamore_entry/web/handlers/answers.py
@@ -51,7 +51,7 @@
                 'this id was not made by a reservation',
             )
         request = self._bound_request(RequestId(request_id))
-        self._check_incarnation()
+        await self._check_incarnation()
         exchange = Exchange(self.context.entry, request, self._sink())
         await self.serve(exchange.run())
 
@@ -77,7 +77,7 @@
             one.endpoint for one in self.fleet.endpoints_of(self.claims.service)
         ]
         for name in names:
-            link = self.context.entry.links.find(name)
+            link = self.context.entry.links.open(name)
             if link is not None:
                 link.post(Attach(RequestId(request_id)))
                 link.post(
@@ -112,10 +112,11 @@
             return make_plain_request(intake, request_id, call, body)
         return make_model_request(intake, request_id, read_prompt(body))
 
-    def _check_incarnation(self) -> None:
+    async def _check_incarnation(self) -> None:
         # Any other incarnation would decline the offer. Answered here, a
         # caller does not wait for an endpoint that will never come back.
-        link = self.context.entry.links.find(EndpointId(self.claims.minter))
+        minter = EndpointId(self.claims.minter)
+        link = await self.context.entry.links.reach(minter)
         if link is None or link.incarnation == self.claims.incarnation:
             return
         raise RefusedError(
