Ask each candidate itself whether it has room

Cause: the placement called the method of the base class, so a candidate that knows more than its memory, such as one whose queue is kept short, was not asked. Ruled out: a weight of 0 for closed endpoints, which the long limits take for a dead one. 111 tests of decisions and stand-ins pass.

--- a/packages/sycamore-core/src/sycamore_core/decisions/options.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/options.py
@@ -64,7 +64,7 @@
         self.matches = matches
         self.draw = draw
         #: Whether an endpoint may hold the request; long work has its own.
-        self.fits: Fits = Candidate.has_room
+        self.fits: Fits = _has_room
         self.found: dict[EndpointId, Option] = {}
 
     def add_holders(self) -> None:
@@ -132,6 +132,10 @@
         return candidate.weight >= 1 or self.draw() < candidate.weight
 
 
+def _has_room(candidate: Candidate, request: RequestView) -> bool:
+    return candidate.has_room(request)
+
+
 def position(draw: Draw, size: int) -> int:
     """Return a position drawn at random; a draw of 1 is the last one."""
     return min(int(draw() * size), size - 1)
