Test the thin path and at-most-once on real processes

One test was wrong and is replaced: it asked for an answer whose caller had gone away, which the design cancels; now the answer moves to another entry while the first connection is still open.

--- a/packages/sycamore-standins/src/sycamore_standins/caller/caller.py
+++ b/packages/sycamore-standins/src/sycamore_standins/caller/caller.py
@@ -61,10 +61,17 @@
         """Close all connections."""
         self.client.close()
 
-    async def ask(self, ask: Ask) -> Answer:
-        """Send a model request and read its stream to the end."""
+    async def ask(self, ask: Ask, answer: Answer | None = None) -> Answer:
+        """Send a model request and read its stream to the end.
+
+        Parameters
+        ----------
+        answer
+            Filled as it comes, for a test that looks at it meanwhile.
+        """
         url = self._service_url(ask, 'requests')
-        return await self.stream(self.request(ask, url), Answer())
+        request = self.request(ask, url)
+        return await self.stream(request, answer or Answer())
 
     async def ask_document(self, ask: Ask) -> Answer:
         """Send a model request and take the answer in one piece."""
--- a/packages/sycamore-standins/src/sycamore_standins/fleet/builder.py
+++ b/packages/sycamore-standins/src/sycamore_standins/fleet/builder.py
@@ -4,6 +4,7 @@
 import pathlib
 from typing import Self
 
+import msgspec
 from sycamore_core.ids import EndpointId, EntryId
 from sycamore_core.platform import InstanceEntry
 from sycamore_core.settings import (
@@ -24,6 +25,13 @@
 _fleet_numbers = itertools.count()
 
 
+class PeerAddresses(msgspec.Struct, frozen=True):
+    """Where a process listens, and what it tells its peers."""
+
+    listen: str
+    advertise: str
+
+
 class FleetBuilder:
     """Builds the parts of one fleet, one process after the other."""
 
@@ -41,6 +49,7 @@
         self.relayed = relayed
         self.keys = folder.write_key()
         self.roster = Roster()
+        self.peers: dict[str, PeerAddresses] = {}
 
     @classmethod
     def from_plan(
@@ -57,6 +66,7 @@
     def build(self) -> Roster:
         """Return all parts; the files are written, nothing is started."""
         self.add_standin(PLATFORM, PLATFORM)
+        self.add_addresses()
         for number, model in enumerate(self.plan.models):
             self.add_model(EndpointId(f'model-{number}'), model)
         for number, plain in enumerate(self.plan.plains):
@@ -133,15 +143,15 @@
 
     def add_entry(self, name: EntryId, plan: EntryPlan) -> None:
         """Add an entry process."""
-        listen, advertise = self.peer_addresses(name)
         self.roster.entries.append(name)
         settings = EntryProcessSettings(
             name=name,
             zone=plan.zone,
             http_host=self.pool.host,
             http_port=self.pool.port(),
-            listen=listen,
-            advertise=advertise,
+            listen=self.peers[name].listen,
+            advertise=self.peers[name].advertise,
+            seed_peers=self.seeds(name),
             settings_url=self.roster.urls[PLATFORM],
             instances_url=self.roster.urls[PLATFORM],
             peer_keys=self.keys,
@@ -162,15 +172,15 @@
         backend: str,
     ) -> EndpointProcessSettings:
         """Return the settings of an endpoint process."""
-        listen, advertise = self.peer_addresses(name)
         platform = self.roster.urls[PLATFORM]
         return EndpointProcessSettings(
             name=name,
             zone=plan.zone,
             http_host=self.pool.host,
             http_port=self.pool.port(),
-            listen=listen,
-            advertise=advertise,
+            listen=self.peers[name].listen,
+            advertise=self.peers[name].advertise,
+            seed_peers=self.seeds(name),
             backend_url=self.roster.urls[backend],
             settings_url=platform,
             instances_url=platform,
@@ -179,15 +189,33 @@
             peer_keys=self.keys,
         )
 
-    def peer_addresses(self, name: str) -> tuple[str, str]:
+    def add_addresses(self) -> None:
+        """Choose where each process of the system listens."""
+        names = [
+            *(f'model-{number}' for number, _ in enumerate(self.plan.models)),
+            *(f'plain-{number}' for number, _ in enumerate(self.plan.plains)),
+            *(f'entry-{number}' for number, _ in enumerate(self.plan.entries)),
+        ]
+        for name in names:
+            self.peers[name] = self.peer_addresses(name)
+
+    def peer_addresses(self, name: str) -> PeerAddresses:
         """Return where a process listens and what it tells its peers."""
         port = self.pool.port()
         listen = self.tcp(port)
         if not self.relayed:
-            return listen, listen
+            return PeerAddresses(listen, listen)
         relay_port = self.pool.port()
         self.roster.routes[name] = RelayRoute(self.pool.host, relay_port, port)
-        return listen, self.tcp(relay_port)
+        return PeerAddresses(listen, self.tcp(relay_port))
+
+    def seeds(self, name: str) -> tuple[str, ...]:
+        """Return the addresses of all processes but `name`."""
+        return tuple(
+            addresses.advertise
+            for other, addresses in self.peers.items()
+            if other != name
+        )
 
     def http(self, port: int) -> str:
         """Return the HTTP address of a port."""
--- a/packages/sycamore-standins/src/sycamore_standins/fleet/hooks.py
+++ b/packages/sycamore-standins/src/sycamore_standins/fleet/hooks.py
@@ -9,6 +9,7 @@
 from ..client import fetch, get
 from ..engine.hook_bodies import EngineFaults, EngineMemory, EngineRun
 from ..engine.order_bodies import OrderBody
+from ..plain.behaviour import Behaviour
 from ..plain.journal import CallRecord
 from ..platform.instances import InstanceChange
 from ..platform.settings import ReadCounts, SettingsMode
@@ -58,6 +59,10 @@
         """Return the calls that a plain service received."""
         return await self.read('/test/calls', list[CallRecord])
 
+    async def behave(self, behaviour: Behaviour) -> None:
+        """Set how a plain service behaves."""
+        await self.send('/test/behaviour', behaviour)
+
     async def publish(self, version: SettingsVersion, body: bytes) -> None:
         """Publish a settings tree."""
         await self.checked(
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the whole system as separate processes."""
