--- a/packages/sycamore-core/src/sycamore_core/settings/tests/test_examples.py
+++ b/packages/sycamore-core/src/sycamore_core/settings/tests/test_examples.py
@@ -59,5 +59,17 @@
     assert endpoint.listen == published.address
 
 
+def test_smallest_example_can_be_used() -> None:
+    folder = EXAMPLES / 'local'
+    tree = read_tree((folder / 'tree.jsonc').read_bytes())
+    entry_path, endpoint_path = folder / 'entry.jsonc', folder / 'chat-1.jsonc'
+    load_process_settings(str(entry_path), EntryProcessSettings)
+    endpoint = load_process_settings(
+        str(endpoint_path),
+        EndpointProcessSettings,
+    )
+    assert tree.endpoints[endpoint.name].address == endpoint.listen
+
+
 def test_examples_are_found() -> None:
     assert len(FILES) == 18
--- a/packages/sycamore-core/src/sycamore_core/settings/values.py
+++ b/packages/sycamore-core/src/sycamore_core/settings/values.py
@@ -34,13 +34,15 @@
 _HIGHEST_VERSION = 9_007_199_254_740_991
 _LARGEST_PORT = 65_535
 
+#: What a name may be, in words.
+NAME_TEXT = (
+    'a name of letters, digits, ".", "_" and "-", at most 64 long, that '
+    'starts with a letter or digit'
+)
 _NAME_META = Meta(
     pattern='^[A-Za-z0-9][A-Za-z0-9._-]*$',
     max_length=_LONGEST_NAME,
-    description=(
-        'a name of letters, digits, ".", "_" and "-", at most 64 long, that '
-        'starts with a letter or digit'
-    ),
+    description=NAME_TEXT,
 )
 _PORT = '([1-9][0-9]{0,4})'
 _IP = r'([0-9]{1,3}(\.[0-9]{1,3}){3}|\[[0-9a-fA-F:]+\])'
