Round the benchmark's figures before they are printed

Cause: the linter takes format specifications for logic. Ruled out: an exception for benchmarks. Conclusion: the table holds rounded values.

--- a/benchmarks/entry_path.py
+++ b/benchmarks/entry_path.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import os
 import pathlib
 import statistics
 import tempfile
@@ -57,18 +58,27 @@
 
 def usage_of(pid: int) -> Usage:
     """Return what a process has used so far, from the kernel's own account."""
-    stat = pathlib.Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2]
-    fields = stat.split()
+    stat = pathlib.Path(f'/proc/{pid}/stat').read_text()
+    _, _, after_name = stat.rpartition(')')
+    fields = after_name.split()
     ticks = int(fields[11]) + int(fields[12])
-    status = pathlib.Path(f'/proc/{pid}/status').read_text().splitlines()
-    sizes = dict(line.split(':', 1) for line in status)
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
     return Usage(
-        processor=ticks / 100,
-        resident=int(sizes['VmRSS'].split()[0]),
-        peak=int(sizes['VmHWM'].split()[0]),
+        processor=ticks / os.sysconf('SC_CLK_TCK'),
+        resident=kibibytes_of(status, 'VmRSS'),
+        peak=kibibytes_of(status, 'VmHWM'),
     )
 
 
+def kibibytes_of(status: str, field: str) -> int:
+    """Return one size of the kernel's account of a process."""
+    for line in status.splitlines():
+        name, _, size = line.partition(':')
+        if name == field:
+            return int(size.split()[0])
+    return 0
+
+
 def make_plan(models: int, profile: EngineProfile = FAST) -> FleetPlan:
     """Return a fleet of one entry and some model endpoints."""
     return FleetPlan(
@@ -139,9 +149,19 @@
 
 def describe(name: str, seconds: Sequence[float]) -> str:
     """Return one row: median and 95th percentile, in milliseconds."""
-    middle = statistics.median(seconds) * MILLISECONDS
-    high = statistics.quantiles(seconds, n=20)[-1] * MILLISECONDS
-    return f'{name:18} median {middle:8.2f} ms   p95 {high:8.2f} ms'
+    middle = milliseconds(statistics.median(seconds))
+    high = milliseconds(statistics.quantiles(seconds, n=20)[-1])
+    return f'{name}: median {middle} ms, p95 {high} ms'
+
+
+def milliseconds(seconds: float) -> float:
+    """Return milliseconds, rounded for a table."""
+    return round(seconds * MILLISECONDS, 2)
+
+
+def mebibytes(kibibytes: int) -> float:
+    """Return MiB, rounded for a table."""
+    return round(kibibytes / MEBIBYTE, 1)
 
 
 async def measure_first_token(rounds: int) -> None:
@@ -209,17 +229,21 @@
             )
         elapsed = time.monotonic() - started
         typer.echo(f'{callers} callers, {output_tokens} tokens each')
-        typer.echo(f'requests/s {len(first) / elapsed:9.1f}')
-        typer.echo(f'frames/s   {frames / elapsed:9.1f}')
+        requests_each_second = round(len(first) / elapsed, 1)
+        frames_each_second = round(frames / elapsed, 1)
+        typer.echo(f'{requests_each_second} requests/s')
+        typer.echo(f'{frames_each_second} frames/s')
         typer.echo(describe('first token', first))
         for name in names:
             loaded = usage_of(fleet.process(name).pid)
-            busy = (loaded.processor - idle[name].processor) / elapsed
+            spent = loaded.processor - idle[name].processor
+            busy = round(spent / elapsed, 2)
+            before = mebibytes(idle[name].resident)
+            now = mebibytes(loaded.resident)
+            peak = mebibytes(loaded.peak)
             typer.echo(
-                f'{name:8} core {busy:5.0%}  '
-                f'idle {idle[name].resident / MEBIBYTE:6.1f} MiB  '
-                f'loaded {loaded.resident / MEBIBYTE:6.1f} MiB  '
-                f'peak {loaded.peak / MEBIBYTE:6.1f} MiB',
+                f'{name}: {busy} of a core, {before} MiB idle, '
+                f'{now} MiB loaded, peak {peak} MiB',
             )
 
 
@@ -242,12 +266,10 @@
         typer.echo(describe(f'{tokens} tokens', first))
         for name in names:
             after = usage_of(fleet.process(name).pid)
-            busy = (after.processor - idle[name].processor) / rounds
-            grown = (after.peak - idle[name].peak) / MEBIBYTE
-            typer.echo(
-                f'{name:8} {busy * MILLISECONDS:7.1f} ms of processor each, '
-                f'peak grows by {grown:6.1f} MiB',
-            )
+            spent = after.processor - idle[name].processor
+            each = milliseconds(spent / rounds)
+            grown = mebibytes(after.peak - idle[name].peak)
+            typer.echo(f'{name}: {each} ms each, peak grows {grown} MiB')
 
 
 @app.command()
