--- /dev/null
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/backends/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the clients of back ends."""
--- /dev/null
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/__init__.py
@@ -0,0 +1,19 @@
+"""What one endpoint process must remember: memory, runs and answers."""
+
+from .answers import WINDOW_FRAMES, Answer
+from .memory import LeaseKey, LeaseKind, MemoryLease, MemoryLedger
+from .records import Owner, RunRecord
+from .runs import RESERVATION_SECONDS, RunLedger
+
+__all__ = (
+    'RESERVATION_SECONDS',
+    'WINDOW_FRAMES',
+    'Answer',
+    'LeaseKey',
+    'LeaseKind',
+    'MemoryLease',
+    'MemoryLedger',
+    'Owner',
+    'RunLedger',
+    'RunRecord',
+)
--- /dev/null
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the ledgers."""
--- /dev/null
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/reports.py
@@ -0,0 +1,66 @@
+"""The load that this endpoint process tells the entries."""
+
+import msgspec
+from sycamore_core.ids import ServiceId
+from sycamore_core.messages import LoadReport
+
+from .ledger import MemoryLedger
+from .state import EndpointState
+
+
+class EngineLoad(msgspec.Struct, frozen=True):
+    """What an engine said of itself; all but its requests lags."""
+
+    running: int = 0
+    waiting: int = 0
+    backlog_tokens: int = 0
+    capacity_tokens: int = 0
+    step_seconds: float = 0
+    prefill_rate: float = 0
+    requests: tuple['EngineRequest', ...] = ()
+
+
+class EngineRequest(msgspec.Struct, frozen=True):
+    """Memory that one request holds in an engine."""
+
+    request_id: str
+    tokens: int
+
+
+class Reporter:
+    """Builds load reports.
+
+    Attributes
+    ----------
+    load
+        The last load that the engine reported.
+    cached_blocks
+        Blocks that the engine said it caches, newest first.
+    """
+
+    def __init__(self, state: EndpointState, memory: MemoryLedger) -> None:
+        self.state = state
+        self.memory = memory
+        self.load = EngineLoad()
+        self.cached_blocks: tuple[int, ...] = ()
+
+    def report(self) -> LoadReport:
+        """Return the report of this moment."""
+        own = self.state.own
+        service = ServiceId('') if own is None else own.endpoint.service
+        return LoadReport(
+            endpoint=self.state.name,
+            service=service,
+            zone=self.state.zone,
+            incarnation=self.state.incarnation,
+            phase=self.state.phase,
+            settings_version=self.state.settings_version,
+            free_tokens=self.memory.free_tokens,
+            capacity_tokens=self.memory.capacity_tokens,
+            running=self.load.running,
+            waiting=self.load.waiting,
+            backlog_tokens=self.load.backlog_tokens,
+            service_rate=self.load.prefill_rate,
+            step_seconds=self.load.step_seconds,
+            cached_blocks=self.cached_blocks,
+        )
--- /dev/null
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/state.py
@@ -0,0 +1,58 @@
+"""What the parts of an endpoint process share."""
+
+import dataclasses
+
+from sycamore_core.clock import Clock
+from sycamore_core.ids import EndpointId, Incarnation, ZoneId
+from sycamore_core.settings import FleetSettings
+from sycamore_core.states import EndpointPhase
+
+from .fleet import OwnSettings
+
+
+@dataclasses.dataclass
+class EndpointState:
+    """Who this process is, and whether it takes new work.
+
+    Attributes
+    ----------
+    ready
+        Whether what the engine holds has been read once; before, the free
+        memory is not known.
+    leaving
+        Set by a signal or by the platform's list of instances.
+    """
+
+    name: EndpointId
+    zone: ZoneId
+    incarnation: Incarnation
+    clock: Clock
+    own: OwnSettings | None = None
+    ready: bool = False
+    leaving: bool = False
+
+    @property
+    def phase(self) -> EndpointPhase:
+        """Whether new work is taken."""
+        if self.leaving:
+            return EndpointPhase.DRAINING
+        if self.own is None or not self.ready:
+            return EndpointPhase.STARTING
+        if self.own.endpoint.draining:
+            return EndpointPhase.DRAINING
+        return EndpointPhase.LIVE
+
+    @property
+    def settings_version(self) -> int:
+        """Version of the settings in force; 0 if there are none."""
+        return 0 if self.own is None else self.own.fleet.version
+
+    def adopt(self, fleet: FleetSettings) -> None:
+        """Take new settings into force.
+
+        Raises
+        ------
+        SettingsError
+            If they do not list this endpoint.
+        """
+        self.own = OwnSettings.from_fleet(fleet, self.name)
--- /dev/null
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the endpoint process as a whole."""
