--- a/packages/sycamore-endpoint/src/sycamore_endpoint/cli.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/cli.py
@@ -1,6 +1,7 @@
 """Command line of the endpoint process."""
 
 import asyncio
+import signal
 
 import typer
 from sycamore_core.errors import SycamoreError
@@ -39,7 +40,11 @@
 
 async def serve(settings: EndpointProcessSettings) -> None:
     """Run one endpoint process to its end."""
-    await EndpointProcess(settings).run()
+    process = EndpointProcess(settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, process.stop)
+    await process.run()
 
 
 def main() -> None:
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/process.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/process.py
@@ -104,9 +104,6 @@
         )
 
     async def run(self) -> None:
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop)
         self.node.start()
         watch = asyncio.create_task(
             watch_settings(self.settings.settings_url, self.adopt),
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/tests/builders.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/tests/builders.py
@@ -245,7 +245,6 @@
         yield f'http://127.0.0.1:{port}'
     finally:
         server.stop()
-        await server.close_all_connections()
 
 
 class EntryProbe:
