Compose the endpoint process from parts: keeper, engine watch, housekeeping, draining

The thin process read the settings by itself and never looked at the engine. Now the shared keeper brings the settings, one task reads what the engine holds and repairs what differs, one looks at deadlines and silent entries, and SIGTERM or the instance list begin to leave: offers are declined at once, what is in progress ends first.

--- a/packages/sycamore-endpoint/src/sycamore_endpoint/desk.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/desk.py
@@ -12,13 +12,16 @@
     Message,
     Offer,
     Reserve,
+    SettingsBody,
+    SettingsWanted,
     Withdraw,
 )
+from sycamore_core.platform import SettingsClaim
 from sycamore_core.telemetry import Log, Metrics
 from sycamore_core.transport import Peer
 
 from .admission import Admission
-from .ledger import Owner
+from .ledger import Owner, OwnerLeases
 from .reports import Reporter
 from .reservations import Reservations
 from .runner import Runner
@@ -33,6 +36,7 @@
         reservations: Reservations,
         runner: Runner,
         reporter: Reporter,
+        owners: OwnerLeases,
         metrics: Metrics,
     ) -> None:
         self.admission = admission
@@ -40,13 +44,16 @@
         self.runner = runner
         self.runs = runner.runs
         self.reporter = reporter
+        self.owners = owners
         self.metrics = metrics
         self.log = Log('endpoint.desk')
 
     async def serve(self, peer: Peer) -> None:
         """Handle the messages of one peer until cancelled."""
         while True:
-            self.handle(await peer.inbound.get(), peer)
+            message = await peer.inbound.get()
+            self.owners.hear(owner_of(peer), self.runner.clock.monotonic())
+            self.handle(message, peer)
 
     @functools.singledispatchmethod
     def handle(self, message: Message, peer: Peer) -> None:
@@ -121,6 +128,22 @@
     def take_heartbeat(self, message: Heartbeat, peer: Peer) -> None:
         """Answer a sign of life with the load."""
         peer.post(self.reporter.report(), urgent=False)
+        claim = SettingsClaim.from_message(message)
+        wanted = self.reporter.keeper.wanted_above(claim)
+        if wanted is not None:
+            peer.post(wanted)
+
+    @handle.register
+    def take_settings(self, message: SettingsBody, peer: Peer) -> None:
+        """Take newer settings from a peer."""
+        self.reporter.keeper.offer_from_peer(message, peer.address)
+
+    @handle.register
+    def take_question(self, message: SettingsWanted, peer: Peer) -> None:
+        """Send the settings in force to a peer that has older ones."""
+        body = self.reporter.keeper.answer(message)
+        if body is not None:
+            peer.post(body)
 
     def _go_on(self, offer: Offer, accepted: Accepted) -> None:
         record = self.runs.find(offer.request_id)
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/fleet.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/fleet.py
@@ -11,7 +11,7 @@
 
 
 class OwnSettings(msgspec.Struct, frozen=True):
-    """This endpoint's part of one settings version."""
+    """What one settings version says of this endpoint."""
 
     fleet: FleetSettings
     endpoint: EndpointSettings
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/__init__.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/__init__.py
@@ -2,6 +2,7 @@
 
 from .answers import WINDOW_FRAMES, Answer
 from .memory import LeaseKey, LeaseKind, MemoryLease, MemoryLedger
+from .owners import OwnerLeases
 from .records import Owner, RunRecord
 from .runs import RESERVATION_SECONDS, RunLedger
 
@@ -14,6 +15,7 @@
     'MemoryLease',
     'MemoryLedger',
     'Owner',
+    'OwnerLeases',
     'RunLedger',
     'RunRecord',
 )
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/process.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/process.py
@@ -1,118 +1,106 @@
-"""The endpoint process: its parts, its tasks, its start and its end."""
+"""The endpoint process: its start, its tasks and its end."""
 
 import asyncio
-import signal
-import time
 from typing import Self
 
 from sycamore_core.clock import SystemClock
-from sycamore_core.errors import BackendError
-from sycamore_core.identity import RequestIdSigner
-from sycamore_core.ids import Incarnation, PeerId
-from sycamore_core.messages import PacketCodec, PeerKeys
-from sycamore_core.settings import EndpointProcessSettings, FleetSettings
-from sycamore_core.states import EndpointKind
-from sycamore_core.telemetry import Log, Metrics
-from sycamore_core.transport import Node, NodeAddress
-from tornado.curl_httpclient import CurlAsyncHTTPClient
+from sycamore_core.errors import PlatformError
+from sycamore_core.platform import HttpInstanceSource
+from sycamore_core.settings import EndpointProcessSettings
+from sycamore_core.telemetry import Log
+from tornado.httpserver import HTTPServer
 
-from .admission import Admission
-from .backends import Backend, EngineBackend, PlainBackend
-from .backends.calls import ControlClient
-from .desk import Desk
-from .ledger import MemoryLedger, RunLedger
-from .reports import Reporter
-from .reservations import Reservations
-from .runner import Runner
-from .settings_reader import watch_settings
-from .state import EndpointState
+from .draining import Departure
+from .pages import make_application
+from .parts import EndpointParts
 
-MAX_STREAMS = 256
+#: Time for the last messages to leave before the sockets are closed, in
+#: seconds.
+_LINGER_SECONDS = 0.1
 
 
 class EndpointProcess:
     """One endpoint process."""
 
-    def __init__(self, settings: EndpointProcessSettings) -> None:
-        self.settings = settings
+    def __init__(self, parts: EndpointParts) -> None:
+        self.parts = parts
+        self.settings = parts.settings
         self.log = Log('endpoint')
-        clock = SystemClock()
-        keys = PeerKeys.from_files(
-            settings.peer_keys.files,
-            settings.peer_keys.signing,
+        self.departure = Departure(
+            parts.state,
+            parts.runs,
+            parts.reporter,
+            parts.node,
         )
-        incarnation = Incarnation(time.time_ns())
-        self.state = EndpointState(
-            settings.name, settings.zone, incarnation, clock
-        )
-        self.runs = RunLedger()
-        self.memory = MemoryLedger(0)
-        advertise = settings.advertise or settings.listen
-        codec = PacketCodec(keys, PeerId(settings.name), incarnation, advertise)
-        self.node = Node(
-            NodeAddress(settings.listen, advertise),
-            codec,
-            clock,
-            self.serve_peer,
-        )
-        self.reservations = Reservations(
-            self.runs,
-            RequestIdSigner(keys),
-            settings.name,
-            incarnation,
-            clock,
-        )
-        self.reporter = Reporter(self.state, self.memory)
-        self.metrics = Metrics('sycamore-endpoint')
-        self.desk: Desk | None = None
-        self.stopped = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
 
-    async def serve_peer(self, peer) -> None:
-        while self.desk is None:
-            await asyncio.sleep(0.05)
-        await self.desk.serve(peer)
+    @classmethod
+    def from_settings(cls, settings: EndpointProcessSettings) -> Self:
+        """Return a process with the parts that the settings ask for."""
+        return cls(EndpointParts.from_settings(settings, SystemClock()))
 
-    def adopt(self, fleet: FleetSettings) -> None:
-        self.state.adopt(fleet)
-        own = self.state.own
-        self.memory.capacity_tokens = own.endpoint.capacity_tokens
-        if self.desk is None:
-            self._build(own.service.kind)
-        self.state.ready = True
-
-    def _build(self, kind: EndpointKind) -> None:
-        streams = CurlAsyncHTTPClient(
-            force_instance=True, max_clients=MAX_STREAMS
-        )
-        url = self.settings.backend_url
-        if kind is EndpointKind.PLAIN:
-            backend: Backend = PlainBackend(url, streams)
-        else:
-            control = ControlClient(
-                url, CurlAsyncHTTPClient(force_instance=True)
-            )
-            backend = EngineBackend(url, streams, control)
-        runner = Runner(
-            self.runs, self.memory, backend, self.node, self.state.clock
-        )
-        self.desk = Desk(
-            Admission(self.state, self.runs, self.memory, self.reservations),
-            self.reservations,
-            runner,
-            self.reporter,
-            self.metrics,
-        )
+    def stop(self) -> None:
+        """Begin to leave; `run` returns when nothing is in progress."""
+        self.departure.begin('signal')
 
     async def run(self) -> None:
-        self.node.start()
-        watch = asyncio.create_task(
-            watch_settings(self.settings.settings_url, self.adopt),
+        """Serve until told to leave, then let what is in progress finish."""
+        self.parts.node.start()
+        server = self._listen()
+        await self._start_tasks()
+        await self._wait_for_end()
+        await self.departure.finish(self.settings.drain_seconds)
+        await asyncio.sleep(_LINGER_SECONDS)
+        await self._end_tasks()
+        if server is not None:
+            server.stop()
+        self.log.info('endpoint_stopped')
+
+    def _listen(self) -> HTTPServer | None:
+        if not self.settings.http_port:
+            return None
+        parts = self.parts
+        server = HTTPServer(make_application(parts.state, parts.metrics))
+        server.listen(self.settings.http_port, self.settings.http_host)
+        return server
+
+    async def _start_tasks(self) -> None:
+        keeper = self.parts.keeper
+        keeper.listen(self.parts.take_settings)
+        self._tasks.append(asyncio.create_task(keeper.run()))
+        if self.settings.instances_url:
+            source = HttpInstanceSource(self.settings.instances_url)
+            watch = asyncio.create_task(self.departure.watch(source))
+            self._tasks.append(watch)
+        try:
+            await keeper.wait_first(self.settings.start_seconds)
+        except PlatformError as error:
+            self.log.error('settings_missing', reason=str(error))
+        gate = self.parts.gate
+        if gate is None:
+            self.departure.begin('no usable settings')
+            return
+        self._tasks.append(asyncio.create_task(gate.housekeeping.run()))
+        if gate.watch is not None:
+            self._tasks.append(asyncio.create_task(gate.watch.run()))
+        self.log.info('endpoint_ready', settings_version=keeper.version)
+
+    async def _wait_for_end(self) -> None:
+        """Return when told to leave, or when one of the tasks has failed."""
+        begun = asyncio.create_task(self.departure.begun.wait())
+        ended, _ = await asyncio.wait(
+            (begun, *self._tasks),
+            return_when=asyncio.FIRST_COMPLETED,
         )
-        self.log.info('started', name=self.settings.name)
-        await self.stopped.wait()
-        watch.cancel()
-        await self.node.close()
+        for task in ended.difference({begun}):
+            self.log.error('task_failed', error=repr(task.exception()))
+            self.departure.begin('task failed')
+        begun.cancel()
 
-    def stop(self) -> None:
-        self.state.leaving = True
-        self.stopped.set()
+    async def _end_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self.parts.gate is not None:
+            await self.parts.gate.runner.close()
+        await self.parts.node.close()
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/reports.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/reports.py
@@ -3,8 +3,9 @@
 import msgspec
 from sycamore_core.ids import ServiceId
 from sycamore_core.messages import LoadReport
+from sycamore_core.platform import SettingsKeeper
 
-from .ledger import MemoryLedger
+from .ledger import LeaseKind, MemoryLedger, RunLedger
 from .state import EndpointState
 
 
@@ -38,15 +39,24 @@
         Blocks that the engine said it caches, newest first.
     """
 
-    def __init__(self, state: EndpointState, memory: MemoryLedger) -> None:
+    def __init__(
+        self,
+        state: EndpointState,
+        memory: MemoryLedger,
+        runs: RunLedger,
+        keeper: SettingsKeeper,
+    ) -> None:
         self.state = state
         self.memory = memory
+        self.runs = runs
+        self.keeper = keeper
         self.load = EngineLoad()
         self.cached_blocks: tuple[int, ...] = ()
 
     def report(self) -> LoadReport:
         """Return the report of this moment."""
         own = self.state.own
+        claim = self.keeper.claim
         service = ServiceId('') if own is None else own.endpoint.service
         return LoadReport(
             endpoint=self.state.name,
@@ -54,13 +64,32 @@
             zone=self.state.zone,
             incarnation=self.state.incarnation,
             phase=self.state.phase,
-            settings_version=self.state.settings_version,
+            settings_version=claim.rank.version,
             free_tokens=self.memory.free_tokens,
             capacity_tokens=self.memory.capacity_tokens,
-            running=self.load.running,
+            running=self._running(),
             waiting=self.load.waiting,
             backlog_tokens=self.load.backlog_tokens,
             service_rate=self.load.prefill_rate,
             step_seconds=self.load.step_seconds,
             cached_blocks=self.cached_blocks,
+            long_tokens=self._long_tokens(),
+            settings_digest=claim.rank.digest,
+            settings_age=claim.age,
+        )
+
+    def _running(self) -> int:
+        if self.memory.capacity_tokens:
+            return self.load.running
+        return len(self.runs.in_progress())
+
+    def _long_tokens(self) -> int:
+        own = self.state.own
+        if own is None:
+            return 0
+        largest = own.fleet.policy.bands.long
+        return sum(
+            lease.tokens
+            for lease in self.memory.leases.values()
+            if lease.key.kind is LeaseKind.SPAN or lease.tokens > largest
         )
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/runner.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/runner.py
@@ -64,6 +64,19 @@
         if room is not None and answer.has_room:
             room.set()
 
+    def post_latest(self, record: RunRecord) -> None:
+        """Post the last frame again if it was not acknowledged.
+
+        What goes wrong: the last packets of a stream are lost, no later frame
+        shows the gap, and the caller waits to its deadline for an answer that
+        is whole here. The repeated frame shows the entry what it misses.
+        """
+        if record.answer is None or record.owner is None:
+            return
+        frame = record.answer.latest()
+        if frame is not None:
+            self.node.peer(record.owner.address).post(frame, urgent=False)
+
     def stop(self, record: RunRecord) -> None:
         """End the task of a run that the ledger has ended."""
         task = self.tasks.get(record.request_id)
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/state.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/state.py
@@ -42,11 +42,6 @@
             return EndpointPhase.DRAINING
         return EndpointPhase.LIVE
 
-    @property
-    def settings_version(self) -> int:
-        """Version of the settings in force; 0 if there are none."""
-        return 0 if self.own is None else self.own.fleet.version
-
     def adopt(self, fleet: FleetSettings) -> None:
         """Take new settings into force.
 
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/tests/builders.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/tests/builders.py
@@ -289,7 +289,7 @@
         """Send heartbeats until the endpoint says that it is live."""
         async with asyncio.timeout(WAIT_SECONDS):
             while True:
-                self.send(address, Heartbeat('entry-1', 'a', 1))
+                self.send(address, Heartbeat('entry-1', 'a', 0))
                 await asyncio.sleep(0.05)
                 for report in self.received:
                     if getattr(report, 'phase', None) == 'live':
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/tests/test_process.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/tests/test_process.py
@@ -43,7 +43,7 @@
     ):
         settings = make_settings(directory, backend, platform_url)
         platform.tree = make_tree(settings.listen)
-        process = EndpointProcess(settings)
+        process = EndpointProcess.from_settings(settings)
         task = asyncio.create_task(process.run())
         entry = EntryProbe()
         try:
