--- a/packages/sycamore-core/src/sycamore_core/identity/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/identity/__init__.py
@@ -2,6 +2,7 @@
 
 from .claims import IdKind, RequestClaims
 from .rendezvous import (
+    home_among,
     home_endpoint,
     rendezvous_ranking,
     rendezvous_score,
@@ -12,6 +13,7 @@
     'IdKind',
     'RequestClaims',
     'RequestIdSigner',
+    'home_among',
     'home_endpoint',
     'rendezvous_ranking',
     'rendezvous_score',
--- a/packages/sycamore-core/src/sycamore_core/identity/rendezvous.py
+++ b/packages/sycamore-core/src/sycamore_core/identity/rendezvous.py
@@ -1,7 +1,7 @@
 """Rendezvous hashing: the same ranking of names for a key in every process."""
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from ..ids import EndpointId, IdempotencyKey, ServiceId, WorkspaceId
 from ..settings import FleetSettings
@@ -47,6 +47,16 @@
     two processes with the same settings never disagree.
     """
     names = [entry.endpoint for entry in fleet.endpoints_of(service)]
+    return home_among(names, workspace, service, key)
+
+
+def home_among(
+    names: Sequence[EndpointId],
+    workspace: WorkspaceId,
+    service: ServiceId,
+    key: IdempotencyKey,
+) -> EndpointId | None:
+    """Return the home of a caller's key among the endpoints of its service."""
     if not names:
         return None
     scoped = _SEPARATOR.join((workspace, service, key))
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/admission.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/admission.py
@@ -3,7 +3,15 @@
 from sycamore_core.messages import Accepted, Declined, Offer
 from sycamore_core.states import EndpointPhase, Execution, RefusalReason
 
-from .ledger import LeaseKey, LeaseKind, MemoryLedger, Owner, RunLedger
+from .keys.keeper import KeyKeeper
+from .ledger import (
+    LeaseKey,
+    LeaseKind,
+    MemoryLedger,
+    Owner,
+    RunLedger,
+    RunRecord,
+)
 from .reservations import Reservations
 from .state import EndpointState
 
@@ -15,6 +23,12 @@
 LEASE_SPARE_SECONDS = 10.0
 
 
+#: After these, an earlier process may have run the request.
+_IN_DOUBT = frozenset(
+    (RefusalReason.WRONG_INCARNATION, RefusalReason.KEY_IN_DOUBT),
+)
+
+
 class Admission:
     """Decides on offers; no waiting in between, so nothing can change."""
 
@@ -24,11 +38,13 @@
         runs: RunLedger,
         memory: MemoryLedger,
         reservations: Reservations,
+        keys: KeyKeeper,
     ) -> None:
         self.state = state
         self.runs = runs
         self.memory = memory
         self.reservations = reservations
+        self.keys = keys
 
     def consider(
         self,
@@ -54,6 +70,20 @@
             return refused
         return self._consider_new(offer, owner, sent_at, now)
 
+    def may_start(self, record: RunRecord) -> bool:
+        """Decide once more, at the moment at which the call is written.
+
+        What goes wrong otherwise: this process is paused between accepting
+        an offer and calling the back end, wakes minutes later, and acts on
+        what was true before. One would notice a deposit that ran after its
+        caller was told that its time was over, or ran a second time. Nothing
+        waits between this decision and the write to the socket.
+        """
+        offer = record.offer
+        if offer is None or self.keys.doubt(offer) is not None:
+            return False
+        return self.runs.start(record, self.state.clock.monotonic())
+
     def _consider_new(
         self,
         offer: Offer,
@@ -63,9 +93,9 @@
     ) -> Accepted | Declined:
         deadline = sent_at + offer.budget
         objection = self._objection(offer, deadline, now)
-        if objection is RefusalReason.WRONG_INCARNATION:
-            return _unknown(offer, objection)
         if objection is not None:
+            if objection in _IN_DOUBT:
+                return _unknown(offer, objection)
             return self.runs.decline(offer, owner, objection, now)
         tokens = self._tokens(offer)
         if not self._lease(offer, tokens, deadline, now):
@@ -85,6 +115,17 @@
         deadline: float,
         now: float,
     ) -> RefusalReason | None:
+        closed = self._closed_to(offer)
+        if closed is not None:
+            return closed
+        if deadline <= now:
+            return RefusalReason.DEADLINE_PASSED
+        objection = self.reservations.objection(offer)
+        if objection is None and self.keys.doubt(offer) is not None:
+            return RefusalReason.KEY_IN_DOUBT
+        return objection
+
+    def _closed_to(self, offer: Offer) -> RefusalReason | None:
         if self.state.phase is EndpointPhase.DRAINING:
             return RefusalReason.DRAINING
         own = self.state.own
@@ -92,9 +133,7 @@
             return RefusalReason.SETTINGS_NOT_READY
         if own.endpoint.service != offer.service:
             return RefusalReason.WRONG_SERVICE
-        if deadline <= now:
-            return RefusalReason.DEADLINE_PASSED
-        return self.reservations.objection(offer)
+        return None
 
     def _tokens(self, offer: Offer) -> int:
         if offer.plain_call is not None:
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/backends/plain.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/backends/plain.py
@@ -30,11 +30,8 @@
         call = StreamCall(self.streams, self._request(offer, seconds), gate)
         call.start()
         try:
-            chunk = await call.read()
-            reply = PlainReply(call.status, call.content_type)
-            yield Piece(chunk, plain_reply=reply)
-            while chunk := await call.read():
-                yield Piece(chunk)
+            async for piece in _pieces_of(call):
+                yield piece
         finally:
             call.abort()
 
@@ -61,3 +58,11 @@
             request_timeout=seconds + SPARE_SECONDS,
             follow_redirects=False,
         )
+
+
+async def _pieces_of(call: StreamCall) -> AsyncIterator[Piece]:
+    chunk = await call.read()
+    reply = PlainReply(call.status, call.content_type)
+    yield Piece(chunk, plain_reply=reply)
+    while chunk := await call.read():
+        yield Piece(chunk)
--- /dev/null
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/keys/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the rule for callers' keys."""
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/runs.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/runs.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Iterable
+from types import MappingProxyType
 
 from sycamore_core.errors import LedgerError
 from sycamore_core.ids import Attempt, RequestId
@@ -24,6 +25,7 @@
 )
 from sycamore_core.transport.ages import MAX_PACKET_AGE
 
+from ..keys.doubt import REMEMBERED_SECONDS
 from .answers import Answer
 from .records import Owner, RunRecord
 
@@ -34,12 +36,14 @@
 #: the longest time limit that settings allow by default.
 LONGEST_BUDGET_SECONDS = 3600.0
 
-_OUTCOME_STATES = {
-    Outcome.COMPLETE: RunState.FINISHED,
-    Outcome.FAILED: RunState.FAILED,
-    Outcome.CANCELLED: RunState.CANCELLED,
-    Outcome.TIMEOUT: RunState.CANCELLED,
-}
+_OUTCOME_STATES = MappingProxyType(
+    {
+        Outcome.COMPLETE: RunState.FINISHED,
+        Outcome.FAILED: RunState.FAILED,
+        Outcome.CANCELLED: RunState.CANCELLED,
+        Outcome.TIMEOUT: RunState.CANCELLED,
+    }
+)
 
 
 class RunLedger:
@@ -116,7 +120,7 @@
         """Return why this offer may not run by the rules of the ledger."""
         record = self.records.get(offer.request_id)
         if record is None:
-            return self._unknown_refusal(offer)
+            return _unknown_refusal(offer)
         declined = record.declines.get(owner)
         if declined is not None and offer.attempt <= declined.attempt:
             return declined
@@ -247,7 +251,7 @@
                 forget_at=now + LONGEST_BUDGET_SECONDS + MAX_PACKET_AGE,
             )
             self.records[request_id] = record
-        elif self._can_bar(record, owner):
+        elif _can_bar(record, owner):
             self.end(record, Outcome.CANCELLED, RefusalReason.WITHDRAWN)
             record.state = RunState.WITHDRAWN
         return report_of(record, attempt)
@@ -327,23 +331,6 @@
             if record.in_progress or record.forget_at > now
         }
 
-    def _unknown_refusal(self, offer: Offer) -> Declined | None:
-        if not offer.bound:
-            return None
-        # The reservation was used and forgotten, or ran out long ago. Only
-        # the second would allow to say that it was not run.
-        return _declined(
-            offer,
-            RefusalReason.RESERVATION_EXPIRED,
-            Execution.UNKNOWN,
-        )
-
-    def _can_bar(self, record: RunRecord, owner: Owner | None) -> bool:
-        if record.state is RunState.ACCEPTED:
-            return record.owner == owner
-        started = record.execution is not Execution.NOT_RUN
-        return not (started or record.in_progress)
-
 
 def report_of(record: RunRecord, attempt: Attempt) -> RunReport:
     """Return what an entry may be told of a run.
@@ -365,7 +352,16 @@
 
 
 def _horizon(offer: Offer, now: float) -> float:
-    return now + max(offer.budget, 0) + MAX_PACKET_AGE
+    """Return when no packet about a request can arrive any more.
+
+    An entry that was paused may send an offer long after it posted it, as if
+    it were new. What may not run twice is therefore remembered for the
+    longest budget, and a caller's key until it is too old to be run.
+    """
+    if offer.idempotent:
+        return now + max(offer.budget, 0) + MAX_PACKET_AGE
+    kept = LONGEST_BUDGET_SECONDS + MAX_PACKET_AGE
+    return now + max(kept, REMEMBERED_SECONDS)
 
 
 def _declined(
@@ -390,3 +386,22 @@
         if name != 'payload'
     }
     return Offer(payload=b'', **fields)
+
+
+def _unknown_refusal(offer: Offer) -> Declined | None:
+    if not offer.bound:
+        return None
+    # The reservation was used and forgotten, or ran out long ago. Only the
+    # second would allow to say that it was not run.
+    return _declined(
+        offer,
+        RefusalReason.RESERVATION_EXPIRED,
+        Execution.UNKNOWN,
+    )
+
+
+def _can_bar(record: RunRecord, owner: Owner | None) -> bool:
+    if record.state is RunState.ACCEPTED:
+        return record.owner == owner
+    started = record.execution is not Execution.NOT_RUN
+    return not (started or record.in_progress)
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/parts.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/parts.py
@@ -21,6 +21,7 @@
 from .desk import Desk
 from .engine_watch import EngineWatch
 from .housekeeping import Housekeeping
+from .keys.keeper import KeyKeeper
 from .ledger import MemoryLedger, OwnerLeases, RunLedger
 from .reports import Reporter
 from .reservations import Reservations
@@ -60,6 +61,7 @@
     keeper: SettingsKeeper
     reporter: Reporter
     reservations: Reservations
+    keys: KeyKeeper
     metrics: Metrics
     gate: Gate | None = None
 
@@ -97,6 +99,7 @@
                 incarnation,
                 clock,
             ),
+            keys=KeyKeeper(state, keeper),
             metrics=metrics,
         )
         node.serve_peer = parts.serve_peer
@@ -131,6 +134,7 @@
         own = self.state.own
         if own is None:
             return
+        self.keys.take_settings(fleet)
         self.memory.capacity_tokens = own.endpoint.capacity_tokens
         if self.gate is None:
             self.gate = self._make_gate(own.service.kind)
@@ -150,16 +154,17 @@
         return self._assemble(EngineBackend(url, streams, control), watch)
 
     def _assemble(self, backend: Backend, watch: EngineWatch | None) -> Gate:
-        runner = Runner(
+        admission = Admission(
+            self.state,
             self.runs,
             self.memory,
-            backend,
-            self.node,
-            self.state.clock,
+            self.reservations,
+            self.keys,
         )
+        runner = Runner(self.runs, self.memory, backend, self.node, admission)
         owners = OwnerLeases()
         desk = Desk(
-            Admission(self.state, self.runs, self.memory, self.reservations),
+            admission,
             self.reservations,
             runner,
             self.reporter,
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/runner.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/runner.py
@@ -3,13 +3,13 @@
 import asyncio
 from contextlib import aclosing
 
-from sycamore_core.clock import Clock
 from sycamore_core.errors import BackendError
 from sycamore_core.ids import RequestId
 from sycamore_core.states import Execution, Outcome, RefusalReason
 from sycamore_core.telemetry import Log
 from sycamore_core.transport import Node
 
+from .admission import Admission
 from .backends import Backend, Piece
 from .errors import BackendBusyError, NotStartedError
 from .ledger import LeaseKey, LeaseKind, MemoryLedger, RunLedger, RunRecord
@@ -32,13 +32,14 @@
         memory: MemoryLedger,
         backend: Backend,
         node: Node,
-        clock: Clock,
+        admission: Admission,
     ) -> None:
         self.runs = runs
         self.memory = memory
         self.backend = backend
         self.node = node
-        self.clock = clock
+        self.admission = admission
+        self.clock = admission.state.clock
         self.log = Log('endpoint.run')
         self.tasks: dict[RequestId, asyncio.Task[None]] = {}
         self._room: dict[RequestId, asyncio.Event] = {}
@@ -110,7 +111,7 @@
             return
         pieces = self.backend.pieces(
             offer,
-            lambda: self.runs.start(record, self.clock.monotonic()),
+            lambda: self.admission.may_start(record),
             record.deadline - self.clock.monotonic(),
         )
         async with aclosing(pieces):
