Serve prompts beyond one engine by groups

The leader reserves at the members by GroupReservation, lets them compute their spans in order, each importing the one before, generates with the last handle, and releases. A member's lease that is not renewed is given up and its engine made to free it.

--- a/packages/sycamore-endpoint/src/sycamore_endpoint/admission.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/admission.py
@@ -3,6 +3,7 @@
 from sycamore_core.messages import Accepted, Declined, Offer
 from sycamore_core.states import EndpointPhase, Execution, RefusalReason
 
+from .groups.spans import divide
 from .keys.keeper import KeyKeeper
 from .ledger import (
     LeaseKey,
@@ -138,6 +139,10 @@
     def _tokens(self, offer: Offer) -> int:
         if offer.plain_call is not None:
             return 0
+        own = self.state.own
+        if offer.members and own is not None:
+            spans = divide(offer, own.fleet, own.endpoint)
+            return spans[-1].tokens if spans else 0
         return offer.prompt_tokens + offer.max_output_tokens
 
     def _lease(
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/desk.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/desk.py
@@ -21,6 +21,7 @@
 from sycamore_core.transport import Peer
 
 from .admission import Admission
+from .groups import GroupDesk
 from .ledger import Owner, OwnerLeases
 from .reports import Reporter
 from .reservations import Reservations
@@ -28,7 +29,14 @@
 
 
 class Desk:
-    """Handles the messages of entries, one after the other."""
+    """Handles the messages of entries, one after the other.
+
+    Attributes
+    ----------
+    groups
+        Handles the messages of other endpoint processes; None for a plain
+        service, which has no groups.
+    """
 
     def __init__(
         self,
@@ -46,6 +54,7 @@
         self.reporter = reporter
         self.owners = owners
         self.metrics = metrics
+        self.groups: GroupDesk | None = None
         self.log = Log('endpoint.desk')
 
     async def serve(self, peer: Peer) -> None:
@@ -57,7 +66,9 @@
 
     @functools.singledispatchmethod
     def handle(self, message: Message, peer: Peer) -> None:
-        """Handle one message; what is not for this process is left alone."""
+        """Handle a message that no method below is for."""
+        if self.groups is not None:
+            self.groups.handle(message, peer)
 
     @handle.register
     def take_offer(self, message: Offer, peer: Peer) -> None:
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/errors.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/errors.py
@@ -25,3 +25,7 @@
 
 class NotStartedError(BackendError):
     """The call was given up before any of its body was sent."""
+
+
+class GroupUnavailableError(BackendError):
+    """The members of a group do not hold the prompt; nothing was generated."""
--- /dev/null
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/groups/__init__.py
@@ -0,0 +1,9 @@
+"""Prompts beyond one engine: the leader and the members of a group."""
+
+from .backend import GroupBackend
+from .desk import GroupDesk
+from .leader import GroupRun, Groups
+from .member import GroupMemberDesk
+from .spans import divide
+
+__all__ = ('GroupBackend', 'GroupMemberDesk', 'GroupRun', 'Groups', 'divide')
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/answers.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/answers.py
@@ -110,10 +110,10 @@
 
     def due(self) -> Series[Frame]:
         """Return the frames to post now and count them as posted."""
-        end = min(len(self.frames), self.acked + WINDOW_FRAMES + 1)
-        begin = self.posted + 1
-        self.posted = max(self.posted, end - 1)
-        return self.frames[begin:end]
+        window_end = self.acked + WINDOW_FRAMES + 1
+        frames = self.frames[self.posted + 1 : window_end]
+        self.posted += len(frames)
+        return frames
 
     def acknowledge(self, sequence: int) -> None:
         """Note that the entry handed on the frames up to `sequence`.
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/parts.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/parts.py
@@ -10,44 +10,16 @@
 from sycamore_core.messages import PacketCodec, PeerKeys
 from sycamore_core.platform import SeedPeers, SettingsKeeper
 from sycamore_core.settings import EndpointProcessSettings, FleetSettings
-from sycamore_core.states import EndpointKind
 from sycamore_core.telemetry import Gauge, Metrics
 from sycamore_core.transport import Node, NodeAddress, Peer
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 
-from .admission import Admission
-from .backends import Backend, EngineBackend, PlainBackend
-from .backends.calls import ControlClient
-from .desk import Desk
-from .engine_watch import EngineWatch
-from .housekeeping import Housekeeping
+from .gate import Gate, make_gate
 from .keys.keeper import KeyKeeper
-from .ledger import MemoryLedger, OwnerLeases, RunLedger
+from .ledger import MemoryLedger, RunLedger
 from .reports import Reporter
 from .reservations import Reservations
-from .runner import Runner
 from .state import EndpointState
 
-#: Streams of one back end at a time. A run beyond them waits in our own
-#: queue, within its deadline; engines batch far fewer sequences.
-MAX_STREAMS = 256
-
-
-@dataclasses.dataclass
-class Gate:
-    """What stands between the peers and the back end, once it is known.
-
-    Attributes
-    ----------
-    watch
-        None for a plain service, which reports no load.
-    """
-
-    desk: Desk
-    runner: Runner
-    housekeeping: Housekeeping
-    watch: EngineWatch | None
-
 
 @dataclasses.dataclass
 class EndpointParts:
@@ -137,42 +109,7 @@
         self.keys.take_settings(fleet)
         self.memory.capacity_tokens = own.endpoint.capacity_tokens
         if self.gate is None:
-            self.gate = self._make_gate(own.service.kind)
-
-    def _make_gate(self, kind: EndpointKind) -> Gate:
-        streams = CurlAsyncHTTPClient(
-            force_instance=True,
-            max_clients=MAX_STREAMS,
-        )
-        url = self.settings.backend_url
-        if kind is EndpointKind.PLAIN:
-            self.state.ready = True
-            return self._assemble(PlainBackend(url, streams), None)
-        calls = CurlAsyncHTTPClient(force_instance=True)
-        control = ControlClient(url, calls)
-        watch = EngineWatch(self.state, self.memory, self.reporter, control)
-        return self._assemble(EngineBackend(url, streams, control), watch)
-
-    def _assemble(self, backend: Backend, watch: EngineWatch | None) -> Gate:
-        admission = Admission(
-            self.state,
-            self.runs,
-            self.memory,
-            self.reservations,
-            self.keys,
-        )
-        runner = Runner(self.runs, self.memory, backend, self.node, admission)
-        owners = OwnerLeases()
-        desk = Desk(
-            admission,
-            self.reservations,
-            runner,
-            self.reporter,
-            owners,
-            self.metrics,
-        )
-        housekeeping = Housekeeping(runner, owners, self.metrics)
-        return Gate(desk, runner, housekeeping, watch)
+            self.gate = make_gate(self, own.service.kind)
 
 
 def _make_node(
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/runner.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/runner.py
@@ -11,7 +11,11 @@
 
 from .admission import Admission
 from .backends import Backend, Piece
-from .errors import BackendBusyError, NotStartedError
+from .errors import (
+    BackendBusyError,
+    GroupUnavailableError,
+    NotStartedError,
+)
 from .ledger import LeaseKey, LeaseKind, MemoryLedger, RunLedger, RunRecord
 
 
@@ -95,14 +99,10 @@
     async def _run(self, record: RunRecord) -> None:
         try:
             await self._answer(record)
-        except NotStartedError as error:
-            self.runs.not_started(record)
-            self._fail(record, error, RefusalReason.DEADLINE_PASSED)
-        except BackendBusyError as error:
-            self.runs.not_started(record)
-            self._fail(record, error, RefusalReason.MEMORY_FULL)
         except BackendError as error:
-            self._fail(record, error, RefusalReason.BACKEND_FAILED)
+            if isinstance(error, _NOT_RUN):
+                self.runs.not_started(record)
+            self._fail(record, error, _reason_of(error))
         self.post_due(record)
 
     async def _answer(self, record: RunRecord) -> None:
@@ -178,3 +178,14 @@
         return False
     close = answer.frames[-1].close
     return close is not None and close.outcome is Outcome.COMPLETE
+
+
+_NOT_RUN = (NotStartedError, BackendBusyError)
+
+
+def _reason_of(error: BackendError) -> RefusalReason:
+    if isinstance(error, GroupUnavailableError):
+        return RefusalReason.GROUP_UNAVAILABLE
+    if isinstance(error, BackendBusyError):
+        return RefusalReason.MEMORY_FULL
+    return RefusalReason.BACKEND_FAILED
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/tests/builders.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/tests/builders.py
@@ -96,6 +96,8 @@
         self.held: dict[str, int] = {}
         self.cut_after: int | None = None
         self.full = False
+        self.spans: list[dict[str, object]] = []
+        self.imports: list[str] = []
 
     async def stream(
         self, handler: RequestHandler, request_id: str, first: int
@@ -128,6 +130,7 @@
                     return
                 engine.started.append(body['request_id'])
                 engine.held[body['request_id']] = body['prompt_tokens']
+                engine.imports.append(body.get('imports', ''))
                 await engine.stream(self, body['request_id'], 0)
 
         class Resume(RequestHandler):
@@ -153,12 +156,30 @@
                 ]
                 self.write({'at': 0, 'running': len(held), 'requests': held})
 
-        class Nothing(RequestHandler):
+        class Events(RequestHandler):
             def get(self) -> None:
-                if 'spans' in self.request.path:
-                    self.write('[]')
-                else:
-                    self.write({'last': 0, 'events': []})
+                self.write({'last': 0, 'events': []})
+
+        class Spans(RequestHandler):
+            def get(self) -> None:
+                self.write(json.dumps(engine.spans))
+
+            async def post(self) -> None:
+                body = json.loads(self.request.body)
+                engine.spans.append(
+                    {name: body[name] for name in ('group', 'span', 'tokens')},
+                )
+                await engine.gate.wait()
+                covered = body['first_token'] + body['tokens']
+                self.write({'handle': f'{body["group"]}/0@{covered}'})
+
+        class Release(RequestHandler):
+            def post(self) -> None:
+                group = json.loads(self.request.body)['group']
+                engine.spans = [
+                    row for row in engine.spans if row['group'] != group
+                ]
+                self.write({'released_tokens': 0})
 
         return Application(
             [
@@ -166,7 +187,9 @@
                 ('/v1/resume', Resume),
                 ('/v1/cancel', Cancel),
                 ('/v1/load', Load),
-                ('/v1/(?:spans|events)', Nothing),
+                ('/v1/events', Events),
+                ('/v1/spans', Spans),
+                ('/v1/spans/release', Release),
             ],
         )
 
@@ -222,11 +245,12 @@
     directory: Path,
     backend: str,
     platform: str,
+    name: str = 'e1',
 ) -> EndpointProcessSettings:
     secret = directory / 'key'
     secret.write_bytes(SECRET)
     return EndpointProcessSettings(
-        name='e1',
+        name=name,
         zone='a',
         listen=f'tcp://127.0.0.1:{free_port()}',
         backend_url=backend,
