Count the home of a key anew after the view of the settings has lapsed

Cause, found by the state machine (home_moves_and_serves e2, e1, e2, then the key of the middle one sent to e2: run twice): the home moves away and back while a process sleeps or is cut off; it then believed that it had been the home all the time. Ruled out: raising the margin, as the gap may be of any length.

--- a/packages/sycamore-endpoint/src/sycamore_endpoint/groups/__init__.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/groups/__init__.py
@@ -6,4 +6,11 @@
 from .member import GroupMemberDesk
 from .spans import divide
 
-__all__ = ('GroupBackend', 'GroupMemberDesk', 'GroupRun', 'Groups', 'divide')
+__all__ = (
+    'GroupBackend',
+    'GroupDesk',
+    'GroupMemberDesk',
+    'GroupRun',
+    'Groups',
+    'divide',
+)
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/housekeeping.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/housekeeping.py
@@ -45,6 +45,7 @@
         now = self.runner.clock.monotonic()
         self.ticks += 1
         self.owners.tick(now)
+        self.runner.admission.keys.look()
         for record in self.runs.overdue(now):
             self._give_up(record, CancelReason.DEADLINE)
         for record in self._orphans(now):
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/keys/history.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/keys/history.py
@@ -50,6 +50,16 @@
         self.listings.append(Listing(listed, wall))
         self.listings = self.listings[-MAX_LISTINGS:]
 
+    def lapse(self) -> None:
+        """Forget all lists, since the view of the settings was not fresh.
+
+        What goes wrong otherwise: the home of a key moves to another
+        endpoint, which runs it, and back again, and this process sleeps or
+        is cut off meanwhile. It would believe that it was the home all the
+        time, and run the key a second time.
+        """
+        self.listings = []
+
     def home_since(self, home_of: HomeOf) -> float | None:
         """Return since when this process is the home, or None if it is not.
 
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/keys/keeper.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/keys/keeper.py
@@ -6,10 +6,9 @@
 from sycamore_core.ids import EndpointId
 from sycamore_core.messages import Offer
 from sycamore_core.platform import SettingsKeeper
-from sycamore_core.settings import FleetSettings
 
 from ..state import EndpointState
-from .doubt import Doubt, KeyFacts, doubt_about
+from .doubt import VIEW_SECONDS, Doubt, KeyFacts, doubt_about
 from .history import HomeHistory
 
 
@@ -28,13 +27,28 @@
         self.keeper = keeper
         self.history = HomeHistory(state.name)
         self.wall = state.clock.wall()
+        self.looked_at = state.clock.monotonic()
 
-    def take_settings(self, fleet: FleetSettings) -> None:
+    def look(self) -> None:
+        """Look whether the view of the settings is fresh; often, by a task.
+
+        A long time since the last look was a pause of this process, in which
+        the view may have been old however fresh it is now.
+        """
+        now = self.state.clock.monotonic()
+        slept = now - self.looked_at > VIEW_SECONDS
+        self.looked_at = now
+        if slept or self.keeper.age > VIEW_SECONDS:
+            self.history.lapse()
+        if self.keeper.age <= VIEW_SECONDS:
+            self.take_settings()
+
+    def take_settings(self) -> None:
         """Note which endpoints share the keys of the service from now on."""
         own = self.state.own
         if own is None:
             return
-        listed = fleet.endpoints_of(own.endpoint.service)
+        listed = own.fleet.endpoints_of(own.endpoint.service)
         names = [entry.endpoint for entry in listed]
         self.history.take(names, self._read_wall())
 
@@ -42,6 +56,7 @@
         """Return why an offer under a caller's key must not run now."""
         if offer.idempotent or not offer.idempotency_key:
             return None
+        self.look()
         facts = KeyFacts(
             wall=self._read_wall(),
             home_since=self.history.home_since(
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/keys/tests/test_key_machine.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/keys/tests/test_key_machine.py
@@ -12,7 +12,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from ..doubt import CLOCK_ERROR_SECONDS, KeyFacts, doubt_about
+from ..doubt import (
+    CLOCK_ERROR_SECONDS,
+    VIEW_SECONDS,
+    KeyFacts,
+    doubt_about,
+)
 from ..history import HomeHistory
 
 NAMES = ('e1', 'e2')
@@ -62,9 +67,21 @@
     @rule(name=WHICH)
     def confirm(self, name) -> None:
         endpoint = self.endpoints[name]
+        if self.now - endpoint.confirmed_at > VIEW_SECONDS:
+            endpoint.history.lapse()
         endpoint.confirmed_at = self.now
         endpoint.history.take((self.home,), self.now + endpoint.error)
 
+    @rule(home=WHICH)
+    def home_moves_and_serves(self, home) -> None:
+        """A common course of things, which chance alone seldom finds."""
+        self.publish(home)
+        self.confirm(home)
+        self.time_passes(400)
+        self.confirm(home)
+        self.issue(0)
+        self.send(home, 0)
+
     @rule(error=ERRORS)
     def issue(self, error) -> None:
         self.keys.append(key_at(self.now + error))
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/answers.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/answers.py
@@ -110,8 +110,9 @@
 
     def due(self) -> Series[Frame]:
         """Return the frames to post now and count them as posted."""
-        window_end = self.acked + WINDOW_FRAMES + 1
-        frames = self.frames[self.posted + 1 : window_end]
+        begin = self.posted + 1
+        end = self.acked + WINDOW_FRAMES + 1
+        frames = self.frames[begin:end]
         self.posted += len(frames)
         return frames
 
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/parts.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/parts.py
@@ -106,7 +106,7 @@
         own = self.state.own
         if own is None:
             return
-        self.keys.take_settings(fleet)
+        self.keys.look()
         self.memory.capacity_tokens = own.endpoint.capacity_tokens
         if self.gate is None:
             self.gate = make_gate(self, own.service.kind)
