--- a/packages/sycamore-endpoint/src/sycamore_endpoint/groups/tests/test_groups.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/groups/tests/test_groups.py
@@ -88,7 +88,8 @@
             pair.entry.send(pair.addresses[1], huge_offer(pair))
             frames: list[Frame] = await pair.entry.wait(Frame, count=4)
             assert frames[-1].close.outcome is Outcome.COMPLETE
-            assert pair.engines[1].imports[0].endswith('@760')
+            handle = pair.engines[1].imports[0]
+            assert handle.endswith('@760')
             await wait_until(lambda: pair.leased == [0, 0])
             await wait_until(lambda: not pair.engines[0].spans)
 
@@ -105,10 +106,12 @@
     async def story() -> None:
         async with AsyncExitStack() as stack:
             pair = await start(stack, tmp_path)
-            pair.processes[0].parts.memory.capacity_tokens = 100
+            member = pair.processes[0].parts
+            member.memory.capacity_tokens = 100
             pair.entry.send(pair.addresses[1], huge_offer(pair))
             frames: list[Frame] = await pair.entry.wait(Frame)
-            assert frames[0].close.reason is RefusalReason.GROUP_UNAVAILABLE
+            close = frames[0].close
+            assert close.reason is RefusalReason.GROUP_UNAVAILABLE
             assert not pair.engines[1].started
             await wait_until(lambda: pair.leased == [0, 0])
 
@@ -128,7 +131,8 @@
             pair.engines[0].gate.clear()
             pair.entry.send(pair.addresses[1], huge_offer(pair))
             await wait_until(lambda: pair.engines[0].spans)
-            await pair.processes[1].parts.node.close()
+            leader = pair.processes[1].parts
+            await leader.node.close()
             await wait_until(lambda: pair.leased[0] == 0)
             assert not pair.engines[0].spans
             pair.engines[0].gate.set()
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/keys/tests/test_key_machine.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/keys/tests/test_key_machine.py
@@ -38,7 +38,7 @@
         self.name = name
         self.error = error
         self.history = HomeHistory(name)
-        self.confirmed_at = 0.0
+        self.confirmed_at = BEGIN
         self.ran: set[str] = set()
 
 
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/answers.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/answers.py
@@ -110,11 +110,11 @@
 
     def due(self) -> Series[Frame]:
         """Return the frames to post now and count them as posted."""
-        begin = self.posted + 1
-        end = self.acked + WINDOW_FRAMES + 1
-        frames = self.frames[begin:end]
-        self.posted += len(frames)
-        return frames
+        first = self.posted + 1
+        beyond = self.acked + 1 + WINDOW_FRAMES
+        due = self.frames[first:beyond]
+        self.posted += len(due)
+        return due
 
     def acknowledge(self, sequence: int) -> None:
         """Note that the entry handed on the frames up to `sequence`.
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/tests/test_run_machine.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/tests/test_run_machine.py
@@ -25,7 +25,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.ledger = RunLedger()
-        self.now = 0.0
+        self.now = 1.0
         self.starts: dict[str, int] = {}
         self.told: dict[str, float] = {}
         self.tasks: list[RunRecord] = []
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/tests/builders.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/tests/builders.py
@@ -4,7 +4,7 @@
 import itertools
 import json
 import socket
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 
@@ -21,6 +21,7 @@
 )
 from sycamore_core.messages import (
     Heartbeat,
+    LoadReport,
     Message,
     Offer,
     PacketCodec,
@@ -84,7 +85,9 @@
     Attributes
     ----------
     gate
-        Lines come only while it is set.
+        Lines and spans come only while it is set.
+    cut_after
+        Number of the line after which the connection is broken, once.
     """
 
     def __init__(self, lines: int = 3) -> None:
@@ -94,106 +97,136 @@
         self.started: list[str] = []
         self.cancelled: list[str] = []
         self.held: dict[str, int] = {}
-        self.cut_after: int | None = None
-        self.full = False
         self.spans: list[dict[str, object]] = []
         self.imports: list[str] = []
-
-    async def stream(
-        self, handler: RequestHandler, request_id: str, first: int
-    ):
-        for number in range(first, self.lines):
-            await self.gate.wait()
-            if request_id in self.cancelled:
-                break
-            line = {'sequence': number, 'text': f't{number} ', 'tokens': 1}
-            handler.write(json.dumps(line) + '\n')
-            await handler.flush()
-            if self.cut_after == number:
-                self.cut_after = None
-                handler.request.connection.stream.close()
-                return
-        self.held.pop(request_id, None)
-        outcome = 'cancelled' if request_id in self.cancelled else 'complete'
-        done = {'done': True, 'outcome': outcome, 'output_tokens': self.lines}
-        handler.write(json.dumps(done) + '\n')
+        self.orders: list[dict[str, object]] = []
+        self.state: dict[str, object] = {'fencing': 0, 'models': []}
+        self.cut_after: int | None = None
+        self.full = False
 
     def application(self) -> Application:
-        engine = self
-
-        class Generate(RequestHandler):
-            async def post(self) -> None:
-                body = json.loads(self.request.body)
-                if engine.full:
-                    self.set_status(503)
-                    self.write({'error': 'memory'})
-                    return
-                engine.started.append(body['request_id'])
-                engine.held[body['request_id']] = body['prompt_tokens']
-                engine.imports.append(body.get('imports', ''))
-                await engine.stream(self, body['request_id'], 0)
-
-        class Resume(RequestHandler):
-            async def post(self) -> None:
-                body = json.loads(self.request.body)
-                if body['request_id'] not in engine.held:
-                    self.set_status(404)
-                    return
-                await engine.stream(self, body['request_id'], body['after'] + 1)
-
-        class Cancel(RequestHandler):
-            def post(self) -> None:
-                name = json.loads(self.request.body)['request_id']
-                engine.cancelled.append(name)
-                engine.held.pop(name, None)
-                self.write({'cancelled': True})
-
-        class Load(RequestHandler):
-            def get(self) -> None:
-                held = [
-                    {'request_id': name, 'tokens': tokens}
-                    for name, tokens in engine.held.items()
-                ]
-                self.write({'at': 0, 'running': len(held), 'requests': held})
-
-        class Events(RequestHandler):
-            def get(self) -> None:
-                self.write({'last': 0, 'events': []})
-
-        class Spans(RequestHandler):
-            def get(self) -> None:
-                self.write(json.dumps(engine.spans))
-
-            async def post(self) -> None:
-                body = json.loads(self.request.body)
-                engine.spans.append(
-                    {name: body[name] for name in ('group', 'span', 'tokens')},
-                )
-                await engine.gate.wait()
-                covered = body['first_token'] + body['tokens']
-                self.write({'handle': f'{body["group"]}/0@{covered}'})
-
-        class Release(RequestHandler):
-            def post(self) -> None:
-                group = json.loads(self.request.body)['group']
-                engine.spans = [
-                    row for row in engine.spans if row['group'] != group
-                ]
-                self.write({'released_tokens': 0})
-
+        shared = {'engine': self}
         return Application(
             [
-                ('/v1/generate', Generate),
-                ('/v1/resume', Resume),
-                ('/v1/cancel', Cancel),
-                ('/v1/load', Load),
-                ('/v1/events', Events),
-                ('/v1/spans', Spans),
-                ('/v1/spans/release', Release),
+                ('/v1/generate', GenerateHandler, shared),
+                ('/v1/resume', ResumeHandler, shared),
+                ('/v1/cancel', CancelHandler, shared),
+                ('/v1/load', LoadHandler, shared),
+                ('/v1/events', EventsHandler, shared),
+                ('/v1/spans', SpansHandler, shared),
+                ('/v1/spans/release', ReleaseHandler, shared),
+                ('/v1/orders', OrdersHandler, shared),
+                ('/v1/state', StateHandler, shared),
             ],
         )
 
 
+class EngineHandler(RequestHandler):
+    """Base of the fake engine's handlers."""
+
+    def initialize(self, engine: FakeEngine) -> None:
+        self.engine = engine
+
+    def body(self) -> dict[str, object]:
+        return json.loads(self.request.body)
+
+    def line(self, **fields: object) -> None:
+        encoded = json.dumps(fields)
+        self.write(f'{encoded}\n')
+
+    async def stream(self, request_id: str, first: int) -> None:
+        for number in range(first, self.engine.lines):
+            await self.engine.gate.wait()
+            if request_id in self.engine.cancelled:
+                self.line(done=True, outcome='cancelled', output_tokens=0)
+                return
+            self.line(sequence=number, text=f't{number} ', tokens=1)
+            await self.flush()
+            if self.engine.cut_after == number:
+                self.engine.cut_after = None
+                self.request.connection.stream.close()
+                return
+        self.engine.held.pop(request_id, None)
+        self.line(done=True, outcome='complete', output_tokens=0)
+
+
+class GenerateHandler(EngineHandler):
+    async def post(self) -> None:
+        body = self.body()
+        if self.engine.full:
+            self.set_status(503)
+            self.write({'error': 'memory'})
+            return
+        name = body['request_id']
+        self.engine.started.append(name)
+        self.engine.held[name] = body['prompt_tokens']
+        self.engine.imports.append(body.get('imports', ''))
+        await self.stream(name, 0)
+
+
+class ResumeHandler(EngineHandler):
+    async def post(self) -> None:
+        body = self.body()
+        if body['request_id'] in self.engine.held:
+            await self.stream(body['request_id'], body['after'] + 1)
+        else:
+            self.set_status(404)
+
+
+class CancelHandler(EngineHandler):
+    def post(self) -> None:
+        name = self.body()['request_id']
+        self.engine.cancelled.append(name)
+        self.engine.held.pop(name, None)
+        self.write({'cancelled': True})
+
+
+class LoadHandler(EngineHandler):
+    def get(self) -> None:
+        held = [
+            {'request_id': name, 'tokens': tokens}
+            for name, tokens in self.engine.held.items()
+        ]
+        self.write({'at': 0, 'running': len(held), 'requests': held})
+
+
+class EventsHandler(EngineHandler):
+    def get(self) -> None:
+        self.write({'last': 0, 'events': []})
+
+
+class SpansHandler(EngineHandler):
+    def get(self) -> None:
+        self.write(json.dumps(self.engine.spans))
+
+    async def post(self) -> None:
+        body = self.body()
+        row = {name: body[name] for name in ('group', 'span', 'tokens')}
+        self.engine.spans.append(row)
+        await self.engine.gate.wait()
+        covered = body['first_token'] + body['tokens']
+        self.write({'handle': f'{body["group"]}/0@{covered}'})
+
+
+class ReleaseHandler(EngineHandler):
+    def post(self) -> None:
+        group = self.body()['group']
+        kept = [row for row in self.engine.spans if row['group'] != group]
+        self.engine.spans = kept
+        self.write({'released_tokens': 0})
+
+
+class OrdersHandler(EngineHandler):
+    def post(self) -> None:
+        self.engine.orders.append(self.body())
+        self.write({})
+
+
+class StateHandler(EngineHandler):
+    def get(self) -> None:
+        self.write(self.engine.state)
+
+
 class FakePlatform:
     """A settings service and list of instances."""
 
@@ -202,28 +235,38 @@
         self.instances: list[dict[str, str]] = []
 
     def application(self) -> Application:
-        platform = self
-
-        class Settings(RequestHandler):
-            async def get(self) -> None:
-                above = int(self.get_argument('above'))
-                version = int(platform.tree['version'])
-                if version <= above:
-                    await asyncio.sleep(0.1)
-                    self.set_status(304)
-                    return
-                self.set_header('Settings-Version', str(version))
-                self.write(json.dumps(platform.tree))
-
-        class Instances(RequestHandler):
-            def get(self) -> None:
-                self.write(json.dumps(platform.instances))
-
+        shared = {'platform': self}
         return Application(
-            [('/v1/settings', Settings), ('/v1/instances', Instances)],
+            [
+                ('/v1/settings', SettingsHandler, shared),
+                ('/v1/instances', InstancesHandler, shared),
+            ],
         )
 
 
+class PlatformHandler(RequestHandler):
+    """Base of the fake platform's handlers."""
+
+    def initialize(self, platform: FakePlatform) -> None:
+        self.platform = platform
+
+
+class SettingsHandler(PlatformHandler):
+    async def get(self) -> None:
+        version = int(self.platform.tree['version'])
+        if version <= int(self.get_argument('above')):
+            await asyncio.sleep(0.1)
+            self.set_status(304)
+            return
+        self.set_header('Settings-Version', str(version))
+        self.write(json.dumps(self.platform.tree))
+
+
+class InstancesHandler(PlatformHandler):
+    def get(self) -> None:
+        self.write(json.dumps(self.platform.instances))
+
+
 def make_tree(address: str, **endpoint: object) -> dict[str, object]:
     node = {
         'service': 'chat',
@@ -283,15 +326,10 @@
             NodeAddress(address, address),
             codec,
             SystemClock(),
-            self._keep,
+            self.keep,
         )
         self.node.start()
 
-    async def _keep(self, peer: Peer) -> None:
-        while True:
-            self.received.append(await peer.inbound.get())
-            self.news.set()
-
     def send(self, address: str, *messages: Message) -> None:
         for message in messages:
             self.node.peer(address).post(message)
@@ -311,13 +349,22 @@
 
     async def wait_live(self, address: str) -> Incarnation:
         """Send heartbeats until the endpoint says that it is live."""
+        live: list[LoadReport] = []
         async with asyncio.timeout(WAIT_SECONDS):
-            while True:
-                self.send(address, Heartbeat('entry-1', 'a', 0))
+            while not live:
+                self.beat(address)
                 await asyncio.sleep(0.05)
-                for report in self.received:
-                    if getattr(report, 'phase', None) == 'live':
-                        return report.incarnation
+                reports = self.of_kind(LoadReport)
+                live = [one for one in reports if one.phase == 'live']
+        return live[-1].incarnation
+
+    def beat(self, address: str) -> None:
+        self.send(address, Heartbeat('entry-1', 'a', 0))
+
+    async def keep(self, peer: Peer) -> None:
+        while True:
+            self.received.append(await peer.inbound.get())
+            self.news.set()
 
 
 async def wait_until(condition: Callable[[], bool]) -> None:
@@ -325,6 +372,3 @@
     async with asyncio.timeout(WAIT_SECONDS):
         while not condition():
             await asyncio.sleep(0.01)
-
-
-Story = Callable[..., Awaitable[None]]
--- /dev/null
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/tests/scene.py
@@ -0,0 +1,91 @@
+"""A running endpoint process with a fake entry, engine and platform."""
+
+import asyncio
+import dataclasses
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from sycamore_core.ids import Incarnation
+from sycamore_core.messages import Frame, Offer
+from tornado.web import Application
+
+from ..process import EndpointProcess
+from .builders import (
+    EntryProbe,
+    FakeEngine,
+    FakePlatform,
+    make_offer,
+    make_settings,
+    make_tree,
+    serving,
+    wait_until,
+)
+
+
+@dataclasses.dataclass
+class Scene:
+    """What a test of one endpoint process talks to."""
+
+    engine: FakeEngine
+    platform: FakePlatform
+    process: EndpointProcess
+    task: 'asyncio.Task[None]'
+    entry: EntryProbe
+    incarnation: Incarnation
+
+    @property
+    def address(self) -> str:
+        return self.process.settings.listen
+
+    @property
+    def leased(self) -> int:
+        return self.process.parts.memory.leased_tokens
+
+    def offer(self, **changes: object) -> Offer:
+        offer = make_offer(incarnation=self.incarnation, **changes)
+        self.entry.send(self.address, offer)
+        return offer
+
+    async def closing(self) -> Frame:
+        """Wait for the closing frame."""
+        await self.entry.wait_until(lambda: bool(self.closings))
+        return self.closings[0]
+
+    @property
+    def closings(self) -> list[Frame]:
+        frames = self.entry.of_kind(Frame)
+        return [frame for frame in frames if frame.close is not None]
+
+    async def memory_is_back(self) -> None:
+        await wait_until(lambda: self.leased == 0)
+
+
+@asynccontextmanager
+async def running(
+    directory: Path,
+    engine: FakeEngine,
+    backend: Application | None = None,
+    kind: str = 'model',
+) -> AsyncIterator[Scene]:
+    """Run one endpoint process; at the end all answers count as taken."""
+    platform = FakePlatform({})
+    behind = backend or engine.application()
+    async with (
+        serving(behind) as backend_url,
+        serving(platform.application()) as platform_url,
+    ):
+        settings = make_settings(directory, backend_url, platform_url)
+        tree = make_tree(settings.listen)
+        tree['services'] = {'chat': {'kind': kind}}
+        platform.tree = tree
+        process = EndpointProcess.from_settings(settings)
+        task = asyncio.create_task(process.run())
+        entry = EntryProbe()
+        incarnation = await entry.wait_live(settings.listen)
+        yield Scene(engine, platform, process, task, entry, incarnation)
+        engine.gate.set()
+        process.parts.runs.records.clear()
+        process.stop()
+        await task
+        await entry.node.close()
