--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/decisions/tests/figures_health.py
@@ -0,0 +1,41 @@
+"""Prints the figures of docs/decisions/slow-endpoints.md.
+
+Run ``python -m sycamore_core.decisions.tests.figures_health``. Each line:
+load, number of bad endpoints of ten and their fault, with or without health;
+then the share of callers answered within a second during the 40 s of the
+fault, the 40 s after it, and later. Means of three seeds.
+"""
+
+import statistics
+import sys
+
+from .builders_health import Fault, HealthModel
+
+SIZE = 10
+BEGINS, ENDS, LAST = 20, 60, 160
+PERIODS = ((BEGINS, ENDS), (ENDS, 100), (100, LAST))
+
+
+def main():
+    for load in (0.3, 0.6, 0.8):
+        for fault in Fault:
+            for bad in (1, 3, 5):
+                for judged in (False, True):
+                    faults = dict.fromkeys(range(bad), fault)
+                    runs = [measure(faults, load, judged, s) for s in (1, 2, 3)]
+                    figures = [statistics.mean(each) for each in zip(*runs)]
+                    shown = ' '.join(str(round(each, 3)) for each in figures)
+                    name = 'health' if judged else 'none'
+                    sys.stdout.write(
+                        f'{load}, {bad} {fault.value}, {name}: {shown}\n',
+                    )
+
+
+def measure(faults, load, judged, seed):
+    model = HealthModel(SIZE, faults, BEGINS, ENDS, judged=judged)
+    model.run(load, LAST, seed)
+    return [model.answered(*period, within=1) for period in PERIODS]
+
+
+if __name__ == '__main__':
+    main()
