Replay decisions from JSON documents

Cause: an operator who asks why a request was refused, waited or went where it did needs the decision with its figures, from the modules that took it.

Six kinds: admission, placement, retry, health, pace, and the whole scheduler on a settings tree (schedule). A document that is none of them is refused with the place of the error. Ruled out: a method on each case, which would make the typed documents depend on every decision.

--- a/packages/sycamore-core/src/sycamore_core/decisions/explain.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/explain.py
@@ -1,29 +1,44 @@
-"""Replays one decision from a file, for an operator who asks why."""
+"""Replays one decision from a JSON document, for an operator who asks why.
+
+Load pattern: a caller was refused, or waited, or went to an unexpected
+endpoint, and somebody wants to know the reason afterwards.
+
+Without it: one would have to read the code with the figures of a log line in
+hand. The replay runs the very modules that decided.
+
+Examples
+--------
+>>> print(explain(b'''{
+...   "decision": "pace", "endpoint": "e1", "updates": [
+...     {"at": 0, "targets": {"e1": 1}}, {"at": 1, "targets": {"e1": 0}}
+...   ]}'''))
+decision: weight 0
+reason: target 0 is followed at once
+target: 0.0
+weight before: 1.0
+"""
 
 import msgspec
 
+from ..errors import DecisionError
+from .explain_cases import Case
+from .explanation import Explanation
+from .replays import replay
 
-class Figure(msgspec.Struct, frozen=True):
-    """A number or name behind a decision."""
-
-    name: str
-    shown: str
-
-
-class Explanation(msgspec.Struct, frozen=True, kw_only=True):
-    """A decision, its reason, and the figures behind it."""
-
-    decision: str
-    reason: str
-    figures: tuple[Figure, ...] = ()
-
-    def __str__(self) -> str:
-        """Return the explanation as text, a line each."""
-        lines = [f'decision: {self.decision}', f'reason: {self.reason}']
-        lines.extend(f'{entry.name}: {entry.shown}' for entry in self.figures)
-        return '\n'.join(lines)
+_decoder = msgspec.json.Decoder(Case)
 
 
 def explain(case: bytes) -> Explanation:
-    """Replay the decision of a JSON document."""
-    return Explanation(decision=case.decode(), reason='')
+    """Replay the decision of a JSON document.
+
+    Raises
+    ------
+    DecisionError
+        If the document is no decision that can be replayed; the message
+        names the place.
+    """
+    try:
+        decoded = _decoder.decode(case)
+    except msgspec.DecodeError as error:
+        raise DecisionError(f'not a decision: {error}') from error
+    return replay(decoded)
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/decisions/replays.py
@@ -0,0 +1,256 @@
+"""Replays of single decisions by the modules that took them."""
+
+import functools
+import itertools
+from collections.abc import Sequence
+
+from ..errors import DecisionError, SettingsError
+from ..ids import EndpointId, RequestId, SettingsVersion
+from ..settings import FleetSettings, PolicySettings, resolve_tree
+from .admission import judge
+from .explain_cases import (
+    AdmissionCase,
+    Case,
+    HealthCase,
+    PaceCase,
+    PlacementCase,
+    RetryCase,
+    ScheduleCase,
+)
+from .explanation import Explanation, Figure, figures, shown
+from .fair import FairScheduler
+from .health import EndpointHealth
+from .pace import PacedWeights
+from .placement import PrefixPlacement
+from .placement_base import PlacementDecision
+from .pool import CandidatePool
+from .retries import RetryBudget
+from .scheduler import (
+    Dispatch,
+    Draw,
+    Queued,
+    Refusal,
+    SchedulerSnapshot,
+)
+
+
+@functools.singledispatch
+def replay(case: Case) -> Explanation:
+    """Replay the decision of a case."""
+    raise DecisionError(f'no replay of {type(case).__name__}')
+
+
+@replay.register
+def _replay_admission(case: AdmissionCase) -> Explanation:
+    verdict = judge(
+        case.request,
+        case.estimate,
+        case.now,
+        _draw_from(case.draws),
+    )
+    refused = verdict.reason is not None
+    return Explanation(
+        decision='refused' if refused else 'let in',
+        reason=verdict.reason.value if refused else 'expected in time',
+        figures=figures(
+            detail=verdict.detail,
+            retry_after=verdict.retry_after,
+            expected_first_token=case.estimate.until_first_token,
+            queue_seconds=case.estimate.queue_seconds,
+            share=case.estimate.share,
+            tightness=case.estimate.tightness,
+            rank=case.estimate.rank,
+        ),
+    )
+
+
+@replay.register
+def _replay_placement(case: PlacementCase) -> Explanation:
+    settings = FleetSettings(
+        version=SettingsVersion(0),
+        name='replay',
+        zones=case.zones,
+        policy=PolicySettings(long_work_share=case.long_work_share),
+    )
+    placement = PrefixPlacement.from_settings(settings, case.zone)
+    for sent in case.earlier:
+        placement.index.record(sent.blocks, sent.endpoint, sent.at)
+    pool = CandidatePool(case.candidates)
+    decided = placement.place(
+        case.request,
+        pool,
+        case.now,
+        _draw_from(case.draws),
+    )
+    return Explanation(
+        decision=_where(decided.endpoint),
+        reason=decided.reason.value,
+        figures=_placement_figures(placement, pool, case, decided),
+    )
+
+
+@replay.register
+def _replay_retry(case: RetryCase) -> Explanation:
+    budget = RetryBudget()
+    for _ in range(case.answered):
+        budget.first_try(case.now)
+        budget.answered(case.now)
+    left = budget.left(case.now)
+    decided = budget.decide(case.failure, case.now, _draw_from(case.draws))
+    refused = decided.refusal is not None
+    return Explanation(
+        decision='refused' if refused else 'tried again',
+        reason=decided.verdict.value,
+        figures=figures(
+            refusal=decided.refusal.value if refused else 'none',
+            not_before=decided.not_before,
+            retry_after=decided.retry_after,
+            retries_left_before=left,
+            attempt=case.failure.attempt,
+            time_left=case.failure.request.deadline - case.now,
+        ),
+    )
+
+
+@replay.register
+def _replay_health(case: HealthCase) -> Explanation:
+    health = EndpointHealth()
+    for seen in sorted(case.seen, key=lambda one: one.at):
+        health.weights(case.endpoints, seen.at)
+        health.observe(seen.endpoint, seen.observation, seen.at)
+    weight = health.weights(case.endpoints, case.now).get(case.endpoint, 0)
+    record = health.records.get(case.endpoint)
+    if record is None:
+        raise DecisionError(f'{case.endpoint!r} is not among the endpoints')
+    return Explanation(
+        decision=', '.join((record.state.value, shown(weight))),
+        reason=record.reason.value if record.reason else 'nothing against it',
+        figures=figures(
+            latency_ratio=record.latency_ratio,
+            median_ratio=health.median_ratio,
+            failure_share=record.failure_share,
+            failures_in_row=record.failures_in_row,
+            pending=record.pending,
+            ejections=record.ejections,
+            relieved=health.relieved,
+            largest_relieved=health.largest_relieved(),
+        ),
+    )
+
+
+@replay.register
+def _replay_pace(case: PaceCase) -> Explanation:
+    paced = PacedWeights()
+    before = float(0)
+    weight = float(0)
+    target = float(0)
+    for update in case.updates:
+        before = weight
+        target = update.targets.get(case.endpoint, 0)
+        weights = paced.update(update.targets, update.at)
+        weight = weights.get(case.endpoint, 0)
+    return Explanation(
+        decision=' '.join(('weight', shown(weight))),
+        reason=_pace_reason(target, weight),
+        figures=figures(target=target, weight_before=before),
+    )
+
+
+def _pace_reason(target: float, weight: float) -> str:
+    if not target:
+        return 'target 0 is followed at once'
+    if weight == target:
+        return 'at its target'
+    return 'on its way to the target, or within the hysteresis'
+
+
+def _placement_figures(
+    placement: PrefixPlacement,
+    pool: CandidatePool,
+    case: PlacementCase,
+    decided: PlacementDecision,
+) -> tuple[Figure, ...]:
+    found = list(
+        figures(
+            matched_blocks=decided.matched_blocks,
+            new_tokens=decided.new_tokens,
+            expected_seconds=decided.expected_seconds,
+            retry_after=decided.retry_after,
+            members=', '.join(decided.members),
+        )
+    )
+    matches = placement.index.matches(case.request.prefix_blocks, case.now)
+    for candidate in pool:
+        endpoint = candidate.view.endpoint
+        estimate = placement.costs.estimate(
+            case.request,
+            candidate,
+            matches.blocks.get(endpoint, 0),
+        )
+        seconds = shown(estimate.total_seconds)
+        found.append(Figure(f'first token at {endpoint}', seconds))
+    return tuple(found)
+
+
+def _draw_from(draws: Sequence[float]) -> Draw:
+    return functools.partial(next, itertools.cycle(draws or (0.5,)))
+
+
+def _where(endpoint: EndpointId | None) -> str:
+    return f'sent to {endpoint}' if endpoint else 'waits'
+
+
+@replay.register
+def _replay_schedule(case: ScheduleCase) -> Explanation:
+    if not case.requests:
+        raise DecisionError('no requests')
+    try:
+        settings = resolve_tree(bytes(case.tree))
+    except SettingsError as error:
+        raise DecisionError(f'tree: {error}') from error
+    scheduler = FairScheduler.from_settings(
+        settings,
+        _draw_from(case.draws),
+        case.zone,
+    )
+    for view in case.endpoints:
+        scheduler.update_endpoint(view, case.requests[0].arrival)
+    decided: dict[RequestId, Queued | Refusal | Dispatch] = {}
+    for request in case.requests:
+        answer = scheduler.submit(request, request.arrival)
+        decided[request.request_id] = answer
+        for decision in scheduler.dispatch(request.arrival):
+            decided[decision.request_id] = decision
+    last = case.requests[-1]
+    snapshot = scheduler.snapshot(last.arrival)
+    return _schedule_explanation(decided[last.request_id], snapshot)
+
+
+def _schedule_explanation(
+    decided: Queued | Refusal | Dispatch,
+    snapshot: SchedulerSnapshot,
+) -> Explanation:
+    known = figures(waiting=snapshot.waiting, running=snapshot.running)
+    if isinstance(decided, Dispatch):
+        return Explanation(
+            decision=_where(decided.endpoint),
+            reason=decided.reason,
+            figures=(*figures(priority=decided.priority), *known),
+        )
+    if isinstance(decided, Refusal):
+        return Explanation(
+            decision='refused',
+            reason=decided.reason.value,
+            figures=(
+                *figures(
+                    detail=decided.detail,
+                    retry_after=decided.retry_after,
+                ),
+                *known,
+            ),
+        )
+    return Explanation(
+        decision='waits',
+        reason='queued',
+        figures=(*figures(expected_wait=decided.expected_wait), *known),
+    )
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/decisions/tests/test_explain.py
@@ -0,0 +1,138 @@
+"""Replay of decisions from JSON documents."""
+
+import json
+
+import msgspec
+import pytest
+
+from sycamore_core.decisions.explain import explain
+from sycamore_core.errors import DecisionError
+
+from .builders_placement import build_pool, build_prompt, build_request
+
+
+def replay(**case):
+    document = msgspec.to_builtins(case, str_keys=True)
+    return explain(json.dumps(document).encode())
+
+
+def figures(explanation):
+    return {one.name: one.shown for one in explanation.figures}
+
+
+def placement_case(**changes):
+    case = {
+        'decision': 'placement',
+        'request': build_prompt('1', range(20)),
+        'candidates': list(build_pool(4)),
+        'zone': 'z1',
+        'earlier': [{'blocks': list(range(20)), 'endpoint': '002'}],
+    }
+    return replay(**(case | changes))
+
+
+def test_placement_names_the_holder_and_every_estimate():
+    shown = placement_case()
+    assert (shown.decision, shown.reason) == ('sent to 002', 'prefix')
+    named = figures(shown)
+    assert float(named['first token at 002']) < float(
+        named['first token at 000'],
+    )
+
+
+def test_placement_that_waits():
+    full = list(build_pool(4, free_tokens=1))
+    shown = placement_case(candidates=full)
+    assert (shown.decision, shown.reason) == ('waits', 'memory_full')
+
+
+def test_admission_that_refuses():
+    shown = replay(
+        decision='admission',
+        request=build_request(deadline=10),
+        estimate={
+            'ahead': 30,
+            'rate': 1,
+            'first_token_seconds': 0.2,
+            'answer_seconds': 1,
+            'share': 0.5,
+        },
+    )
+    assert (shown.decision, shown.reason) == ('refused', 'deadline_unreachable')
+    assert '30.00 engine seconds' in figures(shown)['detail']
+
+
+@pytest.mark.parametrize(
+    ('idempotent', 'execution', 'decision', 'reason'),
+    [
+        (True, 'unknown', 'tried again', 'retry'),
+        (False, 'unknown', 'refused', 'in_doubt'),
+        (False, 'not_run', 'tried again', 'retry'),
+    ],
+)
+def test_retry(idempotent, execution, decision, reason):
+    shown = replay(
+        decision='retry',
+        failure={
+            'request': build_request(idempotent=idempotent),
+            'reason': 'offer_lost',
+            'execution': execution,
+        },
+        answered=10,
+    )
+    assert (shown.decision, shown.reason) == (decision, reason)
+    assert figures(shown)['retries left before'] == '5.0'
+
+
+def test_health_of_a_failing_endpoint():
+    failed = {'kind': 'failed'}
+    seen = [
+        {'endpoint': 'a', 'at': at, 'observation': failed} for at in (1, 2, 3)
+    ]
+    shown = replay(
+        decision='health',
+        endpoint='a',
+        endpoints=['a', 'b', 'c'],
+        seen=seen,
+        now=4,
+    )
+    assert (shown.decision, shown.reason) == ('ejected, 0', 'failures')
+
+
+def schedule_case(**changes):
+    tree = {
+        'version': 1,
+        'name': 'test',
+        'services': {'s': {}},
+        'workspaces': {'w': {'services': {'s': {}}}},
+    }
+    case = {
+        'decision': 'schedule',
+        'tree': tree,
+        'endpoints': [one.view for one in build_pool(3)],
+        'requests': [build_request()],
+    }
+    return replay(**(case | changes))
+
+
+def test_schedule_of_the_last_request():
+    assert schedule_case().decision.startswith('sent to')
+    refused = schedule_case(endpoints=[])
+    assert (refused.decision, refused.reason) == ('refused', 'no_endpoint')
+
+
+@pytest.mark.parametrize(
+    'case',
+    [
+        b'',
+        b'{}',
+        b'{"decision": "weather"}',
+        b'{"decision": "pace", "endpoint": "a", "updates": 3}',
+        b'{"decision": "pace", "endpoint": "a", "updates": [], "more": 1}',
+        b'{"decision": "health", "endpoint": "a", "endpoints": ["b"]}',
+        b'{"decision": "schedule", "tree": 1, "endpoints": [], "requests": []}',
+    ],
+)
+def test_what_cannot_be_replayed_is_refused(case):
+    with pytest.raises(DecisionError):
+        explain(case)
