--- a/packages/sycamore-core/src/sycamore_core/decisions/health.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/health.py
@@ -145,6 +145,7 @@
             return
         slowest = LATENCY_FACTOR * max(1, self.median_ratio)
         complaint = record.complaint(slowest, now)
+        record.is_judged = True
         record.crowded = complaint is not None and not self._may_eject(record)
         if complaint is not None and not record.crowded:
             self._eject(record, complaint, now)
@@ -213,6 +214,8 @@
         self.relieved += (state in _RELIEVED) - was
 
     def _weight(self, record: HealthRecord, now: float) -> float:
+        if record.is_settled:
+            return 1
         self._judge(record, now)
         elapsed = now - record.since
         if record.state == HealthState.EJECTED:
--- a/packages/sycamore-core/src/sycamore_core/decisions/health_record.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/health_record.py
@@ -75,6 +75,7 @@
         self.good_probes = 0
         self.crowded = False
         self.pending = 0
+        self.is_judged = False
         self.samples = 0
         self.failures_in_row = 0
         self.failure_share = float(0)
@@ -84,6 +85,7 @@
 
     def take(self, observation: Observation, now: float) -> None:
         """Add an observation to the averages."""
+        self.is_judged = False
         if observation.kind == ObservationKind.ACCEPTED:
             self._accept(observation.expected_seconds, now)
             return
@@ -99,6 +101,12 @@
             ratio = min(LARGEST_RATIO, observation.latency_ratio)
             self.latency_ratio += AVERAGE_PART * (ratio - self.latency_ratio)
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether nothing has come since it was found well, and no time-out."""
+        well = self.state == HealthState.HEALTHY and not self.crowded
+        return well and self.is_judged and not self.pending
+
     def complaint(
         self,
         slowest_ratio: float,
--- a/packages/sycamore-core/src/sycamore_core/decisions/replays.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/replays.py
@@ -2,7 +2,7 @@
 
 import functools
 import itertools
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from ..errors import DecisionError, SettingsError
 from ..ids import EndpointId, RequestId, SettingsVersion
@@ -24,6 +24,7 @@
 from .placement import PrefixPlacement
 from .placement_base import PlacementDecision
 from .pool import CandidatePool
+from .requests import RequestView
 from .retries import RetryBudget
 from .scheduler import (
     Dispatch,
@@ -33,6 +34,8 @@
     SchedulerSnapshot,
 )
 
+Decision = Queued | Refusal | Dispatch
+
 
 @functools.singledispatch
 def replay(case: Case) -> Explanation:
@@ -215,19 +218,27 @@
     )
     for view in case.endpoints:
         scheduler.update_endpoint(view, case.requests[0].arrival)
-    decided: dict[RequestId, Queued | Refusal | Dispatch] = {}
-    for request in case.requests:
+    decided = _decide_all(scheduler, case.requests)
+    last = case.requests[-1]
+    snapshot = scheduler.snapshot(last.arrival)
+    return _schedule_explanation(decided[last.request_id], snapshot)
+
+
+def _decide_all(
+    scheduler: FairScheduler,
+    requests: Sequence[RequestView],
+) -> Mapping[RequestId, Decision]:
+    decided: dict[RequestId, Decision] = {}
+    for request in requests:
         answer = scheduler.submit(request, request.arrival)
         decided[request.request_id] = answer
         for decision in scheduler.dispatch(request.arrival):
             decided[decision.request_id] = decision
-    last = case.requests[-1]
-    snapshot = scheduler.snapshot(last.arrival)
-    return _schedule_explanation(decided[last.request_id], snapshot)
+    return decided
 
 
 def _schedule_explanation(
-    decided: Queued | Refusal | Dispatch,
+    decided: Decision,
     snapshot: SchedulerSnapshot,
 ) -> Explanation:
     known = figures(waiting=snapshot.waiting, running=snapshot.running)
