--- a/packages/sycamore-core/src/sycamore_core/decisions/placement.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/placement.py
@@ -31,7 +31,7 @@
 #: reports, before which nothing new is known.
 REPORT_SECONDS = 1.0
 #: Part of a prompt that its home is presumed to cache if nothing is known.
-#: With eight entries 0.8 and 0.95 came out alike and 0.5 far behind.
+#: With eight entries 0.8 and 0.95 came out alike, 0.5 behind.
 HOME_BELIEF = 0.8
 #: What a second of computing counts beside a second of waiting, less 1: it
 #: also delays those who come later. The weight is shared by all that use the
