--- a/benchmarks/decision_cost.py
+++ b/benchmarks/decision_cost.py
@@ -1,8 +1,8 @@
 """Cost of one decision, by number of endpoints and workspaces.
 
 Run ``python benchmarks/decision_cost.py``. It prints the median over rounds
-of the mean processor time of a call in microseconds, and the memory of a full prefix
-index. The figures of docs/decisions/ come from it.
+of the mean processor time of a call in microseconds, and the memory of a full
+prefix index. The figures of docs/decisions/ come from it.
 """
 
 import functools
