--- a/packages/sycamore-core/src/sycamore_core/decisions/flow.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/flow.py
@@ -10,6 +10,7 @@
 
 import bisect
 import heapq
+import math
 from collections import deque
 
 import msgspec
@@ -29,6 +30,8 @@
         When its first token is promised; its rank if nothing is.
     cost
         Estimated cost, in engine seconds.
+    within_share
+        Whether nothing else of its workspace waited when it came.
     queued
         False once it has left the queue.
     attempt
@@ -39,6 +42,7 @@
     due: float
     promised: float
     cost: float
+    within_share: bool = False
     queued: bool = False
     attempt: int = 1
 
@@ -77,6 +81,12 @@
         Densities of what has come lately, sorted.
     in_turns
         Whether it takes part in the turns.
+    lendable
+        Cost of the turns that it may lend, in engine seconds.
+    lent_part
+        Part of its turns that it has lent lately.
+    refused_at
+        When a request of it was last refused at the door, in seconds.
     """
 
     def __init__(self, workspace: WorkspaceId, weight: float) -> None:
@@ -84,6 +94,9 @@
         self.weight = weight
         self.finish: float = 0
         self.in_turns = False
+        self.lendable: float = 0
+        self.lent_part: float = 0
+        self.refused_at = -math.inf
         self.costs: dict[int, float] = {}
         self.densities: list[float] = []
         self._by_due: list[tuple[float, RequestId, Waiting]] = []
--- a/packages/sycamore-core/src/sycamore_core/decisions/service_queue.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/service_queue.py
@@ -22,7 +22,8 @@
 from .estimates import DrainRate, SpeedEstimate
 from .fair_share import FairQueue
 from .flow import Waiting
-from .ordering import RANKING_SECONDS, due_time, target_time
+from .lending import LendingRule
+from .ordering import RANKING_SECONDS, due_time, long_work_share, target_time
 from .requests import RequestView
 from .tracked import WINDOW_SECONDS, TrackedPool
 
@@ -57,8 +58,8 @@
 class Lane:
     """Requests of like length and how fast they are sent."""
 
-    def __init__(self) -> None:
-        self.queue = FairQueue()
+    def __init__(self, lending: LendingRule) -> None:
+        self.queue = FairQueue(lending)
         self.drain = DrainRate()
         self.blocked_version = -1
         self.blocked_until: float = 0
@@ -80,7 +81,13 @@
         self.policy = policy
         self.pool = TrackedPool()
         self.speed = SpeedEstimate()
-        self.lanes = {name: Lane() for name in LaneName}
+        self.lending = LendingRule(policy.floor_share)
+        self.lanes = {name: Lane(self.lending) for name in LaneName}
+
+    def update_policy(self, policy: PolicySettings) -> None:
+        """Take another policy; what waits keeps its place."""
+        self.policy = policy
+        self.lending.floor_share = policy.floor_share
 
     @property
     def waiting(self) -> int:
@@ -108,8 +115,9 @@
         lane = self.lane_of(request)
         flow = lane.queue.flow_of(request.workspace, request.weight)
         share = lane.queue.share(flow)
-        rate = share * lane.drain.rate(self._endpoints_of(request))
-        prefill = self.speed.prefill_seconds(request.prompt_tokens)
+        kept = 1 - flow.lent_part
+        rate = share * kept * lane.drain.rate(self._endpoints_of(request))
+        prefill = self.prefill_seconds(request)
         return WaitEstimate(
             ahead=flow.cost_before(waiting.promised),
             rate=rate,
@@ -120,6 +128,15 @@
             share=share,
         )
 
+    def prefill_seconds(self, request: RequestView) -> float:
+        """Return the time to compute a prompt that nothing is cached of."""
+        return self.speed.prefill_seconds(request.prompt_tokens)
+
+    def note_refused(self, request: RequestView, now: float) -> None:
+        """Note that a request was refused for want of room in its share."""
+        queue = self.lane_of(request).queue
+        queue.flow_of(request.workspace, request.weight).refused_at = now
+
     def lanes_in_turn(self, now: float) -> list[Lane]:
         """Return the lanes that have work, urgent ones first."""
         urgent: list[Lane] = []
@@ -134,14 +151,24 @@
                 other.append(lane)
         return urgent + other
 
+    def holds_lane(self, request: RequestView, now: float) -> bool:
+        """Tell whether others of its lane wait for a head that fits nowhere.
+
+        What the longest prompt needs comes free only if smaller long ones do
+        not take each part of it first. Without this, those of a million
+        tokens miss their targets while those of 200,000 pass them by.
+        """
+        if LANES[request.band] != LaneName.HUGE:
+            return False
+        return self._is_urgent(request, now)
+
     def observe(self, now: float) -> None:
         """Measure the rates at which the lanes drain."""
         for name, lane in self.lanes.items():
-            lane.drain.observe(
-                now,
-                self._endpoints_in(name),
-                backlogged=lane.queue.count > 0,
-            )
+            if lane.queue.count:
+                lane.drain.observe(now, self._endpoints_in(name))
+            else:
+                lane.drain.rest()
 
     def _is_urgent(self, request: RequestView, now: float) -> bool:
         if LANES[request.band] == LaneName.SHORT:
@@ -156,4 +183,4 @@
     def _endpoints_in(self, name: LaneName) -> float:
         if name == LaneName.SHORT:
             return self.pool.live()
-        return self.pool.live() * self.policy.long_work_share
+        return self.pool.live() * long_work_share(self.policy)
