--- a/packages/sycamore-standins/src/sycamore_standins/fleet/fleet.py
+++ b/packages/sycamore-standins/src/sycamore_standins/fleet/fleet.py
@@ -160,6 +160,15 @@
 
     async def _behave_well(self) -> None:
         await self.hooks(PLATFORM).settings_mode(SettingsMode.UP)
+        live = self.roster.live_instances()
+        await self.hooks(PLATFORM).change_instances(live)
+        if self.tree.endpoints != self.roster.endpoints:
+            tree = self.next_tree()
+            tree = msgspec.structs.replace(
+                tree,
+                endpoints=self.roster.endpoints,
+            )
+            await self.publish(tree)
         for engine in self.roster.engines:
             await self.hooks(engine).misbehave(EngineFaults())
         for service in self.roster.plain_services:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -310,4 +310,5 @@
 async def test_nothing_was_credited_twice(fleet: Fleet) -> None:
     """After all of the above no credit of the module has run twice."""
     counts = await read_credits(fleet)
-    assert not [name for name, times in counts.items() if times > 1]
+    doubled = [name for name, times in counts.items() if times > 1]
+    assert not doubled
