Bound each coroutine test at a minute

Cause: a test that waits for ever holds up the whole run. Ruled out: a limit on the run, which does not name the test. Conclusion: sixty seconds for each coroutine test.

--- a/packages/sycamore-standins/src/sycamore_standins/async_tests.py
+++ b/packages/sycamore-standins/src/sycamore_standins/async_tests.py
@@ -2,9 +2,15 @@
 
 import asyncio
 import inspect
+from collections.abc import Coroutine
+from typing import Any
 
 import pytest
 
+#: A test that waits for longer is wrong or has found a fault; without a bound
+#: it would hold up all others.
+LONGEST_TEST_SECONDS = 60.0
+
 
 @pytest.hookimpl(tryfirst=True)
 def pytest_pyfunc_call(pyfuncitem: pytest.Function) -> bool | None:
@@ -12,7 +18,11 @@
     if not inspect.iscoroutinefunction(pyfuncitem.obj):
         return None
     names = pyfuncitem._fixtureinfo.argnames
-    asyncio.run(
-        pyfuncitem.obj(**{name: pyfuncitem.funcargs[name] for name in names}),
-    )
+    arguments = {name: pyfuncitem.funcargs[name] for name in names}
+    asyncio.run(_bounded(pyfuncitem.obj(**arguments)))
     return True
+
+
+async def _bounded(test: Coroutine[Any, Any, None]) -> None:
+    async with asyncio.timeout(LONGEST_TEST_SECONDS):
+        await test
--- a/packages/sycamore-standins/src/sycamore_standins/fleet/waiting.py
+++ b/packages/sycamore-standins/src/sycamore_standins/fleet/waiting.py
@@ -8,7 +8,7 @@
 
 _POLL_SECONDS = 0.05
 #: Generous: a busy machine must not turn a verdict.
-LONGEST_WAIT_SECONDS = 45.0
+LONGEST_WAIT_SECONDS = 30.0
 
 
 async def wait_until(
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -120,9 +120,10 @@
         return
     tree = fleet.next_tree()
     endpoints = {
-        name: msgspec.structs.replace(node, draining=name in leaving)
-        for name, node in tree.endpoints.items()
+        name: msgspec.structs.replace(tree.endpoints[name], draining=True)
+        for name in leaving
     }
+    endpoints = {**tree.endpoints, **endpoints}
     await fleet.publish(msgspec.structs.replace(tree, endpoints=endpoints))
 
 
