--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,8 @@
 
 demo: setup
 	$(BIN)/python -m sycamore_standins.demo
+
+SEED ?= 1
+ROUNDS ?= 20
+chaos: setup
+	$(BIN)/python -m sycamore_standins.chaos --seed $(SEED) --rounds $(ROUNDS)
--- a/packages/sycamore-standins/src/sycamore_standins/engine/runner.py
+++ b/packages/sycamore-standins/src/sycamore_standins/engine/runner.py
@@ -11,6 +11,7 @@
 from sycamore_core.ids import GroupId, RequestId
 from sycamore_core.states import Outcome
 
+from ..record_file import RecordFile
 from .clock import PAUSE_SECONDS, EngineClock
 from .hook_bodies import EngineFaults, EngineRun
 from .model import EngineModel
@@ -57,14 +58,29 @@
         self.clock = EngineClock(clock)
         self.faults = EngineFaults()
         self.generations: OrderedDict[RequestId, Generation] = OrderedDict()
+        self.journal = RecordFile('', EngineRun)
         self.runs: dict[RequestId, EngineRun] = {}
         self._spans: dict[str, asyncio.Event] = {}
         self._wake = asyncio.Event()
 
     @classmethod
-    def from_profile(cls, profile: EngineProfile, clock: Clock) -> Self:
-        """Return an engine with nothing in it."""
-        return cls(profile, clock)
+    def from_profile(
+        cls,
+        profile: EngineProfile,
+        clock: Clock,
+        journal: str = '',
+    ) -> Self:
+        """Return an engine with nothing in it.
+
+        Parameters
+        ----------
+        journal
+            File that keeps the counts of runs over a restart; empty for none.
+        """
+        runner = cls(profile, clock)
+        runner.journal = RecordFile(journal, EngineRun)
+        runner.runs = {run.request_id: run for run in runner.journal.read()}
+        return runner
 
     def misbehave(self, faults: EngineFaults) -> None:
         """Change how the engine misbehaves."""
@@ -178,9 +194,11 @@
 
     def _count(self, request_id: RequestId, prompt: bytes) -> None:
         before = self.runs.get(request_id)
-        self.runs[request_id] = EngineRun(
+        run = EngineRun(
             request_id=request_id,
             times=1 if before is None else before.times + 1,
             prompt_bytes=len(prompt),
             prompt_checksum=zlib.crc32(prompt),
         )
+        self.journal.append(run)
+        self.runs[request_id] = run
--- a/packages/sycamore-standins/src/sycamore_standins/fleet/files.py
+++ b/packages/sycamore-standins/src/sycamore_standins/fleet/files.py
@@ -30,6 +30,11 @@
         file_path.write_bytes(msgspec.json.encode(settings))
         return str(file_path)
 
+    def journal_option(self, name: str) -> str:
+        """Return the option for what a back end keeps over a restart."""
+        file_path = self.path / f'{name}-journal.jsonl'
+        return f'--journal={file_path}'
+
     def log(self, name: str) -> pathlib.Path:
         """Return the path of the log of one process."""
         return self.path / f'{name}.log'
--- a/packages/sycamore-standins/src/sycamore_standins/plain/__main__.py
+++ b/packages/sycamore-standins/src/sycamore_standins/plain/__main__.py
@@ -13,9 +13,10 @@
     port: Annotated[int, typer.Option()],
     host: str = '127.0.0.1',
     delay_seconds: float = 0,
+    journal: str = '',
 ) -> None:
     """Serve the plain service until SIGTERM."""
-    state = PlainState(delay_seconds)
+    state = PlainState(delay_seconds, journal)
     asyncio.run(serve(make_application(state), host, port))
 
 
--- a/packages/sycamore-standins/src/sycamore_standins/plain/journal.py
+++ b/packages/sycamore-standins/src/sycamore_standins/plain/journal.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ..record_file import RecordFile
+
 
 class CallRecord(msgspec.Struct, frozen=True, kw_only=True):
     """One call as it arrived.
@@ -27,6 +29,11 @@
 class CallJournal:
     """Remembers calls.
 
+    Parameters
+    ----------
+    path
+        File that keeps them over a restart; empty for none.
+
     Examples
     --------
     >>> journal = CallJournal()
@@ -40,12 +47,14 @@
     ('deposit-1',)
     """
 
-    def __init__(self) -> None:
-        self.calls: list[CallRecord] = []
-        self._counts: Counter[str] = Counter()
+    def __init__(self, path: str = '') -> None:
+        self.file = RecordFile(path, CallRecord)
+        self.calls = self.file.read()
+        self._counts = Counter(call.business_id for call in self.calls)
 
     def add(self, call: CallRecord) -> int:
         """Record a call; return how often its business id has come."""
+        self.file.append(call)
         self.calls.append(call)
         self._counts[call.business_id] += 1
         return self._counts[call.business_id]
--- a/packages/sycamore-standins/src/sycamore_standins/plain/server.py
+++ b/packages/sycamore-standins/src/sycamore_standins/plain/server.py
@@ -31,8 +31,8 @@
 class PlainState:
     """The journal of the service and how it behaves."""
 
-    def __init__(self, delay_seconds: float = 0) -> None:
-        self.journal = CallJournal()
+    def __init__(self, delay_seconds: float = 0, journal: str = '') -> None:
+        self.journal = CallJournal(journal)
         self.behaviour = Behaviour(delay_seconds=delay_seconds)
 
 
