Check time limits as they are in force, whichever levels set them

Cause: the rule compared values of one level only, so that a workspace could override a default time limit beyond the deployment's longest one; every request without a limit of its own would then be refused. Shown by the new test, which the old rule passed without a problem.

--- a/packages/sycamore-core/src/sycamore_core/settings/provenance.py
+++ b/packages/sycamore-core/src/sycamore_core/settings/provenance.py
@@ -9,7 +9,7 @@
 from ..errors import SettingsError
 from ..ids import ServiceId, WorkspaceId
 from .checking import nearest
-from .resolve import Resolver, merge, overrides
+from .inheritance import Resolver, merge, overrides
 from .tree import TreeNode
 
 _BUILT_IN = 'built in'
--- a/packages/sycamore-core/src/sycamore_core/settings/rules.py
+++ b/packages/sycamore-core/src/sycamore_core/settings/rules.py
@@ -8,13 +8,15 @@
 
 from ..ids import ServiceId
 from .checking import nearest
+from .inheritance import Levels, Resolver
 from .problems import Path, SettingsProblem
-from .resolved import BandLimits, Target
+from .resolved import BandLimits, ServiceSettings
 from .tree import ServiceNode, TreeNode, WorkspaceNode
 
 _SERVICES = 'services'
 _ENDPOINTS = 'endpoints'
 _DEFAULTS = 'defaults'
+_WORKSPACES = 'workspaces'
 _NOTHING_SET = ServiceNode()
 
 
@@ -26,7 +28,8 @@
     yield from _band_problems(tree.policy.bands)
     for path, node in service_nodes(tree):
         if node != _NOTHING_SET:
-            yield from _service_problems(path, node)
+            yield from _doubled_targets(path, node)
+    yield from _time_limit_problems(tree)
     known = served_names(tree)
     for name, workspace in tree.workspaces.items():
         yield from _unknown_services(known, name, workspace)
@@ -38,7 +41,7 @@
     for service, node in tree.services.items():
         yield (_SERVICES, service), node
     for name, workspace in tree.workspaces.items():
-        path: Path = ('workspaces', name)
+        path: Path = (_WORKSPACES, name)
         yield (*path, _DEFAULTS), workspace.defaults
         for service, node in workspace.services.items():
             yield (*path, _SERVICES, service), node
@@ -100,7 +103,7 @@
         )
 
 
-def _service_problems(
+def _doubled_targets(
     path: Path,
     node: ServiceNode,
 ) -> Iterator[SettingsProblem]:
@@ -111,33 +114,43 @@
             f'{band} stands twice',
             'one target for each band',
         )
-    longest = node.longest_time_limit_seconds
-    if isinstance(longest, int | float):
-        yield from _time_limit_problems(path, node, targets, longest)
 
 
-def _time_limit_problems(
+def _time_limit_problems(tree: TreeNode) -> Iterator[SettingsProblem]:
+    """Check the values in force, whichever levels they come from.
+
+    Many workspaces have the same ones: the first place stands for all.
+    """
+    resolver = Resolver(tree)
+    seen: set[Levels] = set()
+    for path, levels in _services_in_force(resolver):
+        if levels not in seen:
+            seen.add(levels)
+            yield from _beyond_longest(path, resolver.in_force(levels))
+
+
+def _services_in_force(resolver: Resolver) -> Iterator[tuple[Path, Levels]]:
+    for name, workspace in resolver.tree.workspaces.items():
+        for service in workspace.services:
+            path: Path = (_WORKSPACES, name, _SERVICES, service)
+            yield path, resolver.levels(name, service)
+
+
+def _beyond_longest(
     path: Path,
-    node: ServiceNode,
-    targets: Iterable[Target],
-    longest: float,
+    settings: ServiceSettings,
 ) -> Iterator[SettingsProblem]:
-    accepted = f'at most {longest}, the longest_time_limit_seconds here'
-    default = node.default_time_limit_seconds
-    if isinstance(default, int | float) and default > longest:
-        yield SettingsProblem(
-            (*path, 'default_time_limit_seconds'),
-            f'found {default}',
-            accepted,
-        )
-    for target in targets:
+    longest = settings.longest_time_limit_seconds
+    accepted = f'at most {longest}, its longest_time_limit_seconds'
+    default = settings.default_time_limit_seconds
+    if default > longest:
+        place: Path = (*path, 'default_time_limit_seconds')
+        yield SettingsProblem(place, f'{default} is in force', accepted)
+    for target in settings.targets:
         seconds = target.first_token_seconds
         if seconds > longest:
-            yield SettingsProblem(
-                (*path, 'targets', target.band.value, 'first_token_seconds'),
-                f'found {seconds}',
-                accepted,
-            )
+            place = (*path, 'targets', target.band.value)
+            yield SettingsProblem(place, f'{seconds} is in force', accepted)
 
 
 def _unknown_services(
@@ -147,7 +160,7 @@
 ) -> Iterator[SettingsProblem]:
     for service in workspace.services:
         if service not in known:
-            path: Path = ('workspaces', name, _SERVICES, service)
+            path: Path = (_WORKSPACES, name, _SERVICES, service)
             yield SettingsProblem(
                 path,
                 'a service that neither the deployment nor an endpoint names',
--- a/packages/sycamore-core/src/sycamore_core/settings/tests/test_checks.py
+++ b/packages/sycamore-core/src/sycamore_core/settings/tests/test_checks.py
@@ -147,14 +147,14 @@
     [
         (
             {'longest_time_limit_seconds': 5, 'default_time_limit_seconds': 6},
-            'services.chat.default_time_limit_seconds: found 6',
+            'school.services.chat.default_time_limit_seconds: 6.0 is in force',
         ),
         (
             {
                 'longest_time_limit_seconds': 5,
                 'targets': [{'band': 'short', 'first_token_seconds': 6}],
             },
-            'services.chat.targets.short.first_token_seconds: found 6',
+            'school.services.chat.targets.short: 6.0 is in force',
         ),
         (
             {
@@ -175,6 +175,22 @@
     assert expected in problem
 
 
+def test_time_limits_of_different_levels_fit() -> None:
+    """A workspace's time limit exceeds the longest one of the deployment.
+
+    Each request without a time limit of its own would be refused, although
+    each level by itself looks right.
+    """
+    content = small_tree()
+    content['defaults'] = {'longest_time_limit_seconds': 60}
+    school = content['workspaces']['school']
+    school['services']['chat'] = {'default_time_limit_seconds': 90}
+    content['workspaces']['second'] = school
+    problem = only_problem(content)
+    assert 'workspaces.school.services.chat.default_time_limit' in problem
+    assert '90.0 is in force; accepted: at most 60.0' in problem
+
+
 def test_endpoints_have_addresses_of_their_own() -> None:
     content = small_tree()
     content['endpoints']['chat-2'] = content['endpoints']['chat-1']
