--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/exchange.py
@@ -17,8 +17,8 @@
 from .attempt import AttemptOffer, AttemptState
 from .call import CallerRequest
 from .context import EntryContext
+from .mailbox import Mailbox
 from .progress import ExchangeProgress
-from .registry import Mailbox
 from .reports import ExchangeReport
 from .stream import AnswerLostError, AnswerStream, is_whole
 from .waiting import SupersededError, next_of
@@ -79,6 +79,9 @@
             ) from error
 
     async def _serve(self, mailbox: Mailbox) -> None:
+        pinned = self.request.view.pinned_to
+        if pinned is not None:
+            await self.context.links.reach(pinned)
         self._submit()
         is_over = False
         while not is_over:
--- a/packages/sycamore-entry/src/sycamore_entry/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/process.py
@@ -1,13 +1,15 @@
 """The entry process: its start, its tasks and its end."""
 
 import asyncio
+import random
 import signal
 from typing import Self
 
 from sycamore_core.clock import SystemClock
-from sycamore_core.decisions import NaiveScheduler
+from sycamore_core.decisions import FairScheduler
 from sycamore_core.errors import PlatformError
-from sycamore_core.settings import EntryProcessSettings
+from sycamore_core.ids import SettingsVersion
+from sycamore_core.settings import EntryProcessSettings, FleetSettings
 from tornado.httpserver import HTTPServer
 
 from .dispatcher import Dispatcher
@@ -36,7 +38,12 @@
     @classmethod
     def from_settings(cls, settings: EntryProcessSettings) -> Self:
         """Return a process with the parts that the settings ask for."""
-        scheduler = NaiveScheduler()
+        nothing_yet = FleetSettings(version=SettingsVersion(0), name='')
+        scheduler = FairScheduler.from_settings(
+            nothing_yet,
+            random.random,
+            settings.zone,
+        )
         clock = SystemClock()
         parts = EntryParts.from_settings(settings, scheduler, clock)
         return cls(settings, parts)
