Show a gauge once, also where two parts watch it

Cause: the keeper and the entry process both watch the age of the settings; the page then had the name twice, and the library warned of it. The new test fails on the code before and passes now; 56 tests of telemetry and platform pass.

--- a/packages/sycamore-core/src/sycamore_core/telemetry/metrics.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/metrics.py
@@ -70,6 +70,7 @@
         self.provider = MeterProvider([reader], shutdown_on_exit=False)
         self.meter = self.provider.get_meter(process)
         self.times = Histograms(self.meter)
+        self._gauges: dict[Gauge, Read] = {}
         self.refusals = self._tally('refusals', _REASON)
         self.retries = self._tally('retries', _REASON)
         self.cancels = self._tally('cancels', _REASON)
@@ -109,12 +110,15 @@
         self._settings_version.set(version)
 
     def watch(self, gauge: Gauge, read: Read) -> None:
-        """Show what `read` returns whenever the page is asked for."""
-        self.meter.create_observable_gauge(
-            gauge.value,
-            [reading(read)],
-            description=DESCRIPTIONS[gauge],
-        )
+        """Show what `read` returns whenever the page is asked for.
+
+        Where two parts of a process watch one gauge, the later one counts: a
+        page with a value twice cannot be read.
+        """
+        is_new = gauge not in self._gauges
+        self._gauges[gauge] = read
+        if is_new:
+            self._show(gauge)
 
     def watch_transport(self, counts: TransportCounts) -> None:
         """Show the counts of what passed between this process and peers."""
@@ -142,6 +146,13 @@
         """Return the Prometheus page."""
         return generate_latest(self.registry)
 
+    def _show(self, gauge: Gauge) -> None:
+        self.meter.create_observable_gauge(
+            gauge.value,
+            [reading(lambda: self._gauges[gauge]())],
+            description=DESCRIPTIONS[gauge],
+        )
+
     def _tally(self, name: str, label: str) -> Tally:
         words = name.replace('_', ' ')
         return Tally.from_meter(
--- a/packages/sycamore-core/src/sycamore_core/telemetry/tests/test_metrics.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/tests/test_metrics.py
@@ -62,6 +62,23 @@
     assert 'sycamore_transport_stale_total 2.0' in page
 
 
+def test_gauge_that_two_parts_watch_is_shown_once() -> None:
+    """Two parts of a process watch the age of the settings.
+
+    A page with one name and two values is refused by whatever reads it, and
+    the operators see nothing of the process.
+    """
+    metrics = Metrics('test')
+    metrics.watch(Gauge.SETTINGS_AGE, lambda: 1)
+    metrics.watch(Gauge.SETTINGS_AGE, lambda: 2)
+    values = [
+        line
+        for line in page_of(metrics)
+        if line.startswith('sycamore_settings_age_seconds ')
+    ]
+    assert values == ['sycamore_settings_age_seconds 2.0']
+
+
 def test_page_does_not_grow_with_workspaces_or_services() -> None:
     """Operators publish thousands of workspaces and many services.
 
