--- a/packages/sycamore-core/src/sycamore_core/messages/heartbeats.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/heartbeats.py
@@ -72,7 +72,14 @@
 
 
 class SettingsBody(BaseMessage, frozen=True):
-    """A whole published settings tree."""
+    """A whole published settings tree; version 0 for none.
+
+    Attributes
+    ----------
+    compressed
+        Whether `body` is in the zlib format.
+    """
 
     version: int
     body: bytes
+    compressed: bool = False
--- a/packages/sycamore-core/src/sycamore_core/platform/keeper.py
+++ b/packages/sycamore-core/src/sycamore_core/platform/keeper.py
@@ -17,12 +17,13 @@
 )
 from ..states import SettingsVerdict
 from ..telemetry import Gauge, Log, Metrics
+from .bodies import unpack
 from .claims import SettingsClaim
 from .http_sources import HttpSettingsSource
 from .pace import ReadPace
 from .peers import NoPeers, SettingsPeers
 from .readers import is_reader, rank_in_zone
-from .sources import PublishedSettings, SettingsSource
+from .sources import SettingsSource
 from .view import SettingsView
 from .watch import PlatformWatch
 
@@ -160,9 +161,12 @@
         self._changed.set()
         if offered.version <= 0:
             return SettingsVerdict.OLDER
-        verdict = self.view.accepted.offer(
-            PublishedSettings(SettingsVersion(offered.version), offered.body),
-        )
+        try:
+            published = unpack(offered)
+        except PlatformError as error:
+            self.log.warning('settings_of_peer_unreadable', reason=str(error))
+            return SettingsVerdict.INVALID
+        verdict = self.view.accepted.offer(published)
         if verdict is SettingsVerdict.ACCEPTED:
             # The platform has not shown this tree yet: look whether it will.
             self.watch.recheck_soon()
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/platform/tests/test_bodies.py
@@ -0,0 +1,57 @@
+"""Tests of settings on their way between peers."""
+
+import zlib
+
+import pytest
+
+from ...errors import PlatformError
+from ...ids import SettingsVersion
+from ...messages import SettingsBody
+from ...states import SettingsVerdict
+from .. import MAX_SETTINGS_BYTES, PublishedSettings
+from ..bodies import pack, unpack
+from .builders import FakeSource, make_keeper, tree
+
+
+def test_tree_of_any_allowed_size_arrives_as_it_was_sent() -> None:
+    body = bytes(number % 256 for number in range(MAX_SETTINGS_BYTES))
+    published = PublishedSettings(SettingsVersion(4), body)
+    packed = pack(published)
+    assert unpack(packed) == published
+    assert len(packed.body) < len(body)
+
+
+def test_tree_of_an_older_process_is_not_compressed() -> None:
+    published = tree(4)
+    assert unpack(SettingsBody(4, published.body)) == published
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'not compressed',
+        zlib.compress(b' ' * (MAX_SETTINGS_BYTES + 1)),
+        zlib.compress(b'{}' * 1000)[:-4],
+    ],
+)
+def test_unreadable_settings_of_a_peer_change_nothing(body: bytes) -> None:
+    """A peer sends settings that are damaged or would fill the memory.
+
+    The task of that peer would end, and nothing of it would be heard again.
+    """
+    message = SettingsBody(9, body, compressed=True)
+    with pytest.raises(PlatformError):
+        unpack(message)
+    keeper = make_keeper(FakeSource())
+    assert keeper.offer_from_peer(message) is SettingsVerdict.INVALID
+    assert keeper.version == 0
+
+
+def test_version_is_compressed_once_for_all_peers() -> None:
+    keeper = make_keeper(FakeSource())
+    keeper.offer_from_peer(pack(tree(4)))
+    first = keeper.body
+    assert first.compressed
+    assert keeper.body is first
+    keeper.offer_from_peer(pack(tree(5)))
+    assert unpack(keeper.body) == tree(5)
--- a/packages/sycamore-core/src/sycamore_core/platform/tests/test_convergence.py
+++ b/packages/sycamore-core/src/sycamore_core/platform/tests/test_convergence.py
@@ -17,6 +17,7 @@
 from ...telemetry import Metrics
 from .. import PublishedSettings, ReadPace, SettingsSource, TreeRank
 from ..accepted import NOTHING_HELD
+from ..bodies import unpack
 from ..view import SettingsView
 from ..watch import PlatformWatch
 from .builders import invalid, tree
@@ -70,8 +71,7 @@
         wanted = self.view.hear(other.view.claim(now), now)
         answer = other.view.answer(wanted) if wanted else None
         if answer is not None:
-            version = SettingsVersion(answer.version)
-            self.view.accepted.offer(PublishedSettings(version, answer.body))
+            self.view.accepted.offer(unpack(answer))
             self.watch.recheck_soon()
 
 
--- a/packages/sycamore-core/src/sycamore_core/platform/view.py
+++ b/packages/sycamore-core/src/sycamore_core/platform/view.py
@@ -6,6 +6,7 @@
 from ..messages import SettingsBody, SettingsWanted
 from ..states import SettingsVerdict
 from .accepted import NOTHING_HELD, AcceptedSettings, TreeRank
+from .bodies import NO_SETTINGS, pack
 from .claims import SettingsClaim
 from .sources import PublishedSettings
 
@@ -37,14 +38,20 @@
         self.accepted = AcceptedSettings()
         self.platform_rank = NOTHING_HELD
         self.confirmed_at = -math.inf
+        self._packed = NO_SETTINGS
+        self._packed_rank = NOTHING_HELD
 
     @property
     def body(self) -> SettingsBody:
         """Return the tree in force as a message; version 0 for none yet."""
         published = self.accepted.published
         if published is None:
-            return SettingsBody(version=0, body=b'')
-        return SettingsBody(version=published.version, body=published.body)
+            return NO_SETTINGS
+        if self._packed_rank != self.accepted.rank:
+            # Many peers ask for one version; it is compressed once.
+            self._packed = pack(published)
+            self._packed_rank = self.accepted.rank
+        return self._packed
 
     @property
     def highest_seen(self) -> SettingsVersion:
