Make the test of a dropped call one that libcurl would repeat

Cause: the test sent a body, of which libcurl has nothing left for a second try, so it passed without the guard as well (trial). A call without a body is repeated: without FRESH_CONNECT and FORBID_REUSE the service gets 3 calls for 2 requests (1 failed); with them 2 (1 passed).

--- a/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/answers.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/answers.py
@@ -59,7 +59,8 @@
     @property
     def has_room(self) -> bool:
         """Whether the window lets another frame be read from the engine."""
-        return len(self.frames) - 1 - self.acked < WINDOW_FRAMES
+        waiting = len(self.frames) - 1 - self.acked
+        return waiting < WINDOW_FRAMES
 
     def add(
         self,
@@ -127,7 +128,8 @@
 
     def rewind(self, after: int) -> None:
         """Let the frames after `after` be posted again."""
-        last = min(max(after, -1), len(self.frames) - 1)
+        newest = len(self.frames) - 1
+        last = min(max(after, -1), newest)
         self.acked = last
         self.posted = last
 
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/tests/test_process.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/tests/test_process.py
@@ -305,7 +305,7 @@
     async def story() -> None:
         DroppingService.calls.clear()
         service = Application([('/.*', DroppingService)])
-        plain = {'prompt_tokens': 0, 'max_output_tokens': 0}
+        plain = {'payload': b'', 'prompt_tokens': 0, 'max_output_tokens': 0}
         async with running(
             tmp_path,
             FakeEngine(),
