--- a/packages/sycamore-core/src/sycamore_core/transport/node.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/node.py
@@ -140,7 +140,7 @@
             return
         peer.last_heard = now
         for message in parcel.messages:
-            peer.receive(message)
+            peer.receive(message, now - age)
 
     async def _sweep(self) -> None:
         while True:
--- a/packages/sycamore-core/src/sycamore_core/transport/peer.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/peer.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 
+import msgspec
 import pynng
 
 from ..clock import Clock
@@ -25,6 +26,13 @@
 SEND_TIMEOUT_MS = 500
 
 
+class Received(msgspec.Struct, frozen=True):
+    """A message and when it was sent, on the receiver's monotonic clock."""
+
+    message: Message
+    sent_at: float
+
+
 class Peer:
     """Another process, known by the address at which it listens.
 
@@ -50,6 +58,7 @@
         self.ages = PacketAges()
         self.last_heard: float = 0
         self.inbound: asyncio.Queue[Message] = asyncio.Queue(INBOX_MESSAGES)
+        self._sent_at: deque[float] = deque(maxlen=INBOX_MESSAGES)
         self._outbox: deque[Message] = deque()
         self._wake = asyncio.Event()
         self._urgent = asyncio.Event()
@@ -76,12 +85,26 @@
             self._urgent.set()
         return True
 
-    def receive(self, message: Message) -> None:
-        """Queue a message that came from the peer, or drop it if full."""
+    async def take(self) -> 'Received':
+        """Wait for the next message and return it with its time of sending."""
+        message = await self.inbound.get()
+        behind = self.inbound.qsize()
+        return Received(message, self._sent_at[-1 - behind])
+
+    def receive(self, message: Message, sent_at: float = 0) -> None:
+        """Queue a message that came from the peer, or drop it if full.
+
+        Parameters
+        ----------
+        sent_at
+            When it was sent, on the monotonic clock of this process.
+        """
         try:
             self.inbound.put_nowait(message)
         except asyncio.QueueFull:
             self.counts.inbox_full += 1
+        else:
+            self._sent_at.append(sent_at)
 
     async def run(self) -> None:
         """Send what is posted until cancelled."""
--- a/packages/sycamore-core/src/sycamore_core/transport/tests/test_node.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/tests/test_node.py
@@ -81,3 +81,19 @@
     The sender must not wait for ever, or its queue would fill for good.
     """
     assert asyncio.run(send_to_nobody()) == 1
+
+
+async def times_of_sending() -> list[float]:
+    node = make_node('late', Recorder())
+    peer = Peer('tcp://127.0.0.1:1', node.codec, node.clock, node.counts)
+    peer.receive(SettingsWanted(1), sent_at=3)
+    peer.receive(SettingsWanted(2), sent_at=4)
+    return [(await peer.take()).sent_at, (await peer.take()).sent_at]
+
+
+def test_message_is_taken_with_its_time_of_sending() -> None:
+    """A process sleeps while offers wait for it.
+
+    It must know how old each is, or it would run what was given up.
+    """
+    assert asyncio.run(times_of_sending()) == [3, 4]
