--- a/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/answers.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/answers.py
@@ -110,10 +110,11 @@
 
     def due(self) -> Series[Frame]:
         """Return the frames to post now and count them as posted."""
-        last = min(len(self.frames) - 1, self.acked + WINDOW_FRAMES)
-        frames = self.frames[self.posted + 1 : last + 1]
-        self.posted = max(self.posted, last)
-        return frames
+        first = self.posted + 1
+        beyond = self.acked + 1 + WINDOW_FRAMES
+        due = self.frames[first:beyond]
+        self.posted += len(due)
+        return due
 
     def acknowledge(self, sequence: int) -> None:
         """Note that the entry handed on the frames up to `sequence`.
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/runner.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/runner.py
@@ -3,15 +3,19 @@
 import asyncio
 from contextlib import aclosing
 
-from sycamore_core.clock import Clock
 from sycamore_core.errors import BackendError
 from sycamore_core.ids import RequestId
 from sycamore_core.states import Execution, Outcome, RefusalReason
 from sycamore_core.telemetry import Log
 from sycamore_core.transport import Node
 
+from .admission import Admission
 from .backends import Backend, Piece
-from .errors import BackendBusyError, NotStartedError
+from .errors import (
+    BackendBusyError,
+    GroupUnavailableError,
+    NotStartedError,
+)
 from .ledger import LeaseKey, LeaseKind, MemoryLedger, RunLedger, RunRecord
 
 
@@ -32,13 +36,14 @@
         memory: MemoryLedger,
         backend: Backend,
         node: Node,
-        clock: Clock,
+        admission: Admission,
     ) -> None:
         self.runs = runs
         self.memory = memory
         self.backend = backend
         self.node = node
-        self.clock = clock
+        self.admission = admission
+        self.clock = admission.state.clock
         self.log = Log('endpoint.run')
         self.tasks: dict[RequestId, asyncio.Task[None]] = {}
         self._room: dict[RequestId, asyncio.Event] = {}
@@ -94,14 +99,10 @@
     async def _run(self, record: RunRecord) -> None:
         try:
             await self._answer(record)
-        except NotStartedError as error:
-            self.runs.not_started(record)
-            self._fail(record, error, RefusalReason.DEADLINE_PASSED)
-        except BackendBusyError as error:
-            self.runs.not_started(record)
-            self._fail(record, error, RefusalReason.MEMORY_FULL)
         except BackendError as error:
-            self._fail(record, error, RefusalReason.BACKEND_FAILED)
+            if isinstance(error, _NOT_RUN):
+                self.runs.not_started(record)
+            self._fail(record, error, _reason_of(error))
         self.post_due(record)
 
     async def _answer(self, record: RunRecord) -> None:
@@ -110,7 +111,7 @@
             return
         pieces = self.backend.pieces(
             offer,
-            lambda: self.runs.start(record, self.clock.monotonic()),
+            lambda: self.admission.may_start(record),
             record.deadline - self.clock.monotonic(),
         )
         async with aclosing(pieces):
@@ -177,3 +178,14 @@
         return False
     close = answer.frames[-1].close
     return close is not None and close.outcome is Outcome.COMPLETE
+
+
+_NOT_RUN = (NotStartedError, BackendBusyError)
+
+
+def _reason_of(error: BackendError) -> RefusalReason:
+    if isinstance(error, GroupUnavailableError):
+        return RefusalReason.GROUP_UNAVAILABLE
+    if isinstance(error, BackendBusyError):
+        return RefusalReason.MEMORY_FULL
+    return RefusalReason.BACKEND_FAILED
