Do not take an endpoint's ignorance for the loss of an answer elsewhere

Cause: a caller that comes back has all endpoints of the service asked; the ones that never saw the request answer too, and the stream took their reports for one of its own endpoint and gave the answer up. Ruled out: the relay and the silence of the endpoint (it was heard throughout). Conclusion: a report counts only if it comes from the endpoint that streams.

--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/stream.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/stream.py
@@ -22,6 +22,9 @@
 SILENCE_PATIENCE_SECONDS = 5.0
 
 
+_ABSENT = frozenset((RunState.NEVER_SEEN, RunState.WITHDRAWN))
+
+
 class AnswerLostError(EntryError):
     """The endpoint process that ran the request is gone with its answer."""
 
@@ -112,7 +115,10 @@
             if event.restarted:
                 raise AnswerLostError(event.endpoint)
             return
-        if event.state in {RunState.NEVER_SEEN, RunState.WITHDRAWN}:
+        # A caller that came back had all endpoints of the service asked; that
+        # the others have never seen the request says nothing of this one.
+        is_mine = event.endpoint == self.link.endpoint
+        if is_mine and event.state in _ABSENT:
             raise AnswerLostError(self.link.endpoint)
 
 
--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/builders.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from typing import cast
 
+import msgspec
 from sycamore_core.clock import SystemClock
 from sycamore_core.decisions import EndpointView, NaiveScheduler, RequestView
 from sycamore_core.ids import (
@@ -15,7 +16,14 @@
     WorkspaceId,
     ZoneId,
 )
-from sycamore_core.messages import Close, Frame, LoadReport, Message, Offer
+from sycamore_core.messages import (
+    Close,
+    Frame,
+    LoadReport,
+    Message,
+    Offer,
+    RunReport,
+)
 from sycamore_core.states import EndpointPhase, PromptBand
 from sycamore_core.telemetry import Attainment, Log, Metrics
 from sycamore_core.transport import Peer
@@ -35,7 +43,13 @@
 class ScriptedPeer:
     """Answers what is posted to it by a function, at once."""
 
-    def __init__(self, registry: ExchangeRegistry, answer: Answer) -> None:
+    def __init__(
+        self,
+        endpoint: EndpointId,
+        registry: ExchangeRegistry,
+        answer: Answer,
+    ) -> None:
+        self.endpoint = endpoint
         self.registry = registry
         self.answer = answer
         self.posted: list[Message] = []
@@ -43,12 +57,17 @@
     def post(self, message: Message, *, urgent: bool = True) -> bool:
         self.posted.append(message)
         for event in self.answer(message):
-            self.registry.deliver(REQUEST, event)
+            self.registry.deliver(REQUEST, self._located(event))
         return True
 
     def posted_of(self, kind: type) -> list[Message]:
         return [message for message in self.posted if isinstance(message, kind)]
 
+    def _located(self, event: ExchangeEvent) -> ExchangeEvent:
+        if isinstance(event, RunReport):
+            return msgspec.structs.replace(event, endpoint=self.endpoint)
+        return event
+
 
 def make_offer(attempt: Attempt) -> Offer:
     return Offer(
@@ -140,8 +159,8 @@
     name: str,
     answer: Answer,
 ) -> ScriptedPeer:
-    peer = ScriptedPeer(context.registry, answer)
     endpoint = EndpointId(name)
+    peer = ScriptedPeer(endpoint, context.registry, answer)
     context.links.links[endpoint] = EndpointLink(
         endpoint=endpoint,
         address=name,
