Leave less room to short turns where a long prompt needs it

Cause: test_prompt_beyond_one_engine failed in four runs of four: three engines of 20,000 tokens less a quarter each hold 45,000, and the prompt with its output is longer. It was found too long, waited, and ran into its time limit.

Ruled out: the busy machine (it failed alone too), and a smaller quarter for all, which would take the room from short turns on large fleets.

Before: prompt_too_long. After: a group of three, and the process test passes (run once, alone). A prompt beyond even that is still prompt_too_long; the scheduler lets it wait to its time limit instead of refusing it at once.

--- a/packages/sycamore-core/src/sycamore_core/decisions/long_limits.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/long_limits.py
@@ -20,6 +20,9 @@
 #: Part of an engine's memory that a long prompt leaves free. A quarter of
 #: 400,000 tokens are 25 of the largest short turns at once.
 SHORT_ROOM_SHARE = 0.25
+#: Part that is left free for a prompt that a small fleet could not hold
+#: otherwise: four short turns of 5,000 tokens at a time on 400,000.
+LEAST_ROOM_SHARE = 0.05
 
 
 class LongLimits(msgspec.Struct, frozen=True):
@@ -81,10 +84,13 @@
         return self.engines > 0 or candidate.view.long_tokens > 0
 
 
-def room_for_long(candidate: Candidate) -> int:
+def room_for_long(
+    candidate: Candidate,
+    short_room_share: float = SHORT_ROOM_SHARE,
+) -> int:
     """Return the tokens that long work may take of an engine now."""
     view = candidate.view
     if candidate.weight <= 0 or view.phase != EndpointPhase.LIVE:
         return 0
-    short_room = math.ceil(view.capacity_tokens * SHORT_ROOM_SHARE)
+    short_room = math.ceil(view.capacity_tokens * short_room_share)
     return max(0, view.free_tokens - candidate.sent_tokens - short_room)
--- a/packages/sycamore-core/src/sycamore_core/decisions/long_prompts.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/long_prompts.py
@@ -15,7 +15,12 @@
 import msgspec
 
 from ..ids import EndpointId, ZoneId
-from .long_limits import SHORT_ROOM_SHARE, LongLimits, room_for_long
+from .long_limits import (
+    LEAST_ROOM_SHARE,
+    SHORT_ROOM_SHARE,
+    LongLimits,
+    room_for_long,
+)
 from .pool import Candidate
 from .requests import RequestView
 
@@ -83,11 +88,12 @@
     limits
         What long work may still take of the candidates.
     """
-    if request.lease_tokens > _largest_prompt(candidates):
+    short_room = short_room_share(request, candidates)
+    if short_room is None:
         return GroupPlan(reason=GroupReason.PROMPT_TOO_LONG)
     if request.lease_tokens > limits.tokens:
         return GroupPlan(reason=GroupReason.LONG_WORK_FULL)
-    rooms = _rooms(request, candidates)
+    rooms = _rooms(request, candidates, short_room)
     if sum(room.tokens for room in rooms) < request.lease_tokens:
         return GroupPlan(reason=GroupReason.MEMORY_FULL)
     for choice in _by_zone(rooms):
@@ -100,14 +106,26 @@
     return GroupPlan(reason=GroupReason.LONG_WORK_FULL)
 
 
-def _largest_prompt(candidates: Sequence[Candidate]) -> float:
+def short_room_share(
+    request: RequestView,
+    candidates: Sequence[Candidate],
+) -> float | None:
+    """Return the part of each engine that a prompt leaves to short turns.
+
+    It is the usual one if all engines together, when empty, hold the prompt
+    beside it, else the least one; None if they hold it in neither case.
+    """
     capacity = sum(one.view.capacity_tokens for one in candidates)
-    return capacity * (1 - SHORT_ROOM_SHARE)
+    for share in (SHORT_ROOM_SHARE, LEAST_ROOM_SHARE):
+        if request.lease_tokens <= capacity * (1 - share):
+            return share
+    return None
 
 
 def _rooms(
     request: RequestView,
     candidates: Iterable[Candidate],
+    short_room: float,
 ) -> list[_Room]:
     # The fewest engines are filled by more than half each, so the last span
     # has room for the output if half of it is more than that.
@@ -116,7 +134,7 @@
         _Room(
             candidate.view.endpoint,
             candidate.view.zone,
-            room_for_long(candidate),
+            room_for_long(candidate, short_room),
             holds_long=candidate.view.long_tokens > 0,
         )
         for candidate in candidates
