--- /dev/null
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/parts.py
@@ -0,0 +1,132 @@
+"""The parts of one endpoint process, put together."""
+
+import dataclasses
+import time
+from typing import Self
+
+from sycamore_core.clock import Clock
+from sycamore_core.identity import RequestIdSigner
+from sycamore_core.ids import Incarnation, PeerId
+from sycamore_core.messages import PacketCodec, PeerKeys
+from sycamore_core.platform import SeedPeers, SettingsKeeper
+from sycamore_core.settings import EndpointProcessSettings, FleetSettings
+from sycamore_core.telemetry import Gauge, Metrics
+from sycamore_core.transport import Node, NodeAddress, Peer
+
+from .gate import Gate, make_gate
+from .keys.keeper import KeyKeeper
+from .ledger import MemoryLedger, RunLedger
+from .reports import Reporter
+from .reservations import Reservations
+from .state import EndpointState
+
+
+@dataclasses.dataclass
+class EndpointParts:
+    """What is there before the first settings: ledgers, node and keeper."""
+
+    settings: EndpointProcessSettings
+    state: EndpointState
+    runs: RunLedger
+    memory: MemoryLedger
+    node: Node
+    keeper: SettingsKeeper
+    reporter: Reporter
+    reservations: Reservations
+    keys: KeyKeeper
+    metrics: Metrics
+    gate: Gate | None = None
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: EndpointProcessSettings,
+        clock: Clock,
+    ) -> Self:
+        """Put the parts of one process together."""
+        keys = PeerKeys.from_files(
+            settings.peer_keys.files,
+            settings.peer_keys.signing,
+        )
+        incarnation = Incarnation(time.time_ns())
+        state = EndpointState(settings.name, settings.zone, incarnation, clock)
+        metrics = Metrics(settings.name)
+        runs = RunLedger()
+        memory = MemoryLedger(0)
+        node = _make_node(settings, keys, incarnation, clock)
+        seeds = SeedPeers(node, settings.seed_peers)
+        keeper = SettingsKeeper.from_settings(settings, metrics, seeds)
+        parts = cls(
+            settings=settings,
+            state=state,
+            runs=runs,
+            memory=memory,
+            node=node,
+            keeper=keeper,
+            reporter=Reporter(state, memory, runs, keeper),
+            reservations=Reservations(
+                runs,
+                RequestIdSigner(keys),
+                settings.name,
+                incarnation,
+                clock,
+            ),
+            keys=KeyKeeper(state, keeper),
+            metrics=metrics,
+        )
+        node.serve_peer = parts.serve_peer
+        parts.show()
+        return parts
+
+    def show(self) -> None:
+        """Put the state of the moment on the metrics page."""
+        self.metrics.watch_transport(self.node.counts)
+        memory = self.memory
+        self.metrics.watch(Gauge.LEASES, lambda: len(memory.leases))
+        self.metrics.watch(Gauge.LEASED_TOKENS, lambda: memory.leased_tokens)
+        self.metrics.watch(Gauge.FREE_TOKENS, lambda: memory.free_tokens)
+        runs = self.runs
+        self.metrics.watch(Gauge.RUNNING, lambda: len(runs.in_progress()))
+
+    async def serve_peer(self, peer: Peer) -> None:
+        """Handle the messages of one peer until cancelled."""
+        await self.keeper.wait_first(self.settings.start_seconds)
+        if self.gate is not None:
+            await self.gate.desk.serve(peer)
+
+    def take_settings(self, fleet: FleetSettings) -> None:
+        """Take settings into force; the first ones say what stands behind.
+
+        Raises
+        ------
+        SettingsError
+            If they do not list this endpoint.
+        """
+        self.state.adopt(fleet)
+        own = self.state.own
+        if own is None:
+            return
+        self.keys.look()
+        self.memory.capacity_tokens = own.endpoint.capacity_tokens
+        if self.gate is None:
+            self.gate = make_gate(self, own.service.kind)
+
+
+def _make_node(
+    settings: EndpointProcessSettings,
+    keys: PeerKeys,
+    incarnation: Incarnation,
+    clock: Clock,
+) -> Node:
+    advertise = settings.advertise or settings.listen
+    codec = PacketCodec(keys, PeerId(settings.name), incarnation, advertise)
+    return Node(
+        NodeAddress(settings.listen, advertise),
+        codec,
+        clock,
+        _serve_nobody,
+    )
+
+
+async def _serve_nobody(peer: Peer) -> None:
+    """Stand for the handler of peers until the parts are put together."""
