Count the deadline of an offer from when it was sent

Cause: an offer that waited in a socket would get its whole time limit again. Ruled out: comparing wall clocks, which may differ by half a minute. Conclusion: the age of its packet is taken off the time that is left.

--- a/packages/sycamore-endpoint/src/sycamore_endpoint/desk.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/desk.py
@@ -60,9 +60,12 @@
     async def serve(self, peer: Peer) -> None:
         """Handle the messages of one peer until cancelled."""
         while True:
-            message = await peer.inbound.get()
+            received = await peer.take()
             self.owners.hear(owner_of(peer), self.runner.clock.monotonic())
-            self.handle(message, peer)
+            if isinstance(received.message, Offer):
+                self.take_offer(received.message, peer, received.sent_at)
+            else:
+                self.handle(received.message, peer)
 
     @functools.singledispatchmethod
     def handle(self, message: Message, peer: Peer) -> None:
@@ -70,11 +73,9 @@
         if self.groups is not None:
             self.groups.handle(message, peer)
 
-    @handle.register
-    def take_offer(self, message: Offer, peer: Peer) -> None:
+    def take_offer(self, message: Offer, peer: Peer, sent_at: float) -> None:
         """Accept or decline an offer, and begin to run it."""
         owner = owner_of(peer)
-        sent_at = self.runner.clock.monotonic()
         answer = self.admission.consider(message, owner, sent_at)
         peer.post(answer)
         if isinstance(answer, Declined):
