Order the model of the settings from the engine, fenced

An engine that ignores fencing is left alone for the longest order time after a start or a pause. Loads take turns at the weight store.

--- a/packages/sycamore-endpoint/src/sycamore_endpoint/gate.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/gate.py
@@ -18,6 +18,7 @@
 from .housekeeping import Housekeeping
 from .keys.keeper import KeyKeeper
 from .ledger import MemoryLedger, OwnerLeases, RunLedger
+from .orders import OrderKeeper
 from .reports import Reporter
 from .reservations import Reservations
 from .runner import Runner
@@ -34,14 +35,15 @@
 
     Attributes
     ----------
-    watch
-        None for a plain service, which reports no load.
+    watch, orders
+        None for a plain service, which reports no load and takes no orders.
     """
 
     desk: Desk
     runner: Runner
     housekeeping: Housekeeping
     watch: EngineWatch | None = None
+    orders: OrderKeeper | None = None
 
 
 class GateParts(Protocol):
@@ -85,9 +87,23 @@
         parts.reporter,
         control,
     )
+    gate.orders = _make_orders(parts, control)
     return gate
 
 
+def _make_orders(parts: GateParts, control: ControlClient) -> OrderKeeper:
+    weights_url = parts.settings.weights_url
+    weights = None
+    if weights_url:
+        weights = ControlClient(weights_url, control.client)
+    return OrderKeeper(
+        parts.state,
+        control,
+        weights,
+        checks_fencing=parts.settings.engine_checks_fencing,
+    )
+
+
 def _assemble(parts: GateParts, backend: Backend) -> Gate:
     admission = Admission(
         parts.state,
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/process.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/process.py
@@ -81,8 +81,9 @@
             self.departure.begin('no usable settings')
             return
         self._tasks.append(asyncio.create_task(gate.housekeeping.run()))
-        if gate.watch is not None:
-            self._tasks.append(asyncio.create_task(gate.watch.run()))
+        for part in (gate.watch, gate.orders):
+            if part is not None:
+                self._tasks.append(asyncio.create_task(part.run()))
         self.log.info('endpoint_ready', settings_version=keeper.version)
 
     async def _wait_for_end(self) -> None:
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/tests/scene.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/tests/scene.py
@@ -67,6 +67,7 @@
     engine: FakeEngine,
     backend: Application | None = None,
     kind: str = 'model',
+    model: str = '',
 ) -> AsyncIterator[Scene]:
     """Run one endpoint process; at the end all answers count as taken."""
     platform = FakePlatform({})
@@ -77,7 +78,7 @@
     ):
         settings = make_settings(directory, backend_url, platform_url)
         tree = make_tree(settings.listen)
-        tree['services'] = {'chat': {'kind': kind}}
+        tree['services'] = {'chat': {'kind': kind, 'model': model}}
         platform.tree = tree
         process = EndpointProcess.from_settings(settings)
         task = asyncio.create_task(process.run())
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/tests/test_process.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/tests/test_process.py
@@ -282,6 +282,18 @@
     asyncio.run(story())
 
 
+def test_engine_is_made_to_load_its_model(tmp_path: Path) -> None:
+    async def story() -> None:
+        engine = FakeEngine()
+        async with running(tmp_path, engine, model='m1'):
+            await wait_until(lambda: bool(engine.orders))
+            order = engine.orders[0]
+            assert order['model'] == 'm1'
+            assert order['fencing'] > 1 << 34
+
+    asyncio.run(story())
+
+
 class DroppingService(RequestHandler):
     """Records each call; the second one loses its connection."""
 
