--- a/packages/sycamore-core/src/sycamore_core/decisions/tracked.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/tracked.py
@@ -8,31 +8,33 @@
 be given up at no cost, or go to another endpoint.
 
 An endpoint is open for a band while little work of this band or a shorter one
-is before its prefill, and while its batch has room. The engine serves shorter
-bands first, so what is longer does not close it for them.
+waits there for its first token. The engine serves shorter bands first, so what
+is longer does not close it for them. A full batch closes it too, because then
+first tokens do not come.
 """
 
 import copy
-import math
 
 import msgspec
 
-from ..states import EndpointPhase, PromptBand
+from ..ids import EndpointId
+from ..states import EndpointKind, EndpointPhase, PromptBand
+from .batch_limit import EXPECTED_STEPS, BatchLimit
 from .estimates import ASSUMED_RATE
 from .ordering import PRIORITY
 from .pool import Candidate, CandidatePool
 from .requests import RequestView
 from .views import EndpointView
 
-#: Prefill that may be queued at an engine, in seconds: one chunk of 4,096
-#: tokens at 20,000 a second, so that the next step is always full while the
-#: one after it is still decided here.
-WINDOW_SECONDS = 0.2
-#: How many sequences more an engine is tried with after a report that shows
-#: no queue at its limit.
-LIMIT_STEP = 1
-#: Least limit of sequences at an endpoint.
-LEAST_LIMIT = 2
+#: Prefill that may be queued at an engine before another request is sent, in
+#: seconds: a fifth of the tightest target, 0.49 s.
+WINDOW_SECONDS = 0.1
+#: Backlog of other entries, in seconds of prefill, from which a long prompt is
+#: taken to be in it; the windows of ten entries are a second.
+LONG_SECONDS = 1.0
+#: Calls at a plain service at once. At 50 ms a call it is 640 calls a second of
+#: one replica, beyond which a longer queue there only makes calls late.
+PLAIN_CALLS = 32
 
 
 class TrackedCandidate(Candidate, kw_only=True):
@@ -49,10 +51,12 @@
         priority of their band.
     own_tokens, own_long_tokens
         Memory that requests of this entry lease, in tokens.
+    open_bands
+        For how many bands it is open, as `refresh` has worked out.
     last_requests, last_new_tokens
         What this entry had there at the report before.
-    sequence_limit
-        Requests beyond which the engine queues, as the reports imply.
+    batch
+        Requests beyond which they wait for a place in the batch.
     """
 
     pending: list[int] = msgspec.field(
@@ -60,9 +64,10 @@
     )
     own_tokens: int = 0
     own_long_tokens: int = 0
+    open_bands: int = 0
     last_requests: int = 0
     last_new_tokens: int = 0
-    sequence_limit: float = math.inf
+    batch: BatchLimit = msgspec.field(default_factory=BatchLimit)
 
     @property
     def live_part(self) -> float:
@@ -75,9 +80,16 @@
         return self.view.service_rate or ASSUMED_RATE
 
     @property
-    def holds_long(self) -> bool:
-        """Whether a prompt of the bands `LONG` or `HUGE` is computed there."""
-        return any(self.pending[PRIORITY[PromptBand.LONG] :])
+    def present(self) -> int:
+        """Requests there, of this entry and of the others."""
+        return self.sent_requests + self.view.running
+
+    @property
+    def is_calm(self) -> bool:
+        """Whether no long prompt is being computed there, as far as known."""
+        if any(self.pending[PRIORITY[PromptBand.LONG] :]):
+            return False
+        return self.view.backlog_tokens < self.rate * LONG_SECONDS
 
     def has_room(self, request: RequestView) -> bool:
         """Tell whether the request should go there now, if any should."""
@@ -85,12 +97,29 @@
 
     def is_open(self, band: PromptBand) -> bool:
         """Tell whether a little more work of a band may be queued there."""
+        return PRIORITY[band] < self.open_bands
+
+    def refresh(self) -> None:
+        """Work out anew for how many bands it is open, shortest first."""
+        self.open_bands = 0
         if not self.live_part:
-            return False
-        if self.sent_requests + self.view.running >= self.sequence_limit:
-            return False
-        ahead = sum(self.pending[: PRIORITY[band] + 1])
-        return ahead < self.rate * WINDOW_SECONDS
+            return
+        if self.view.kind == EndpointKind.PLAIN:
+            if self.present < PLAIN_CALLS:
+                self.open_bands = len(PRIORITY)
+            return
+        if self.present >= self.batch.requests:
+            return
+        room = self.rate * WINDOW_SECONDS
+        for tokens in self.pending:
+            room -= tokens
+            if room <= 0:
+                return
+            self.open_bands += 1
+
+    def tokens_ahead(self, band: PromptBand) -> int:
+        """Return the prompt tokens that the engine computes before a band."""
+        return sum(self.pending[: PRIORITY[band] + 1])
 
     def take_report(self, report: EndpointView) -> None:
         """Take a report, less what this entry is known to have there.
@@ -99,7 +128,6 @@
         had at the time of the report is not known exactly: the larger of now
         and a report ago is taken off, so that nothing is counted twice.
         """
-        self._learn_limit(report)
         view = copy.copy(report)
         had_requests = max(self.sent_requests, self.last_requests)
         view.running = max(0, report.running + report.waiting - had_requests)
@@ -120,10 +148,23 @@
         self._pend(request, new_tokens)
         self._lease(request, lease)
 
-    def note_first_token(self, request: RequestView, new_tokens: int) -> None:
-        """Note that a prompt sent there has been computed."""
+    def clear_pending(self, request: RequestView, new_tokens: int) -> None:
+        """Note that a prompt sent there needs no more prefill."""
         self._pend(request, -new_tokens)
 
+    def note_first_token(self, seconds: float, tokens_ahead: int) -> None:
+        """Learn from the time that a first token has taken.
+
+        Parameters
+        ----------
+        tokens_ahead
+            Prompt tokens that were computed before it, its own included.
+        """
+        steps = EXPECTED_STEPS * self.view.step_seconds
+        if steps:
+            late = seconds - steps - tokens_ahead / self.rate
+            self.batch.note_first_token(late, self.present)
+
     def drop(self, request: RequestView, lease: int) -> None:
         """Note that a request is no longer there."""
         self.sent_requests -= 1
@@ -140,18 +181,14 @@
             self.own_long_tokens += lease
             self.view.long_tokens = max(0, self.view.long_tokens + lease)
 
-    def _learn_limit(self, report: EndpointView) -> None:
-        if report.waiting:
-            self.sequence_limit = max(LEAST_LIMIT, report.running)
-        elif report.running >= self.sequence_limit:
-            self.sequence_limit += LIMIT_STEP
-
 
 class TrackedPool(CandidatePool):
     """The endpoints of one service, and which are open for short work.
 
     Attributes
     ----------
+    calm
+        Those of the open endpoints that compute no long prompt.
     open
         Endpoints that are open, in no special order; found without a walk
         over all of them, as almost all are closed when the fleet is full.
@@ -162,15 +199,22 @@
     def __init__(self) -> None:
         super().__init__()
         self.open = CandidatePool()
+        self.calm = CandidatePool()
         self.version = 0
         self._live: float | None = None
 
     def refresh(self, candidate: TrackedCandidate) -> None:
         """Sort an endpoint in after a change."""
-        if candidate.is_open(PromptBand.SHORT):
-            self.open.put(candidate)
-        else:
-            self.open.remove(candidate.view.endpoint)
+        candidate.refresh()
+        is_open = candidate.is_open(PromptBand.SHORT)
+        _sort_in(self.open, candidate, wanted=is_open)
+        _sort_in(self.calm, candidate, wanted=is_open and candidate.is_calm)
+
+    def forget(self, endpoint: EndpointId) -> None:
+        """Take an endpoint out."""
+        for pool in (self, self.open, self.calm):
+            pool.remove(endpoint)
+        self.forget_live()
 
     def live(self) -> float:
         """Return how many endpoints take work, each counted by its weight."""
@@ -181,3 +225,15 @@
     def forget_live(self) -> None:
         """Count anew what takes work, as an endpoint has changed."""
         self._live = None
+
+
+def _sort_in(
+    pool: CandidatePool,
+    candidate: TrackedCandidate,
+    *,
+    wanted: bool,
+) -> None:
+    if wanted:
+        pool.put(candidate)
+    else:
+        pool.remove(candidate.view.endpoint)
