--- a/packages/sycamore-core/src/sycamore_core/transport/node.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/node.py
@@ -9,7 +9,7 @@
 from ..clock import Clock
 from ..errors import TransportError
 from ..messages import PacketCodec, Parcel
-from .ages import MAX_PACKET_AGE
+from .ages import MAX_PACKET_AGE, PacketAges
 from .counts import TransportCounts
 from .peer import Peer
 
@@ -19,6 +19,9 @@
 #: packet.
 FORGET_PEER_SECONDS = 120.0
 _SWEEP_SECONDS = 10.0
+#: Peers whose packet ages are remembered beyond their forgetting: three times
+#: the processes of the largest fleet planned, two numbers each.
+REMEMBERED_AGES = 4096
 
 PeerTask = Callable[[Peer], Awaitable[None]]
 
@@ -61,6 +64,7 @@
         self.serve_peer = serve_peer or _serve_nobody
         self.counts = TransportCounts()
         self.peers: dict[str, Peer] = {}
+        self._ages: dict[str, PacketAges] = {}
         self._tasks: dict[str, list[asyncio.Task[None]]] = {}
         self._own_tasks: list[asyncio.Task[None]] = []
         self._socket: pynng.Pull0 | None = None
@@ -102,6 +106,7 @@
         if known is not None:
             return known
         peer = Peer(address, self.codec, self.clock, self.counts)
+        peer.ages = self._ages_of(address)
         self.peers[address] = peer
         self._tasks[address] = [
             asyncio.create_task(peer.run()),
@@ -115,6 +120,18 @@
         for task in self._tasks.pop(address, ()):
             task.cancel()
 
+    def _ages_of(self, address: str) -> PacketAges:
+        """Return what is known of the ages of a peer's packets.
+
+        It outlives the peer. Otherwise a process that slept until it forgot
+        its peers would take the packets that waited for it for fresh ones.
+        """
+        ages = self._ages.pop(address, None) or PacketAges()
+        self._ages[address] = ages
+        while len(self._ages) > REMEMBERED_AGES:
+            self._ages.pop(next(iter(self._ages)))
+        return ages
+
     async def _receive(self, socket: pynng.Pull0) -> None:
         while True:
             received = await socket.arecv()
--- a/packages/sycamore-core/src/sycamore_core/transport/tests/test_node.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/tests/test_node.py
@@ -97,3 +97,24 @@
     It must know how old each is, or it would run what was given up.
     """
     assert asyncio.run(times_of_sending()) == [3, 4]
+
+
+async def age_after_forgetting() -> float:
+    node = make_node('sleeper', Recorder())
+    first = node.peer('tcp://127.0.0.1:1')
+    first.ages.observe(Incarnation(3), sent_at=100, received_at=10)
+    node.forget(first.address)
+    again = node.peer(first.address)
+    age = again.ages.observe(Incarnation(3), sent_at=101, received_at=311)
+    await node.close()
+    return age
+
+
+def test_packet_that_waited_through_a_long_sleep_is_old() -> None:
+    """An endpoint process sleeps for five minutes while offers wait for it.
+
+    It wakes, forgets its silent peers, and reads the offers. Taken for fresh
+    they would run, although their callers were told long ago that their time
+    was over.
+    """
+    assert asyncio.run(age_after_forgetting()) == 300
