Drop the prompt of an ended run and answers out of time

Cause: a record of a non-idempotent run stays for an hour, and held its prompt and its answer as long; ten deposits of a megabyte a minute would be 600 MB.

--- a/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/runs.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/runs.py
@@ -36,6 +36,10 @@
 #: the longest time limit that settings allow by default.
 LONGEST_BUDGET_SECONDS = 3600.0
 
+#: How long an answer is kept past the deadline of its run, in seconds, for a
+#: caller that lost it with the connection and comes back.
+ANSWER_SECONDS = 30.0
+
 _OUTCOME_STATES = MappingProxyType(
     {
         Outcome.COMPLETE: RunState.FINISHED,
@@ -233,6 +237,9 @@
             return
         record.state = _OUTCOME_STATES[outcome]
         record.answer.end(outcome, reason)
+        if record.offer is not None:
+            # A prompt may be megabytes, and the record stays for long.
+            record.offer = _without_payload(record.offer)
 
     def withdraw(
         self,
@@ -324,7 +331,11 @@
         return late
 
     def forget(self, now: float) -> None:
-        """Drop what no packet can be about any more."""
+        """Drop answers out of time, and what no packet can be about."""
+        for ended in self.records.values():
+            over = ended.deadline + ANSWER_SECONDS <= now
+            if over and not ended.in_progress:
+                ended.answer = None
         self.records = {
             request_id: record
             for request_id, record in self.records.items()
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/tests/test_runs.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/tests/test_runs.py
@@ -10,7 +10,7 @@
 )
 
 from ..answers import WINDOW_FRAMES, Answer
-from ..runs import RESERVATION_SECONDS, RunLedger
+from ..runs import ANSWER_SECONDS, RESERVATION_SECONDS, RunLedger
 from .builders import FIRST, SECOND, make_offer
 
 
@@ -124,6 +124,24 @@
     assert refused.execution is Execution.UNKNOWN
 
 
+def test_ended_run_keeps_no_prompt_and_later_no_answer() -> None:
+    """Deposits are remembered for an hour, so that none runs twice.
+
+    If their prompts and answers stayed as long, the process would grow until
+    the instance has no memory left. A late repetition is told that it ran.
+    """
+    ledger = RunLedger()
+    record = admitted(ledger, payload=b'p' * 100)
+    ledger.start(record, now=1)
+    ledger.end(record, Outcome.COMPLETE)
+    assert not record.offer.payload
+    ledger.forget(now=10 + ANSWER_SECONDS)
+    assert record.answer is None
+    refused = ledger.refusal(make_offer(), FIRST, now=60)
+    assert refused is not None
+    assert refused.execution is Execution.RAN
+
+
 def test_slow_caller_stops_the_reading() -> None:
     """A guest on a poor line takes the answer slowly.
 
