Take no new work and no key at an endpoint taken out of the settings

Cause: the settings in force that no longer list the endpoint were refused by it alone, so it went on under the older ones and believed itself the home of keys. 22 passed.

--- a/packages/sycamore-endpoint/src/sycamore_endpoint/keys/keeper.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/keys/keeper.py
@@ -45,10 +45,10 @@
 
     def take_settings(self) -> None:
         """Note which endpoints share the keys of the service from now on."""
-        own = self.state.own
-        if own is None:
+        own, fleet = self.state.own, self.keeper.fleet
+        if own is None or fleet is None:
             return
-        listed = own.fleet.endpoints_of(own.endpoint.service)
+        listed = fleet.endpoints_of(own.endpoint.service)
         names = [entry.endpoint for entry in listed]
         self.history.take(names, self._read_wall())
 
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/state.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/state.py
@@ -21,6 +21,9 @@
         memory is not known.
     leaving
         Set by a signal or by the platform's list of instances.
+    listed
+        Whether the newest settings list this endpoint; one that was taken
+        out of them takes no new work.
     """
 
     name: EndpointId
@@ -30,6 +33,7 @@
     own: OwnSettings | None = None
     ready: bool = False
     leaving: bool = False
+    listed: bool = True
 
     @property
     def phase(self) -> EndpointPhase:
@@ -38,7 +42,7 @@
             return EndpointPhase.DRAINING
         if self.own is None or not self.ready:
             return EndpointPhase.STARTING
-        if self.own.endpoint.draining:
+        if self.own.endpoint.draining or not self.listed:
             return EndpointPhase.DRAINING
         return EndpointPhase.LIVE
 
@@ -50,4 +54,6 @@
         SettingsError
             If they do not list this endpoint.
         """
+        self.listed = False
         self.own = OwnSettings.from_fleet(fleet, self.name)
+        self.listed = True
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/tests/test_process.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/tests/test_process.py
@@ -244,6 +244,27 @@
     asyncio.run(story())
 
 
+def test_endpoint_taken_out_of_the_settings_takes_no_new_work(
+    tmp_path: Path,
+) -> None:
+    """An operator publishes settings that no longer list the endpoint.
+
+    An entry that has not heard of them still offers it work.
+    """
+
+    async def story() -> None:
+        async with running(tmp_path, FakeEngine()) as scene:
+            newer = dict(scene.platform.tree, version=2, endpoints={})
+            scene.platform.tree = newer
+            state = scene.process.parts.state
+            await wait_until(lambda: not state.listed)
+            scene.offer()
+            declined = (await scene.entry.wait(Declined))[0]
+            assert declined.reason is RefusalReason.DRAINING
+
+    asyncio.run(story())
+
+
 def _leaving(entry) -> bool:
     reports: list[LoadReport] = entry.of_kind(LoadReport)
     return any(one.phase is EndpointPhase.DRAINING for one in reports)
