--- a/packages/sycamore-standins/src/sycamore_standins/demo/run.py
+++ b/packages/sycamore-standins/src/sycamore_standins/demo/run.py
@@ -8,7 +8,7 @@
 
 from ..caller import PatientCaller, Story
 from ..fleet import Fleet
-from ..fleet.counts import FleetCounts
+from ..fleet.counts import FleetCounts, wait_freed
 from .mix import DemoMix, ModelWork, PlainWork
 
 _PATIENCE_SECONDS = 25.0
@@ -54,6 +54,7 @@
             _gather([self._model(work) for work in self.mix.models]),
             _gather([self._plain(work) for work in self.mix.plains]),
         )
+        await wait_freed(self.fleet)
         return DemoResults(
             models=tuple(models),
             plains=tuple(plains),
--- a/packages/sycamore-standins/src/sycamore_standins/fleet/counts.py
+++ b/packages/sycamore-standins/src/sycamore_standins/fleet/counts.py
@@ -1,6 +1,7 @@
 """What the back ends and the entries of a fleet have counted."""
 
 import asyncio
+import time
 from collections import Counter
 from collections.abc import Sequence
 from typing import Self
@@ -12,6 +13,10 @@
 from ..plain.journal import CallRecord
 from .fleet import Fleet
 
+#: Memory of a finished or abandoned request is free after this long; leases
+#: of a prompt that several engines share are the last to go.
+FREED_SECONDS = 15.0
+_POLL_SECONDS = 0.1
 _RETRIES = 'sycamore_retries_total{'
 _REASON = 'reason="'
 
@@ -82,6 +87,13 @@
     return sum(memory.held_tokens for memory in held)
 
 
+async def wait_freed(fleet: Fleet) -> None:
+    """Return once no memory is held, or after `FREED_SECONDS` in any case."""
+    last = time.monotonic() + FREED_SECONDS
+    while time.monotonic() < last and await read_held_tokens(fleet):
+        await asyncio.sleep(_POLL_SECONDS)
+
+
 async def read_retries(fleet: Fleet) -> Counter[str]:
     """Return the retries that the entries have counted, by reason."""
     urls = [fleet.roster.urls[name] for name in fleet.roster.entries]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -81,6 +81,7 @@
         },
         policy=PolicySettings(
             bands=BandLimits(short=1000, medium=5000, long=15_000),
+            long_work_share=1,
         ),
     )
 
