--- a/packages/sycamore-core/src/sycamore_core/decisions/backlog.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/backlog.py
@@ -52,11 +52,7 @@
         request = waiting.request
         entry = (request.deadline, request.request_id, waiting)
         heapq.heappush(self._limits, entry)
-        queue = self.service(request.service)
-        latest = target_time(request) - queue.prefill_seconds(request)
-        if latest < request.deadline:
-            promise = (latest, request.request_id, waiting)
-            heapq.heappush(self._promises, promise)
+        self._watch_promise(waiting)
         self._note(waiting)
         self._queue(waiting)
 
@@ -66,6 +62,11 @@
         entry = (not_before, waiting.request.request_id, waiting)
         heapq.heappush(self._delayed, entry)
 
+    def postpone(self, waiting: Waiting, not_before: float) -> None:
+        """Take a request out of its queue and put it back later."""
+        self.leave(waiting.request.request_id)
+        self.enter_later(waiting, not_before)
+
     def leave(self, request_id: RequestId) -> Waiting | None:
         """Take a request out, wherever it waits; None if it does not."""
         waiting = self.waiting.pop(request_id, None)
@@ -91,8 +92,22 @@
         return expired
 
     def late(self, now: float) -> list[Waiting]:
-        """Return what has just become too late for its target."""
-        return self._passed(self._promises, now)
+        """Return what has just become too late for its target, each once."""
+        passed = self._passed(self._promises, now)
+        return list({id(waiting): waiting for waiting in passed}.values())
+
+    def _watch_promise(self, waiting: Waiting) -> None:
+        request = waiting.request
+        promised = target_time(request)
+        if promised >= request.deadline:
+            return
+        prefill = self.service(request.service).prefill_seconds(request)
+        # The estimate of the prefill may fall while the request waits: at the
+        # first time it could then still be served in time, so it is looked at
+        # again when its target is over.
+        for when in (promised - prefill, promised):
+            entry = (when, request.request_id, waiting)
+            heapq.heappush(self._promises, entry)
 
     def _passed(self, timed: list[_Timed], now: float) -> list[Waiting]:
         passed: list[Waiting] = []
@@ -109,4 +124,4 @@
 
     def _queue(self, waiting: Waiting) -> None:
         request = waiting.request
-        self.service(request.service).lane_of(request).queue.push(waiting)
+        self.service(request.service).lane_of(request).push(waiting)
--- a/packages/sycamore-core/src/sycamore_core/decisions/dispatching.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/dispatching.py
@@ -16,6 +16,7 @@
 from .least_loaded import LeastLoadedPlacement
 from .ordering import PRIORITY, target_time
 from .outstanding import Sent
+from .pinned import POSTPONED_SECONDS, has_memory, refusal_of
 from .placement import PrefixPlacement
 from .placement_base import PlacementDecision, PlacementReason
 from .requests import RequestView
@@ -75,12 +76,13 @@
         request = waiting.request
         queue = self.backlog.service(request.service)
         prefill = queue.prefill_seconds(request)
-        if now + prefill < target_time(request):
+        if waiting.spared or now + prefill < target_time(request):
             return None
         # Alone in its lane it delays nobody. One whose prefill is longer than
         # its target is late on an idle fleet too.
         alone = queue.lane_of(request).queue.count <= 1
         if alone or prefill >= request.target_seconds:
+            waiting.spared = True
             return None
         self.backlog.leave(request.request_id)
         estimate = queue.estimate(waiting, now)
@@ -112,15 +114,13 @@
             head = lane.queue.peek()
             if head is None:
                 return
-            decision = self.give_up_late(head, now)
-            decision = decision or self._try_head(queue, lane, head, now)
+            decision = self._try_head(queue, lane, head, now)
             if decision is not None:
                 decisions.append(decision)
                 continue
             if queue.holds_lane(head.request, now):
                 return
-            lane.queue.skip()
-            skipped += 1
+            skipped += lane.queue.skip(head)
 
     def _try_head(
         self,
@@ -128,22 +128,41 @@
         lane: Lane,
         head: Waiting,
         now: float,
-    ) -> Dispatch | None:
+    ) -> Decision | None:
         """Send the head whose turn it is, or that to which it is lent."""
         waiting = lane.queue.borrowed(now) or head
+        refusal = self._refusal_of(waiting, queue, now)
+        if refusal is not None:
+            return refusal
         chosen = self._place(queue, waiting.request, now)
         if chosen.endpoint is None:
+            if chosen.reason == PlacementReason.PINNED:
+                self.backlog.postpone(waiting, now + POSTPONED_SECONDS)
             return None
         lane.queue.take(waiting)
         lane.drain.note_sent(waiting.cost)
         return self._send(waiting, chosen, now)
 
+    def _refusal_of(
+        self,
+        waiting: Waiting,
+        queue: ServiceQueue,
+        now: float,
+    ) -> Refusal | None:
+        refusal = refusal_of(waiting.request, queue.pool)
+        if refusal is None:
+            return self.give_up_late(waiting, now)
+        self.backlog.leave(refusal.request_id)
+        return refusal
+
     def _place(
         self,
         queue: ServiceQueue,
         request: RequestView,
         now: float,
     ) -> PlacementDecision:
+        if request.pinned_to is not None:
+            return _pinned_decision(request, queue.pool)
         chosen = self.placement.place(request, queue.pool, now, self.draw)
         if request.band in _LONG_BANDS or not queue.pool.open:
             return chosen
@@ -196,6 +215,19 @@
         )
 
 
+def _pinned_decision(
+    request: RequestView,
+    pool: TrackedPool,
+) -> PlacementDecision:
+    candidate = pool.find(request.pinned_to)
+    fits = candidate is not None and has_memory(candidate, request)
+    return PlacementDecision(
+        endpoint=request.pinned_to if fits else None,
+        reason=PlacementReason.PINNED,
+        new_tokens=request.prompt_tokens,
+    )
+
+
 def engine_priority(waiting: Waiting) -> int:
     """Return the priority in the engine; lower is served first.
 
--- a/packages/sycamore-core/src/sycamore_core/decisions/fair.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/fair.py
@@ -23,6 +23,7 @@
 from .endpoint_book import EndpointBook
 from .flow import Waiting
 from .ordering import long_work_share
+from .pinned import refusal_of
 from .placement import PrefixPlacement
 from .requests import RequestView
 from .retries import FailedAttempt, RetryBudget
@@ -118,6 +119,9 @@
                 NO_ENDPOINT_SECONDS,
                 f'no endpoint of {request.service} takes work',
             )
+        refusal = refusal_of(request, queue.pool)
+        if refusal is not None:
+            return refusal
         waiting = queue.rank(request)
         estimate = queue.estimate(waiting, now)
         verdict = judge(request, estimate, now, self.draw)
@@ -140,8 +144,7 @@
         ]
         for waiting in self.backlog.late(now):
             refusal = self.dispatcher.give_up_late(waiting, now)
-            if refusal is not None:
-                decisions.append(refusal)
+            decisions.extend([] if refusal is None else [refusal])
         self.backlog.release(now)
         self.endpoints.refresh_weights(now)
         for queue in self.backlog.services.values():
--- a/packages/sycamore-core/src/sycamore_core/decisions/fair_share.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/fair_share.py
@@ -75,9 +75,16 @@
             self._leave()
         return None
 
-    def skip(self) -> None:
-        """Pass over the flow whose turn it is, until `restore`."""
+    def skip(self, head: Waiting) -> int:
+        """Pass over the flow whose turn it is, until `restore`.
+
+        Return 1 if it was passed over, 0 if its head has left meanwhile, so
+        that its next request is to be tried.
+        """
+        if not head.queued:
+            return 0
         self._skipped.append(heapq.heappop(self._turns)[-1])
+        return 1
 
     def restore(self) -> None:
         """Give the flows that were passed over their places back."""
--- a/packages/sycamore-core/src/sycamore_core/decisions/flow.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/flow.py
@@ -32,6 +32,8 @@
         Estimated cost, in engine seconds.
     within_share
         Whether nothing else of its workspace waited when it came.
+    spared
+        Whether it is served although it will be too late for its target.
     queued
         False once it has left the queue.
     attempt
@@ -43,6 +45,7 @@
     promised: float
     cost: float
     within_share: bool = False
+    spared: bool = False
     queued: bool = False
     attempt: int = 1
 
--- a/packages/sycamore-core/src/sycamore_core/decisions/placement_base.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/placement_base.py
@@ -22,6 +22,7 @@
     LONG_WORK = 'long_work'
     GROUP = 'group'
     IN_TURN = 'in_turn'
+    PINNED = 'pinned'
     NO_ENDPOINT = 'no_endpoint'
     MEMORY_FULL = 'memory_full'
     LONG_WORK_FULL = 'long_work_full'
--- a/packages/sycamore-core/src/sycamore_core/decisions/service_queue.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/service_queue.py
@@ -32,9 +32,6 @@
 YIELDED_PART = 0.5
 #: Flows looked at for a head that fits when the first ones do not.
 SCAN_FLOWS = 8
-#: How often the head of a lane that fits nowhere is tried again, in seconds.
-#: A try of the longest lane looks at every endpoint.
-BLOCKED_SECONDS = 0.05
 
 
 class LaneName(enum.StrEnum):
@@ -55,11 +52,30 @@
 )
 
 
+#: How long a lane pauses after a try in vain, in seconds. A try of the longest
+#: lane looks at every endpoint; one of the shortest looks at a few, and a pause
+#: would be seen in the time to first token.
+PAUSES: Mapping[LaneName, float] = MappingProxyType(
+    {
+        LaneName.SHORT: 0,
+        LaneName.LONG: 0.05,
+        LaneName.HUGE: 0.05,
+    },
+)
+
+
 class Lane:
-    """Requests of like length and how fast they are sent."""
+    """Requests of like length and how fast they are sent.
+
+    Parameters
+    ----------
+    pause
+        How long no head is tried again after none fitted, in seconds.
+    """
 
-    def __init__(self, lending: LendingRule) -> None:
+    def __init__(self, lending: LendingRule, pause: float) -> None:
         self.queue = FairQueue(lending)
+        self.pause = pause
         self.drain = DrainRate()
         self.blocked_version = -1
         self.blocked_until: float = 0
@@ -71,7 +87,12 @@
     def block(self, version: int, now: float) -> None:
         """Note that no head fits anywhere."""
         self.blocked_version = version
-        self.blocked_until = now + BLOCKED_SECONDS
+        self.blocked_until = now + self.pause
+
+    def push(self, waiting: Waiting) -> None:
+        """Queue a request, which may fit where the heads so far did not."""
+        self.queue.push(waiting)
+        self.blocked_version = -1
 
 
 class ServiceQueue:
@@ -82,7 +103,9 @@
         self.pool = TrackedPool()
         self.speed = SpeedEstimate()
         self.lending = LendingRule(policy.floor_share)
-        self.lanes = {name: Lane(self.lending) for name in LaneName}
+        self.lanes = {
+            name: Lane(self.lending, pause) for name, pause in PAUSES.items()
+        }
 
     def update_policy(self, policy: PolicySettings) -> None:
         """Take another policy; what waits keeps its place."""
--- a/packages/sycamore-core/src/sycamore_core/decisions/tests/test_fair.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/tests/test_fair.py
@@ -208,3 +208,36 @@
         sent = [scheduler.dispatch(step / 10) for step in range(20)]
         taken.append(sum(len(decisions) for decisions in sent))
     assert taken[0] > taken[1]
+
+
+def test_pinned_request_goes_to_its_endpoint_only():
+    """A caller sends a deposit again whose id is bound to one endpoint.
+
+    Placed like any other, it would run at another and be recorded twice.
+    """
+    scheduler = build_scheduler(endpoints=8)
+    for number in range(16):
+        request = build_request(f'a{number}', pinned_to='e3')
+        assert isinstance(scheduler.submit(request, 0), Queued)
+    sent = scheduler.dispatch(0)
+    assert {one.endpoint for one in sent} == {'e3'}
+
+
+def test_pinned_request_is_refused_when_its_endpoint_leaves():
+    scheduler = build_scheduler(endpoints=2)
+    scheduler.submit(build_request('a', pinned_to='e1'), 0)
+    scheduler.update_endpoint(build_view('e1', phase=EndpointPhase.GONE), 0)
+    refusal = single(scheduler.dispatch(0))
+    assert refusal.reason == RefusalReason.NO_ENDPOINT
+    later = scheduler.submit(build_request('b', pinned_to='e1'), 0)
+    assert later.reason == RefusalReason.NO_ENDPOINT
+
+
+def test_pinned_request_waits_for_memory_without_holding_back_others():
+    scheduler = build_scheduler(endpoints=2)
+    scheduler.update_endpoint(build_view('e1', free_tokens=0), 0)
+    scheduler.submit(build_request('a', pinned_to='e1'), 0)
+    scheduler.submit(build_request('b', arrival=0.1), 0.1)
+    assert 'b' in sent_names(scheduler, 0.1) + sent_names(scheduler, 0.2)
+    scheduler.update_endpoint(build_view('e1'), 0.3)
+    assert sent_names(scheduler, 0.5) == ['a']
--- a/packages/sycamore-core/src/sycamore_core/decisions/tests/test_fair_machine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/tests/test_fair_machine.py
@@ -30,6 +30,7 @@
         self.waiting = {}
         self.sent = {}
         self.ended = {}
+        self.requests = {}
 
     def end(self, name, how):
         assert name not in self.ended
@@ -43,7 +44,8 @@
             assert decision.retry_after >= 0
             self.end(name, decision.reason)
             return
-        assert name in self.waiting
+        pinned = self.waiting[name].pinned_to
+        assert pinned in {None, decision.endpoint}
         assert decision.endpoint not in decision.members
         self.sent[name] = decision
         self.waiting.pop(name)
@@ -58,8 +60,9 @@
         tokens=st.sampled_from([500, 3000, 20_000, 90_000, 200_000, 900_000]),
         promise=st.sampled_from([0, 1, 10]),
         penalty=st.sampled_from([0, 1, 10]),
+        pinned=st.sampled_from([None, None, 'e0', 'e1']),
     )
-    def submit(self, workspace, tokens, promise, penalty):
+    def submit(self, workspace, tokens, promise, penalty, pinned):
         name = f'r{next(self.numbers)}'
         build = build_huge if tokens > 100_000 else build_request
         request = build(
@@ -70,10 +73,12 @@
             deadline=self.now + LONGEST_LIMIT,
             target_seconds=promise,
             penalty=penalty,
+            pinned_to=pinned,
         )
         answer = self.scheduler.submit(request, self.now)
         if isinstance(answer, Queued):
             self.waiting[name] = request
+            self.requests[name] = request
         else:
             self.end(name, answer.reason)
 
@@ -112,7 +117,8 @@
         if isinstance(answer, Refusal):
             self.end(name, answer.reason)
         else:
-            self.waiting[name] = self.sent.pop(name)
+            self.waiting[name] = self.requests[name]
+            self.sent.pop(name)
 
     @rule()
     def abandon(self):
