Believe a reported prefill rate only where it tells how fast the engine is

Cause: engines report the rate seen lately; after chat turns of a few tokens it was 200 to 1,000 a second, so prompts of 45,000 tokens were refused as needing 225 s and an endpoint counted as full with 200 tokens on their way. Conclusion: a low rate counts only while a chunk or more is waiting there.

--- a/packages/sycamore-core/src/sycamore_core/decisions/costs.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/costs.py
@@ -14,10 +14,8 @@
 from ..states import EndpointKind
 from .pool import Candidate
 from .requests import RequestView
+from .views import ASSUMED_RATE
 
-#: Prefill rate assumed until an endpoint reports its own, in tokens a second.
-#: It only has to be the same for all that have not reported.
-ASSUMED_RATE = 10_000.0
 #: Time assumed for one call of a plain service before its first report.
 ASSUMED_CALL_SECONDS = 0.05
 #: What each running sequence adds to a step, in seconds: 2.7 ms, published
--- a/packages/sycamore-core/src/sycamore_core/decisions/estimates.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/estimates.py
@@ -13,10 +13,8 @@
 
 from ..states import EndpointKind
 from .requests import RequestView
-from .views import EndpointView
+from .views import ASSUMED_RATE, EndpointView
 
-#: Prefill rate until an endpoint has reported one, in tokens a second.
-ASSUMED_RATE = 10_000.0
 #: Time that a token generated takes of an engine until one has reported, in
 #: seconds: the slope of the published fit, 2.7 ms, and its base of 10 ms
 #: shared by 16 sequences.
@@ -74,9 +72,9 @@
 
     def take_report(self, view: EndpointView) -> None:
         """Learn from a report of an endpoint."""
-        if view.service_rate > 0:
+        if view.telling_rate > 0:
             kept = self.prefill_rate * (1 - FORGETTING)
-            self.prefill_rate = max(kept, view.service_rate)
+            self.prefill_rate = max(kept, view.telling_rate)
         if view.step_seconds > 0:
             self.step_seconds = _smoothed(self.step_seconds, view.step_seconds)
             self._take_step(view)
--- a/packages/sycamore-core/src/sycamore_core/decisions/tracked.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/tracked.py
@@ -20,11 +20,10 @@
 from ..ids import EndpointId
 from ..states import EndpointKind, EndpointPhase, PromptBand
 from .batch_limit import EXPECTED_STEPS, BatchLimit
-from .estimates import ASSUMED_RATE
 from .ordering import PRIORITY
 from .pool import Candidate, CandidatePool
 from .requests import RequestView
-from .views import EndpointView
+from .views import ASSUMED_RATE, EndpointView
 
 #: Prefill that may be queued at an engine before another request is sent, in
 #: seconds: a fifth of the tightest target, 0.49 s.
@@ -129,6 +128,7 @@
         and a report ago is taken off, so that nothing is counted twice.
         """
         view = copy.copy(report)
+        view.service_rate = report.telling_rate or self.view.service_rate
         had_requests = max(self.sent_requests, self.last_requests)
         view.running = max(0, report.running + report.waiting - had_requests)
         view.waiting = 0
