--- a/packages/sycamore-endpoint/src/sycamore_endpoint/desk.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/desk.py
@@ -2,6 +2,7 @@
 
 import functools
 
+from sycamore_core.errors import SycamoreError
 from sycamore_core.messages import (
     Accepted,
     Ack,
@@ -18,7 +19,7 @@
 )
 from sycamore_core.platform import SettingsClaim
 from sycamore_core.telemetry import Log, Metrics
-from sycamore_core.transport import Peer
+from sycamore_core.transport import Peer, Received
 
 from .admission import Admission
 from .groups import GroupDesk
@@ -62,10 +63,12 @@
         while True:
             received = await peer.take()
             self.owners.hear(owner_of(peer), self.runner.clock.monotonic())
-            if isinstance(received.message, Offer):
-                self.take_offer(received.message, peer, received.sent_at)
-            else:
-                self.handle(received.message, peer)
+            try:
+                self._handle(received, peer)
+            except SycamoreError as error:
+                # One message that cannot be handled must not make this
+                # process deaf to its sender, whose runs would all be lost.
+                self.log.error('message_failed', error=repr(error))
 
     @functools.singledispatchmethod
     def handle(self, message: Message, peer: Peer) -> None:
@@ -157,6 +160,12 @@
         if body is not None:
             peer.post(body)
 
+    def _handle(self, received: Received, peer: Peer) -> None:
+        if isinstance(received.message, Offer):
+            self.take_offer(received.message, peer, received.sent_at)
+        else:
+            self.handle(received.message, peer)
+
     def _go_on(self, offer: Offer, accepted: Accepted) -> None:
         record = self.runs.find(offer.request_id)
         if record is None:
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/groups/member.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/groups/member.py
@@ -19,6 +19,7 @@
 from sycamore_core.transport import Peer
 
 from ..backends.calls import ControlClient
+from ..engine_watch import free_in_engine
 from ..ledger import LeaseKey, LeaseKind, MemoryLedger
 from ..state import EndpointState
 
@@ -70,6 +71,7 @@
         self.done: dict[LeaseKey, SpanDone] = {}
         self.released: dict[GroupId, None] = {}
         self._tasks: dict[LeaseKey, asyncio.Task[None]] = {}
+        self._freeing: set[asyncio.Task[None]] = set()
 
     def reserve(self, wanted: GroupReserve, peer: Peer) -> None:
         """Lease memory for one span, or renew a lease that is there."""
@@ -112,6 +114,9 @@
             task = self._tasks.pop(key, None)
             if task is not None:
                 task.cancel()
+        freeing = asyncio.create_task(self._free(wanted.group))
+        self._freeing.add(freeing)
+        freeing.add_done_callback(self._freeing.discard)
 
     def run(self, wanted: SpanRun, peer: Peer) -> None:
         """Compute a span that is leased; a repeated call is answered again."""
@@ -128,6 +133,18 @@
             task = asyncio.create_task(self._compute(key, wanted, peer))
             self._tasks[key] = task
 
+    async def _free(self, group: GroupId) -> None:
+        key = LeaseKey(LeaseKind.SPAN, group)
+        try:
+            await free_in_engine(self.control, key)
+        except BackendError as error:
+            # The engine is asked again after each of its reports.
+            self.log.warning('release_failed', group=group, error=str(error))
+            return
+        now = self.state.clock.monotonic()
+        for held in self._keys_of(group):
+            self.memory.release(held, now)
+
     async def _compute(
         self, key: LeaseKey, wanted: SpanRun, peer: Peer
     ) -> None:
