Break superseded connections off, ask again for answers, be ready later

Cause: a connection that another one superseded ended in order with nothing sent, which read as an empty 200 for a credit that never ran; an entry that had just started asked once for an answer, before it was connected, and said 404; and it was healthy before it had heard one endpoint. Ruled out: a problem document for the superseded connection (its outcome is the other connection's); waiting in the balancer's place. Conclusion: a caller never reads an answer that is none.

--- a/packages/sycamore-entry/src/sycamore_entry/answers/sinks.py
+++ b/packages/sycamore-entry/src/sycamore_entry/answers/sinks.py
@@ -24,6 +24,15 @@
     async def close(self, close: Close) -> None:
         """Hand on the end of the answer."""
 
+    @abc.abstractmethod
+    def abandon(self) -> None:
+        """Break the connection off; the answer goes to another one.
+
+        What goes wrong otherwise: a connection that ends in order with
+        nothing sent reads as an empty answer, and its caller takes a deposit
+        for recorded that may still be refused on the other connection.
+        """
+
     @abc.abstractmethod
     async def refuse(
         self,
--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/attach.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/attach.py
@@ -19,8 +19,11 @@
 from .stream import AnswerLostError, AnswerStream
 from .waiting import SupersededError, next_of
 
-#: How long the endpoint processes are asked which of them has the answer.
-FIND_SECONDS = 2.0
+#: How long the reports of the endpoint processes are waited for each time
+#: that they are asked which of them has the answer. They take milliseconds,
+#: but an entry that has just started still has to connect to them.
+FIND_SECONDS = 1.0
+FIND_TRIES = 4
 _COME_BACK_SECONDS = 1.0
 _ABSENT = frozenset((RunState.NEVER_SEEN, RunState.WITHDRAWN))
 
@@ -58,7 +61,9 @@
         except RefusedError as refused:
             self.context.metrics.refused(refused.reason)
             await sink.refuse(self.request_id, refused)
-        except (CallerGoneError, SupersededError):
+        except SupersededError:
+            sink.abandon()
+        except CallerGoneError:
             return
         finally:
             self._end(mailbox)
@@ -94,21 +99,37 @@
         mailbox: Mailbox,
     ) -> RunReport:
         links = self._links(fleet)
+        for _ in range(FIND_TRIES):
+            report = await self._ask(links, mailbox)
+            if report is not None:
+                return report
+        raise RefusedError(
+            RefusalReason.UNKNOWN_REQUEST,
+            'no endpoint that answers knows this request',
+            execution=Execution.UNKNOWN,
+            retry_after=_COME_BACK_SECONDS,
+        )
+
+    async def _ask(
+        self,
+        links: list[EndpointLink],
+        mailbox: Mailbox,
+    ) -> RunReport | None:
+        """Ask once; the first packets to a peer may be lost."""
         for link in links:
             link.post(Attach(self.request_id, self.after))
         absent: set[EndpointId] = set()
         while len(absent) < len(links):
             report = await next_of(mailbox, (RunReport,), FIND_SECONDS)
             if report is None:
-                break
+                return None
             if report.state not in _ABSENT:
                 return report
             absent.add(report.endpoint)
         raise RefusedError(
             RefusalReason.UNKNOWN_REQUEST,
-            'no endpoint that answers knows this request',
+            'no endpoint of the service knows this request',
             execution=Execution.UNKNOWN,
-            retry_after=_COME_BACK_SECONDS,
         )
 
     def _links(self, fleet: FleetSettings) -> list[EndpointLink]:
--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/exchange.py
@@ -49,7 +49,10 @@
         mailbox = self.context.registry.open(self.request_id)
         try:
             await self._run_to_answer(mailbox)
-        except (CallerGoneError, SupersededError):
+        except SupersededError:
+            self.outcome = Outcome.CANCELLED
+            self.sink.abandon()
+        except CallerGoneError:
             self.outcome = Outcome.CANCELLED
             self._leave_to_grace(mailbox)
         except asyncio.CancelledError:
--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/reports.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/reports.py
@@ -174,6 +174,10 @@
         """Hand on."""
         await self._sink.close(close)
 
+    def abandon(self) -> None:
+        """Hand on."""
+        self._sink.abandon()
+
     async def refuse(
         self,
         request_id: RequestId,
--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/builders.py
@@ -90,6 +90,7 @@
     def __init__(self) -> None:
         self.pieces: list[Frame] = []
         self.closed: Close | None = None
+        self.is_abandoned = False
         self.refused: RefusedError | None = None
 
     async def admitted(self, request_id: RequestId) -> None:
@@ -101,6 +102,9 @@
     async def close(self, close: Close) -> None:
         self.closed = close
 
+    def abandon(self) -> None:
+        self.is_abandoned = True
+
     async def refuse(
         self,
         request_id: RequestId,
@@ -114,6 +118,7 @@
 
     def __init__(self) -> None:
         self.links = {}
+        self._fleet = None
 
 
 def make_request(
--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/test_exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/test_exchange.py
@@ -231,6 +231,29 @@
     assert peer.posted_of(Attach)
 
 
+def test_superseded_connection_is_broken_off() -> None:
+    """A caller sends its key again while the first call still runs.
+
+    The answer goes to the second connection. The first must not end as if it
+    had been answered with nothing.
+    """
+    context = make_context()
+    add_endpoint(context, 'a', lambda message: ())
+    first, second = RecordingSink(), RecordingSink()
+    request = make_request(idempotent=False, seconds=0.3)
+
+    async def main() -> None:
+        older = asyncio.create_task(Exchange(context, request, first).run())
+        await asyncio.sleep(0)
+        await Exchange(context, request, second).run()
+        await older
+
+    asyncio.run(main())
+    assert first.is_abandoned
+    assert first.refused is None
+    assert second.refused is not None
+
+
 def test_time_limit_cancels_the_run() -> None:
     """An endpoint accepts a request and then sends nothing.
 
--- a/packages/sycamore-entry/src/sycamore_entry/fleet/links.py
+++ b/packages/sycamore-entry/src/sycamore_entry/fleet/links.py
@@ -86,9 +86,12 @@
         self._addresses: dict[str, EndpointId] = {}
         self._fleet: FleetSettings | None = None
         self._node: Node | None = None
+        self._first_update: float = 0
 
     def update(self, fleet: FleetSettings, node: Node) -> None:
         """Follow the endpoints of a newer settings tree."""
+        if self._fleet is None:
+            self._first_update = self.clock.monotonic()
         self._fleet = fleet
         self._node = node
         for link in tuple(self.links.values()):
@@ -103,6 +106,20 @@
         for endpoint in chosen.values():
             self._follow(endpoint, node)
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether each endpoint has been heard or had the time to answer.
+
+        Before that a request would be refused for want of endpoints that are
+        there; the balancer should send nothing yet.
+        """
+        if self._fleet is None:
+            return False
+        waited = self.clock.monotonic() - self._first_update
+        if waited > SILENT_BEATS * self.interval:
+            return True
+        return all(link.is_heard for link in self.links.values())
+
     def find(self, endpoint: EndpointId) -> EndpointLink | None:
         """Return the link of an endpoint that is heard, or None."""
         link = self.links.get(endpoint)
--- a/packages/sycamore-entry/src/sycamore_entry/fleet/tests/test_links.py
+++ b/packages/sycamore-entry/src/sycamore_entry/fleet/tests/test_links.py
@@ -223,6 +223,23 @@
     assert rate <= HEARTBEATS_A_SECOND
 
 
+def test_entry_is_ready_once_its_endpoints_are_heard() -> None:
+    """An entry has just started and knows the settings but no endpoint yet.
+
+    The balancer must not send it requests that it would refuse.
+    """
+    scene = Scene()
+    assert not scene.links.is_settled
+    scene.report()
+    assert scene.links.is_settled
+
+
+def test_entry_does_not_wait_for_a_dead_endpoint_for_ever() -> None:
+    scene = Scene()
+    scene.clock.advance(SILENT_SECONDS + 1)
+    assert scene.links.is_settled
+
+
 def test_endpoint_beyond_the_subset_is_met_on_demand() -> None:
     """A caller comes back with an id that is bound to a far endpoint."""
     scene = Scene(count=200)
--- a/packages/sycamore-entry/src/sycamore_entry/web/handlers/status.py
+++ b/packages/sycamore-entry/src/sycamore_entry/web/handlers/status.py
@@ -22,7 +22,8 @@
     def get(self) -> None:
         """Answer with the state."""
         fleet = self.context.current_fleet()
-        is_ready = fleet is not None and not self.context.draining.is_set()
+        is_settled = self.context.entry.links.is_settled
+        is_ready = is_settled and not self.context.draining.is_set()
         if not is_ready:
             self.set_status(http.HTTPStatus.SERVICE_UNAVAILABLE.value)
         self.write_json(Health(is_ready, 0 if fleet is None else fleet.version))
--- a/packages/sycamore-entry/src/sycamore_entry/web/sinks.py
+++ b/packages/sycamore-entry/src/sycamore_entry/web/sinks.py
@@ -69,6 +69,11 @@
             self.handler.set_header('Retry-After', str(seconds))
         await self._finish(msgspec.json.encode(problem))
 
+    def abandon(self) -> None:
+        """Close the connection, which no caller takes for an answer."""
+        connection = self.handler.request.connection
+        connection.stream.close()
+
     def _send_without_delay(self) -> None:
         """Have each piece of an answer sent at once.
 
@@ -206,7 +211,7 @@
         if close.outcome == Outcome.COMPLETE:
             await self._finish()
         else:
-            self._break_off()
+            self.abandon()
 
     async def refuse(
         self,
@@ -215,14 +220,10 @@
     ) -> None:
         """Send a problem document, or break off an answer that has begun."""
         if self.has_begun:
-            self._break_off()
+            self.abandon()
             return
         await super().refuse(request_id, refused)
 
     def _set_status(self, reply: PlainReply) -> None:
         self.handler.set_status(reply.status)
         self.handler.set_header(_TYPE_HEADER, reply.content_type)
-
-    def _break_off(self) -> None:
-        connection = self.handler.request.connection
-        connection.stream.close()
