Take no new work at an endpoint whose engine is gone, refuse what cannot fit

Cause: an engine died in the middle of a prompt that several engines shared. Its endpoint process lived on and reported its memory and the lease that could no longer be released, so the request waited for both until its time limit of 240 s, although three engines were free. Ruled out: the group protocol (its second attempt ended after its 8 s), the retry budget (it allowed another attempt). Conclusion: a dead engine makes its endpoint not live; what is not live counts neither as room nor as held; what all that are live cannot hold is refused.

--- a/packages/sycamore-core/src/sycamore_core/decisions/dispatching.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/dispatching.py
@@ -31,6 +31,11 @@
 _DRAWN = frozenset((PlacementReason.LEAST_LOADED, PlacementReason.HOME))
 
 
+#: When to come back with a prompt that the engines cannot hold now, in seconds:
+#: an engine that was restarted takes work again after some seconds.
+TOO_LONG_SECONDS = 10.0
+
+
 class Dispatcher:
     """Takes requests from the queues while endpoints have room.
 
@@ -136,6 +141,8 @@
             return refusal
         chosen = self._place(queue, waiting.request, now)
         if chosen.endpoint is None:
+            if chosen.reason == PlacementReason.PROMPT_TOO_LONG:
+                return self._refuse_too_long(waiting.request)
             if chosen.reason == PlacementReason.PINNED:
                 self.backlog.postpone(waiting, now + POSTPONED_SECONDS)
             return None
@@ -143,6 +150,20 @@
         lane.drain.note_sent(waiting.cost)
         return self._send(waiting, chosen, now)
 
+    def _refuse_too_long(self, request: RequestView) -> Refusal:
+        """Give up what all engines that are there could not hold together.
+
+        It would wait until its time limit for engines that are away, and
+        with it its lane. Its caller can come back when they are.
+        """
+        self.backlog.leave(request.request_id)
+        return Refusal(
+            request.request_id,
+            RefusalReason.PROMPT_TOO_LONG,
+            TOO_LONG_SECONDS,
+            'the engines that take work could not hold it together',
+        )
+
     def _refusal_of(
         self,
         waiting: Waiting,
--- a/packages/sycamore-core/src/sycamore_core/decisions/long_limits.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/long_limits.py
@@ -55,14 +55,19 @@
         """Return what a `share` of the candidates leaves to long work.
 
         While none is held all engines are allowed, or a small site could
-        never serve a prompt that needs more of them than the share.
+        never serve a prompt that needs more of them than the share. What an
+        engine held that is gone does not count: it will never be released,
+        and long work would wait for it for ever.
         """
-        sizes = [one.view.capacity_tokens for one in candidates]
+        live = [
+            one for one in candidates if one.view.phase == EndpointPhase.LIVE
+        ]
+        sizes = [one.view.capacity_tokens for one in live]
         largest = max(sizes, default=0)
-        held = sum(one.view.long_tokens for one in candidates)
+        held = sum(one.view.long_tokens for one in live)
         if not held:
             return cls(sum(sizes), len(sizes), largest, now)
-        holding = sum(1 for one in candidates if one.view.long_tokens)
+        holding = sum(1 for one in live if one.view.long_tokens)
         allowed = max(1, math.floor(share * len(sizes)))
         return cls(
             max(0, math.floor(sum(sizes) * share) - held),
--- a/packages/sycamore-core/src/sycamore_core/decisions/long_prompts.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/long_prompts.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from ..ids import EndpointId, ZoneId
+from ..states import EndpointPhase
 from .long_limits import (
     LEAST_ROOM_SHARE,
     SHORT_ROOM_SHARE,
@@ -112,10 +113,14 @@
 ) -> float | None:
     """Return the part of each engine that a prompt leaves to short turns.
 
-    It is the usual one if all engines together, when empty, hold the prompt
+    It is the usual one if all live engines, when empty, hold the prompt
     beside it, else the least one; None if they hold it in neither case.
     """
-    capacity = sum(one.view.capacity_tokens for one in candidates)
+    capacity = sum(
+        one.view.capacity_tokens
+        for one in candidates
+        if one.view.phase == EndpointPhase.LIVE
+    )
     for share in (SHORT_ROOM_SHARE, LEAST_ROOM_SHARE):
         if request.lease_tokens <= capacity * (1 - share):
             return share
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/admission.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/admission.py
@@ -130,8 +130,10 @@
         if self.state.phase is EndpointPhase.DRAINING:
             return RefusalReason.DRAINING
         own = self.state.own
-        if own is None or self.state.phase is not EndpointPhase.LIVE:
+        if own is None:
             return RefusalReason.SETTINGS_NOT_READY
+        if self.state.phase is not EndpointPhase.LIVE:
+            return RefusalReason.BACKEND_FAILED
         if own.endpoint.service != offer.service:
             return RefusalReason.WRONG_SERVICE
         return None
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/engine_watch.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/engine_watch.py
@@ -16,6 +16,9 @@
 #: How often the engine is read, in seconds. Entries are told every second, so
 #: twice as often bounds the age of what they hear; a read takes milliseconds.
 READ_SECONDS = 0.5
+#: Reads that may fail one after the other before the engine counts as gone:
+#: two seconds, in which a busy engine that is late once has answered again.
+FAILURES_TOLERATED = 4
 #: Blocks told to entries: a few, since they ride on each load report.
 BLOCKS_TOLD = 64
 _STORED = 'stored'
@@ -72,6 +75,7 @@
         self.control = control
         self.log = Log('endpoint.engine')
         self.last_event = 0
+        self._failures = 0
         self.blocks: dict[int, None] = {}
 
     async def run(self) -> None:
@@ -80,7 +84,9 @@
             try:
                 await self.read_once()
             except BackendError as error:
-                self.log.warning('engine_unreadable', error=str(error))
+                self._note_failure(error)
+            else:
+                self._note_answer()
             await asyncio.sleep(READ_SECONDS)
 
     async def read_once(self) -> None:
@@ -96,9 +102,27 @@
         rows = await self.control.read('/v1/spans', tuple[SpanRow, ...])
         self.reporter.load = load
         await self._repair(_usage(load, rows), asked_at)
-        self.state.ready = True
         await self._read_events()
 
+    def _note_answer(self) -> None:
+        if self._failures:
+            self.log.info('engine_readable')
+        self._failures = 0
+        self.state.ready = True
+
+    def _note_failure(self, error: BackendError) -> None:
+        """Take no new work while the engine does not answer.
+
+        What goes wrong otherwise: an engine dies, its endpoint process lives
+        on and reports the memory it had; requests are offered here, fail, and
+        a prompt that only this engine had room for waits until its time limit.
+        """
+        self._failures += 1
+        if self._failures == 1:
+            self.log.warning('engine_unreadable', error=str(error))
+        if self._failures >= FAILURES_TOLERATED:
+            self.state.ready = False
+
     async def _repair(
         self,
         usage: Mapping[LeaseKey, int],
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/state.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/state.py
@@ -17,8 +17,8 @@
     Attributes
     ----------
     ready
-        Whether what the engine holds has been read once; before, the free
-        memory is not known.
+        Whether the engine answers. Before the first answer the free memory
+        is not known, and one that stopped answering runs nothing.
     leaving
         Set by a signal or by the platform's list of instances.
     listed
