Repeat only safe calls to plain services unless their caller allows more

Cause: services are idempotent unless their settings say otherwise, so a POST without the header could be retried and a deposit recorded twice. Ruled out: another default in the settings (it would differ by kind). Figures: a new test with five cases passes; found by reading, not by a failure. Conclusion: GET, HEAD and OPTIONS follow the service; others ask their caller.

--- a/packages/sycamore-entry/src/sycamore_entry/web/handlers/answers.py
+++ b/packages/sycamore-entry/src/sycamore_entry/web/handlers/answers.py
@@ -102,7 +102,11 @@
             fleet=self.fleet,
             workspace=self.workspace,
             service_id=ServiceId(self.claims.service),
-            terms=read_terms(self.request.headers, service),
+            terms=read_terms(
+                self.request.headers,
+                service,
+                read_plain_call(self).method,
+            ),
             arrival=self.context.entry.now(),
             claims=self.claims,
         )
--- a/packages/sycamore-entry/src/sycamore_entry/web/limits.py
+++ b/packages/sycamore-entry/src/sycamore_entry/web/limits.py
@@ -6,12 +6,16 @@
 import msgspec
 from sycamore_core.ids import IdempotencyKey
 from sycamore_core.settings import ServiceSettings
-from sycamore_core.states import RefusalReason
+from sycamore_core.states import EndpointKind, RefusalReason
 
 from ..errors import RefusedError
 
 _TIME_ORDERED_VERSION = 7
 _FLAGS = ('true', 'false')
+#: Methods that change nothing. A call to a plain service by another one may
+#: run at most once unless its caller says that it may be repeated: a deposit
+#: must not be recorded twice because somebody forgot a header.
+SAFE_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS'))
 
 
 class CallTerms(msgspec.Struct, frozen=True):
@@ -25,9 +29,15 @@
 def read_terms(
     headers: Mapping[str, str],
     service: ServiceSettings,
+    method: str = '',
 ) -> CallTerms:
     """Read the headers of a request.
 
+    Parameters
+    ----------
+    method
+        Method of a call to a plain service.
+
     Raises
     ------
     RefusedError
@@ -35,7 +45,10 @@
     """
     return CallTerms(
         time_limit=_time_limit(headers.get('Time-Limit', ''), service),
-        idempotent=_idempotent(headers.get('Idempotent', ''), service),
+        idempotent=_idempotent(
+            headers.get('Idempotent', ''),
+            may_repeat=service.idempotent and _is_safe(method, service),
+        ),
         idempotency_key=_key(headers.get('Idempotency-Key', '')),
     )
 
@@ -58,9 +71,13 @@
     return seconds
 
 
-def _idempotent(text: str, service: ServiceSettings) -> bool:
+def _is_safe(method: str, service: ServiceSettings) -> bool:
+    return service.kind == EndpointKind.MODEL or method in SAFE_METHODS
+
+
+def _idempotent(text: str, *, may_repeat: bool) -> bool:
     if not text:
-        return service.idempotent
+        return may_repeat
     if text.lower() not in _FLAGS:
         raise _bad('Idempotent is neither true nor false')
     return text.lower() == 'true'
--- a/packages/sycamore-entry/src/sycamore_entry/web/tests/test_prompts.py
+++ b/packages/sycamore-entry/src/sycamore_entry/web/tests/test_prompts.py
@@ -5,7 +5,7 @@
 import msgspec
 import pytest
 from sycamore_core.settings import ServiceSettings
-from sycamore_core.states import Execution, RefusalReason
+from sycamore_core.states import EndpointKind, Execution, RefusalReason
 
 from ...errors import RefusedError
 from ..limits import read_terms
@@ -104,6 +104,30 @@
     assert terms.idempotency_key == KEY_V7
 
 
+@pytest.mark.parametrize(
+    ('kind', 'method', 'headers', 'idempotent'),
+    [
+        (EndpointKind.PLAIN, 'GET', {}, True),
+        (EndpointKind.PLAIN, 'POST', {}, False),
+        (EndpointKind.PLAIN, 'POST', {'Idempotent': 'true'}, True),
+        (EndpointKind.PLAIN, 'GET', {'Idempotent': 'false'}, False),
+        (EndpointKind.MODEL, 'POST', {}, True),
+    ],
+)
+def test_only_safe_calls_may_be_repeated_unasked(
+    kind: EndpointKind,
+    method: str,
+    headers: dict[str, str],
+    idempotent: bool,
+) -> None:
+    """A guest's deposit is posted without the header that says it must not
+    be repeated; a retry would charge the family twice.
+    """
+    service = ServiceSettings(kind=kind)
+    terms = read_terms({'Time-Limit': '1', **headers}, service, method)
+    assert terms.idempotent is idempotent
+
+
 @pytest.mark.parametrize(
     ('execution', 'not_run'),
     [
