Tell whether this call ran apart from whether the request did

Cause: a key in doubt is refused with not_run unknown, since an earlier call may have run it; a caller that has made none could not know that nothing ran. Ruled out: calling it not run (untrue after a restart in between). Conclusion: this_call_not_run in the problem document; not_run is unchanged.

--- a/packages/sycamore-entry/src/sycamore_entry/errors.py
+++ b/packages/sycamore-entry/src/sycamore_entry/errors.py
@@ -17,6 +17,9 @@
         Why; the label of the refusal counter.
     execution
         What is known about whether the request was run.
+    this_call
+        What is known about whether this call ran it; another call under the
+        same id or key may have run it before. As `execution` if not given.
     retry_after
         When to come back, in seconds; 0 if coming back does not help.
     detail
@@ -29,11 +32,13 @@
         detail: str = '',
         *,
         execution: Execution = Execution.NOT_RUN,
+        this_call: Execution | None = None,
         retry_after: float = 0,
     ) -> None:
         super().__init__(reason.value)
         self.reason = reason
         self.execution = execution
+        self.this_call = execution if this_call is None else this_call
         self.retry_after = retry_after
         self.detail = detail
 
--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/progress.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/progress.py
@@ -33,6 +33,8 @@
     execution
         Whether any attempt so far has run; it is what the caller is told
         when there is no answer.
+    this_call
+        The same of this call alone, see `RefusedError`.
     link
         The endpoint of the latest attempt.
     """
@@ -49,7 +51,8 @@
         self.attempt = Attempt(0)
         self.execution = Execution.NOT_RUN
         self.link: EndpointLink | None = None
-        self._before = Execution.NOT_RUN
+        self.this_call = Execution.NOT_RUN
+        self._before = (Execution.NOT_RUN, Execution.NOT_RUN)
 
     @property
     def endpoint(self) -> EndpointId | None:
@@ -65,13 +68,15 @@
         """Note that the request is being offered."""
         self.attempt = Attempt(self.attempt + 1)
         self.link = link
-        self._before = self.execution
+        self._before = (self.execution, self.this_call)
         self.execution = Execution.UNKNOWN
+        self.this_call = Execution.UNKNOWN
 
     def running(self, attempt: Attempt) -> None:
         """Note that the endpoint process runs the request."""
         self.attempt = attempt
         self.execution = Execution.RAN
+        self.this_call = Execution.RAN
 
     def declined(self, declined: Declined) -> None:
         """Note that the endpoint process does not run this attempt.
@@ -83,7 +88,8 @@
         """
         known = declined.execution
         is_clear = known == Execution.NOT_RUN
-        self.execution = self._before if is_clear else known
+        before, self.this_call = self._before
+        self.execution = before if is_clear else known
         refusal = Refusal(
             self.request.view.request_id,
             declined.reason,
@@ -102,7 +108,7 @@
         RefusedError
             If there is to be no other attempt.
         """
-        self.execution = self._before
+        self.execution, self.this_call = self._before
         self.try_again(RetryReason.OFFER_LOST)
 
     def lost(self, detail: str, *, has_begun: bool = False) -> None:
@@ -156,6 +162,7 @@
             reason,
             detail,
             execution=self.execution,
+            this_call=self.this_call,
             retry_after=_COME_BACK_SECONDS,
         )
 
@@ -165,6 +172,7 @@
             refusal.reason,
             refusal.detail,
             execution=self.execution,
+            this_call=self.this_call,
             retry_after=refusal.retry_after,
         )
 
--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/test_exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/tests/test_exchange.py
@@ -163,6 +163,32 @@
     assert not peer.posted_of(Withdraw)
 
 
+def test_doubt_about_a_key_is_told_apart_from_this_call() -> None:
+    """An endpoint has restarted since a caller made its key.
+
+    Whether an earlier call ran it nobody can tell, but this one did not; a
+    caller that has made no earlier call may use a reserved id instead.
+    """
+    context = make_context()
+
+    def doubt(message: Message) -> Events:
+        if not isinstance(message, Offer):
+            return ()
+        return (
+            Declined(
+                REQUEST,
+                message.attempt,
+                RefusalReason.KEY_IN_DOUBT,
+                execution=Execution.UNKNOWN,
+            ),
+        )
+
+    add_endpoint(context, 'a', doubt)
+    sink = run_exchange(context, idempotent=False, bound=True)
+    assert sink.refused.execution == Execution.UNKNOWN
+    assert sink.refused.this_call == Execution.NOT_RUN
+
+
 def test_restart_leaves_the_outcome_unknown() -> None:
     """The endpoint process is killed between an offer and its reply.
 
--- a/packages/sycamore-entry/src/sycamore_entry/web/problems.py
+++ b/packages/sycamore-entry/src/sycamore_entry/web/problems.py
@@ -52,6 +52,10 @@
     not_run
         True if the request was surely not run, False if it was, and the text
         ``unknown`` if nobody can tell.
+    this_call_not_run
+        The same of this call alone. A key of which an endpoint process is in
+        doubt may have run under an earlier call; whoever has just made the
+        key and reads True here can use a reserved id instead.
     retry_after
         When to come back, in seconds.
     """
@@ -61,6 +65,7 @@
     status: int
     reason: RefusalReason
     not_run: bool | str
+    this_call_not_run: bool | str
     request_id: str = ''
     retry_after: float = 0
     detail: str = ''
@@ -77,6 +82,7 @@
         status=STATUSES.get(refused.reason, _BUSY).value,
         reason=refused.reason,
         not_run=_not_run(refused.execution),
+        this_call_not_run=_not_run(refused.this_call),
         request_id=request_id or '',
         retry_after=refused.retry_after,
         detail=refused.detail,
