Unpack what was known into names, as the linter asks

Cause: the linter forbids attributes as targets of an unpacking. Ruled out: an exception. Conclusion: two attributes in place of a pair.

--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/progress.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/progress.py
@@ -52,7 +52,8 @@
         self.execution = Execution.NOT_RUN
         self.link: EndpointLink | None = None
         self.this_call = Execution.NOT_RUN
-        self._before = (Execution.NOT_RUN, Execution.NOT_RUN)
+        self._before = Execution.NOT_RUN
+        self._call_before = Execution.NOT_RUN
 
     @property
     def endpoint(self) -> EndpointId | None:
@@ -68,7 +69,8 @@
         """Note that the request is being offered."""
         self.attempt = Attempt(self.attempt + 1)
         self.link = link
-        self._before = (self.execution, self.this_call)
+        self._before = self.execution
+        self._call_before = self.this_call
         self.execution = Execution.UNKNOWN
         self.this_call = Execution.UNKNOWN
 
@@ -88,8 +90,8 @@
         """
         known = declined.execution
         is_clear = known == Execution.NOT_RUN
-        before, self.this_call = self._before
-        self.execution = before if is_clear else known
+        self.this_call = self._call_before
+        self.execution = self._before if is_clear else known
         refusal = Refusal(
             self.request.view.request_id,
             declined.reason,
@@ -108,7 +110,8 @@
         RefusedError
             If there is to be no other attempt.
         """
-        self.execution, self.this_call = self._before
+        self.execution = self._before
+        self.this_call = self._call_before
         self.try_again(RetryReason.OFFER_LOST)
 
     def lost(self, detail: str, *, has_begun: bool = False) -> None:
