Charge an endpoint's counts back only to the one that was charged

Figures: the new test fails on the code before and passes after. Conclusion: a request remembers what it was charged to.

--- a/packages/sycamore-core/src/sycamore_core/decisions/endpoint_book.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/endpoint_book.py
@@ -96,7 +96,9 @@
 
     def note_sent(self, sent: Sent) -> None:
         """Note that a request is offered to an endpoint or a group."""
-        for entry in self._of(sent):
+        charged = self._of(sent)
+        sent.holders = tuple(entry.candidate for entry in charged)
+        for entry in charged:
             band = sent.waiting.request.band
             ahead = entry.candidate.tokens_ahead(band)
             sent.tokens_ahead = ahead + sent.new_tokens
@@ -139,7 +141,7 @@
 
     def note_first_token(self, sent: Sent, now: float) -> None:
         """Note that a prompt has been computed."""
-        for holder in self._of(sent):
+        for holder in self._charged(sent):
             holder.candidate.clear_pending(
                 sent.waiting.request,
                 sent.new_tokens,
@@ -164,7 +166,7 @@
     def note_gone(self, sent: Sent) -> None:
         """Note that a request is no longer at its endpoints."""
         request = sent.waiting.request
-        for entry in self._of(sent):
+        for entry in self._charged(sent):
             if sent.first_token_at is None:
                 entry.candidate.clear_pending(request, sent.new_tokens)
             entry.candidate.drop(request, sent.lease_tokens)
@@ -190,6 +192,19 @@
             tokens = 1 + seconds / view.step_seconds
             entry.queue.speed.take_output(sent.waiting.request, tokens)
 
+    def _charged(self, sent: Sent) -> Iterable[_Entry]:
+        """Return the endpoints that were charged and are still the same.
+
+        What goes wrong otherwise: an endpoint falls silent, comes back, and
+        what was sent before is taken off the new one; its counts go below
+        zero, and it looks emptier than it is for as long as it lives.
+        """
+        return [
+            entry
+            for entry in self._of(sent)
+            if any(entry.candidate is holder for holder in sent.holders)
+        ]
+
     def _of(self, sent: Sent) -> Iterable[_Entry]:
         found = (self.entries.get(name) for name in sent.endpoints)
         return [entry for entry in found if entry is not None]
--- a/packages/sycamore-core/src/sycamore_core/decisions/outstanding.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/outstanding.py
@@ -4,6 +4,7 @@
 
 from ..ids import EndpointId
 from .flow import Waiting
+from .tracked import TrackedCandidate
 
 
 class Sent(msgspec.Struct, kw_only=True, eq=False):
@@ -17,6 +18,9 @@
         Prompt tokens that are expected to be computed, by each endpoint.
     lease_tokens
         Memory that it is expected to hold at each endpoint, in tokens.
+    holders
+        What was charged for it; an endpoint that was removed and came back
+        since is another one and was charged nothing.
     tokens_ahead
         Prompt tokens that its engine computes before its first token.
     sent_at, first_token_at
@@ -29,6 +33,7 @@
     new_tokens: int
     lease_tokens: int
     sent_at: float
+    holders: tuple[TrackedCandidate, ...] = ()
     tokens_ahead: int = 0
     first_token_at: float | None = None
 
--- a/packages/sycamore-core/src/sycamore_core/decisions/tests/test_fair.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/tests/test_fair.py
@@ -241,3 +241,21 @@
     assert 'b' in sent_names(scheduler, 0.1) + sent_names(scheduler, 0.2)
     scheduler.update_endpoint(build_view('e1'), 0.3)
     assert sent_names(scheduler, 0.5) == ['a']
+
+
+def test_endpoint_that_came_back_owes_nothing_for_the_one_before():
+    """An endpoint is silent while a request runs there, and comes back.
+
+    When the request is over, the counts of the new one must not fall below
+    zero, or more would be sent there than fits.
+    """
+    scheduler = build_scheduler()
+    scheduler.submit(build_request('a', prompt_tokens=500), 0)
+    sent = single(scheduler.dispatch(0))
+    scheduler.remove_endpoint(sent.endpoint, 0)
+    scheduler.update_endpoint(build_view(sent.endpoint), 0)
+    scheduler.finished('a', Outcome.COMPLETE, 1)
+    candidate = scheduler.endpoints.entries[sent.endpoint].candidate
+    assert candidate.sent_requests == 0
+    assert candidate.own_tokens == 0
+    assert sum(candidate.pending) == 0
