Let a question about a reply change nothing

Cause: the test whether a reply is about this attempt also set its number, which a reader does not expect. Ruled out: a comment. Conclusion: the number is taken where the reply is.

--- a/packages/sycamore-entry/src/sycamore_entry/exchanges/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/exchanges/attempt.py
@@ -91,6 +91,7 @@
         offer = self._offer(budget, priority, members)
         reply = await self._reply_to(offer)
         if isinstance(reply, Accepted):
+            self.attempt = reply.attempt
             return AttemptState.RUNNING
         if isinstance(reply, Declined):
             self.declined = reply
@@ -147,11 +148,9 @@
         return None
 
     def _is_mine(self, reply: Accepted | Declined | RunReport) -> bool:
-        if self.is_repeatable_id:
-            # The caller may have sent the same id before, through this entry
-            # or another; the reply is about the attempt that ran.
-            self.attempt = reply.attempt
-        return reply.attempt == self.attempt
+        # The caller may have sent a repeatable id before, through this entry
+        # or another; the reply is then about the attempt that ran.
+        return self.is_repeatable_id or reply.attempt == self.attempt
 
     def _is_loss(self, reply: object) -> bool:
         return isinstance(reply, EndpointLost)
