Write a refusal and a stable hash in one place each

Cause: the handlers and the sinks of answers each set status, headers and Retry-After of a refusal, and the ranking of endpoints and the affinity of prefixes each had a 64-bit hash of a text. Ruled out: the hash of the readers of a zone, which is of another form: to share it would change which processes read; the copy of settings fields in the tree and in what it resolves to, of which one is optional and one is not.

--- a/packages/sycamore-core/src/sycamore_core/decisions/affinity.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/affinity.py
@@ -11,7 +11,6 @@
 
 import bisect
 import functools
-import hashlib
 import math
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping, Sequence
@@ -19,6 +18,7 @@
 
 import msgspec
 
+from ..hashes import stable_hash
 from ..ids import BlockHash, EndpointId, ServiceId
 from .pool import Candidate, CandidatePool
 
@@ -237,12 +237,6 @@
     return tuple(positions)
 
 
-def stable_hash(text: str) -> int:
-    """Return 64 bits that are the same in every process."""
-    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
-    return int.from_bytes(digest, 'big')
-
-
 @functools.lru_cache(maxsize=_REMEMBERED_RESULTS)
 def _points(endpoint: EndpointId) -> tuple[tuple[int, EndpointId], ...]:
     return tuple(
--- a/packages/sycamore-core/src/sycamore_core/decisions/subset.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/subset.py
@@ -9,9 +9,9 @@
 
 from collections.abc import Mapping, Sequence
 
+from ..hashes import stable_hash
 from ..ids import EntryId, RegionId, ZoneId
 from ..settings import EndpointSettings
-from .affinity import stable_hash
 
 #: Endpoints of one service that an entry uses. Six services times twelve are
 #: 72 peers, 19 KB/s; a random dozen still leaves two choices their effect.
--- a/packages/sycamore-core/src/sycamore_core/identity/rendezvous.py
+++ b/packages/sycamore-core/src/sycamore_core/identity/rendezvous.py
@@ -1,20 +1,17 @@
 """Rendezvous hashing: the same ranking of names for a key in every process."""
 
-import hashlib
 from collections.abc import Iterable, Sequence
 
+from ..hashes import stable_hash
 from ..ids import EndpointId, IdempotencyKey, ServiceId, WorkspaceId
 from ..settings import FleetSettings
 
-_SCORE_BYTES = 8
 _SEPARATOR = '\0'
 
 
 def rendezvous_score(key: str, name: str) -> int:
     """Return the score of a name for a key; the highest is the first."""
-    text = _SEPARATOR.join((key, name)).encode()
-    hashed = hashlib.blake2b(text, digest_size=_SCORE_BYTES)
-    return int.from_bytes(hashed.digest())
+    return stable_hash(_SEPARATOR.join((key, name)))
 
 
 def rendezvous_ranking(key: str, names: Iterable[str]) -> list[str]:
--- a/packages/sycamore-entry/src/sycamore_entry/web/handlers/base.py
+++ b/packages/sycamore-entry/src/sycamore_entry/web/handlers/base.py
@@ -11,7 +11,7 @@
 
 from ...answers import AnswerSink
 from ...errors import RefusedError
-from ..problems import PROBLEM_TYPE, make_problem
+from ..problems import set_problem
 from ..shared import WebContext
 from ..sinks import DocumentSink, EventStreamSink
 
@@ -45,14 +45,7 @@
     ) -> None:
         """Answer with a problem document and count it."""
         self.context.entry.metrics.refused(refused.reason)
-        problem = make_problem(refused, request_id)
-        self.set_status(problem.status)
-        self.set_header('Content-Type', PROBLEM_TYPE)
-        if refused.retry_after:
-            self.set_header(
-                'Retry-After', str(max(1, round(refused.retry_after)))
-            )
-        self.finish(msgspec.json.encode(problem))
+        self.finish(set_problem(self, refused, request_id))
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Answer an error that reached tornado; callers see no trace."""
--- a/packages/sycamore-entry/src/sycamore_entry/web/problems.py
+++ b/packages/sycamore-entry/src/sycamore_entry/web/problems.py
@@ -6,6 +6,7 @@
 import msgspec
 from sycamore_core.ids import RequestId
 from sycamore_core.states import Execution, RefusalReason
+from tornado.web import RequestHandler
 
 from ..errors import RefusedError
 
@@ -89,6 +90,23 @@
     )
 
 
+def set_problem(
+    handler: RequestHandler,
+    refused: RefusedError,
+    request_id: RequestId | None = None,
+) -> bytes:
+    """Set the status and headers of a refusal and return its body."""
+    problem = make_problem(refused, request_id)
+    handler.set_status(problem.status)
+    handler.set_header('Content-Type', PROBLEM_TYPE)
+    if request_id is not None:
+        handler.set_header('Request-Id', request_id)
+    if refused.retry_after:
+        seconds = max(1, round(refused.retry_after))
+        handler.set_header('Retry-After', str(seconds))
+    return msgspec.json.encode(problem)
+
+
 def _not_run(execution: Execution) -> bool | str:
     if execution == Execution.UNKNOWN:
         return execution.value
--- a/packages/sycamore-entry/src/sycamore_entry/web/sinks.py
+++ b/packages/sycamore-entry/src/sycamore_entry/web/sinks.py
@@ -12,7 +12,7 @@
 
 from ..answers import AnswerSink
 from ..errors import CallerGoneError, RefusedError
-from .problems import PROBLEM_TYPE, make_problem
+from .problems import make_problem, set_problem
 
 _TYPE_HEADER = 'Content-Type'
 _ID_HEADER = 'Request-Id'
@@ -60,14 +60,7 @@
         refused: RefusedError,
     ) -> None:
         """Send a problem document, unless an answer has begun."""
-        problem = make_problem(refused, request_id)
-        self.handler.set_status(problem.status)
-        self.handler.set_header(_TYPE_HEADER, PROBLEM_TYPE)
-        self.handler.set_header(_ID_HEADER, request_id)
-        if refused.retry_after:
-            seconds = max(1, round(refused.retry_after))
-            self.handler.set_header('Retry-After', str(seconds))
-        await self._finish(msgspec.json.encode(problem))
+        await self._finish(set_problem(self.handler, refused, request_id))
 
     def abandon(self) -> None:
         """Close the connection, which no caller takes for an answer."""
