Decide where prompts are read when entries call engines themselves

Cause: on the users' platform no process stands beside an engine; entries have to place short turns and prompts beyond one engine by the engines' published cost figures, what they have in progress and what peers say.

--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -0,0 +1,31 @@
+"""Decisions of an entry that calls endpoints itself.
+
+Load pattern: short turns that must not wait, beside prompts of up to a million
+tokens, on engines that read prompts between the tokens of other requests. The
+modules know the engines' cost figures, what this entry has at each engine and
+what its peers say that they have there.
+"""
+
+from .attempts import AttemptEnd, AttemptLog, NextStep, next_step
+from .engine_work import EngineWork, Stake
+from .load_book import LoadBook
+from .plain_choice import choose_plain
+from .read_plan import Candidate, ReadPlan, ReadRequest, plan_read
+from .retry_allowance import AllowanceBounds, RetryAllowance
+
+__all__ = (
+    'AllowanceBounds',
+    'AttemptEnd',
+    'AttemptLog',
+    'Candidate',
+    'EngineWork',
+    'LoadBook',
+    'NextStep',
+    'ReadPlan',
+    'ReadRequest',
+    'RetryAllowance',
+    'Stake',
+    'choose_plain',
+    'next_step',
+    'plan_read',
+)
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_work.py
@@ -0,0 +1,94 @@
+"""What one entry has in progress at one engine."""
+
+import msgspec
+
+from ...ids import RequestId
+from ...routing import EngineLoad
+
+_MS = 1000.0
+
+
+class Stake(msgspec.Struct, kw_only=True):
+    """Part of one request at one engine.
+
+    Attributes
+    ----------
+    read_ms
+        Time that the engine needs to read its part of the prompt.
+    context_tokens
+        Tokens that each of its steps carries while it generates; 0 at an
+        engine that only helps to read.
+    memory_tokens
+        Tokens that it takes of the engine's memory.
+    pause_ms
+        Longest pause between two events that its caller was promised; 0 if
+        nothing was.
+    is_home
+        Whether this engine generates the answer.
+    is_writing
+        Whether its first token has come.
+    """
+
+    read_ms: float
+    context_tokens: int = 0
+    memory_tokens: int = 0
+    pause_ms: float = 0
+    is_home: bool = True
+    is_writing: bool = False
+
+
+class EngineWork:
+    """The requests of this entry at one engine.
+
+    Examples
+    --------
+    >>> work = EngineWork()
+    >>> work.add('r1', Stake(read_ms=200), now=0)
+    >>> round(work.load(now=0.05).backlog_ms)
+    150
+    """
+
+    def __init__(self) -> None:
+        self.stakes: dict[RequestId, Stake] = {}
+        self.read_until: float = 0
+
+    def add(self, request_id: RequestId, stake: Stake, now: float) -> None:
+        """Note that a request was sent to the engine."""
+        self.stakes[request_id] = stake
+        self.read_until = max(self.read_until, now) + stake.read_ms / _MS
+
+    def first_token(self, request_id: RequestId, now: float) -> None:
+        """Note that a request's prompt has been read."""
+        stake = self.stakes.get(request_id)
+        if stake is not None and not stake.is_writing:
+            stake.is_writing = True
+            self._settle(now)
+
+    def end(self, request_id: RequestId, now: float) -> None:
+        """Note that a request is over."""
+        if self.stakes.pop(request_id, None) is not None:
+            self._settle(now)
+
+    def load(self, now: float) -> EngineLoad:
+        """Return what these requests have the engine do."""
+        load = EngineLoad(backlog_ms=max(0, self.read_until - now) * _MS)
+        for stake in self.stakes.values():
+            load.memory_tokens += stake.memory_tokens
+            if stake.is_home:
+                _count_home(load, stake)
+        return load
+
+    def _settle(self, now: float) -> None:
+        # Estimates of reading add up; the first moment at which nothing is
+        # left to read sets them right.
+        if all(stake.is_writing for stake in self.stakes.values()):
+            self.read_until = now
+
+
+def _count_home(load: EngineLoad, stake: Stake) -> None:
+    load.requests += 1
+    if stake.is_writing:
+        load.writers += 1
+        load.context_tokens += stake.context_tokens
+    if stake.pause_ms:
+        load.pause_ms = min(load.pause_ms, stake.pause_ms)
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
@@ -0,0 +1,148 @@
+"""The load of each engine: this entry's own work and what its peers say.
+
+What goes wrong without the peers' part: each entry places by its own requests
+alone, two of them choose the same idle engine, and a short turn waits behind
+another entry's long prompt while engines beside it idle.
+"""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from ...ids import EndpointId, PeerId, RequestId
+from ...routing import EngineLoad, EngineShare
+from .engine_work import EngineWork, Stake
+
+#: Age from which on a peer's word is not used, in seconds. A peer repeats its
+#: whole word every second; three missed in a row mean that it is gone or cut
+#: off, and its requests with it or soon over.
+STALE_SECONDS = 3.2
+
+
+class PeerWord(msgspec.Struct):
+    """What a peer said last, and when."""
+
+    loads: dict[EndpointId, EngineLoad]
+    at: float
+
+
+class LoadBook:
+    """Loads of engines, by endpoint.
+
+    Attributes
+    ----------
+    changed
+        Endpoints at which own work has begun or ended since `take_changed`.
+    """
+
+    def __init__(self) -> None:
+        self.own: dict[EndpointId, EngineWork] = {}
+        self.peers: dict[PeerId, PeerWord] = {}
+        self.changed: set[EndpointId] = set()
+
+    def begin(
+        self,
+        request_id: RequestId,
+        stakes: dict[EndpointId, Stake],
+        now: float,
+    ) -> None:
+        """Note where a request was sent."""
+        for endpoint, stake in stakes.items():
+            work = self.own.setdefault(endpoint, EngineWork())
+            work.add(request_id, stake, now)
+            self.changed.add(endpoint)
+
+    def first_token(
+        self,
+        request_id: RequestId,
+        endpoints: Iterable[EndpointId],
+        now: float,
+    ) -> None:
+        """Note that a request's prompt has been read."""
+        for endpoint in endpoints:
+            work = self.own.get(endpoint)
+            if work is not None:
+                work.first_token(request_id, now)
+                self.changed.add(endpoint)
+
+    def end(
+        self,
+        request_id: RequestId,
+        endpoints: Iterable[EndpointId],
+        now: float,
+    ) -> None:
+        """Note that a request is over."""
+        for endpoint in endpoints:
+            work = self.own.get(endpoint)
+            if work is None:
+                continue
+            work.end(request_id, now)
+            self.changed.add(endpoint)
+            if not work.stakes:
+                self.own.pop(endpoint)
+
+    def load(self, endpoint: EndpointId, now: float) -> EngineLoad:
+        """Return what an engine has to do."""
+        work = self.own.get(endpoint)
+        total = EngineLoad() if work is None else work.load(now)
+        for word in self.peers.values():
+            said = word.loads.get(endpoint)
+            age = now - word.at
+            if said is not None and age < STALE_SECONDS:
+                total.add(said, age)
+        return total
+
+    def hear(
+        self,
+        peer: PeerId,
+        shares: Iterable[EngineShare],
+        now: float,
+        *,
+        is_whole: bool,
+    ) -> None:
+        """Take what a peer says that it has.
+
+        Parameters
+        ----------
+        is_whole
+            Whether it names all of its work; otherwise only what changed.
+        """
+        word = self.peers.get(peer)
+        if word is None or is_whole:
+            word = PeerWord({}, now)
+            self.peers[peer] = word
+        _age(word, now)
+        for share in shares:
+            word.loads[share.endpoint] = share.load
+
+    def forget(self, peer: PeerId) -> None:
+        """Drop what a peer said; it has started anew or is gone."""
+        self.peers.pop(peer, None)
+
+    def shares(
+        self,
+        endpoints: Iterable[EndpointId],
+        now: float,
+    ) -> tuple[EngineShare, ...]:
+        """Return what this entry has at some engines."""
+        return tuple(
+            EngineShare(endpoint, self._own_load(endpoint, now))
+            for endpoint in endpoints
+        )
+
+    def take_changed(self) -> set[EndpointId]:
+        """Return the endpoints whose own work changed, and begin anew."""
+        changed = self.changed
+        self.changed = set()
+        return changed
+
+    def _own_load(self, endpoint: EndpointId, now: float) -> EngineLoad:
+        work = self.own.get(endpoint)
+        return EngineLoad() if work is None else work.load(now)
+
+
+def _age(word: PeerWord, now: float) -> None:
+    passed_ms = (now - word.at) * 1000
+    for load in word.loads.values():
+        load.backlog_ms = max(0, load.backlog_ms - passed_ms)
+    word.at = now
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/messages/entries.py
@@ -0,0 +1,26 @@
+"""What entries that call endpoints themselves tell one another."""
+
+from ..ids import EntryId, ZoneId
+from ..routing import EngineShare
+from .base import BaseMessage
+
+
+class EntryWord(BaseMessage, frozen=True):
+    """Sign of life of an entry, with what it has at endpoints.
+
+    Attributes
+    ----------
+    is_whole
+        Whether `shares` names all that the entry has; otherwise only what
+        has changed since the word before.
+    peers
+        Addresses of the entries that it hears, by which a newcomer finds
+        them all.
+    """
+
+    entry: EntryId
+    zone: ZoneId
+    settings_version: int
+    is_whole: bool
+    shares: tuple[EngineShare, ...] = ()
+    peers: tuple[str, ...] = ()
--- a/packages/sycamore-core/src/sycamore_core/messages/union.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/union.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from ..errors import CodecError
+from .entries import EntryWord
 from .frames import Ack, Frame
 from .groups import (
     GroupAnswer,
@@ -29,7 +30,7 @@
     Accepted | Attach | Cancel | Declined | Offer | RunReport | Withdraw
 )
 AnswerMessage = Ack | Frame | Reserve | Reserved
-PeerMessage = Heartbeat | LoadReport | SettingsBody | SettingsWanted
+PeerMessage = EntryWord | Heartbeat | LoadReport | SettingsBody | SettingsWanted
 GroupMessage = (
     GroupAnswer | GroupRelease | GroupRenew | GroupReserve | SpanDone | SpanRun
 )
--- a/packages/sycamore-core/src/sycamore_core/platform/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/platform/__init__.py
@@ -8,7 +8,11 @@
     digest_of,
 )
 from .claims import SettingsClaim
-from .http_sources import HttpInstanceSource, HttpSettingsSource
+from .http_sources import (
+    HttpInstanceSource,
+    HttpSettingsSource,
+    PlatformHttp,
+)
 from .keeper import SettingsKeeper, ZoneMember
 from .pace import ReadPace
 from .peers import NoPeers, SeedPeers, SettingsPeers
@@ -30,6 +34,7 @@
     'InstanceSource',
     'InstanceState',
     'NoPeers',
+    'PlatformHttp',
     'PublishedSettings',
     'ReadPace',
     'RefusedTree',
--- a/packages/sycamore-core/src/sycamore_core/platform/http_sources.py
+++ b/packages/sycamore-core/src/sycamore_core/platform/http_sources.py
@@ -27,10 +27,24 @@
 
 
 class PlatformHttp:
-    """Makes GET calls to one of the platform's services."""
+    """Makes GET calls to one of the platform's services.
 
-    def __init__(self, base_url: str) -> None:
+    Parameters
+    ----------
+    base_url
+        Such as ``http://10.0.0.1:8080``.
+    answer_seconds
+        Time given to an answer beyond the time for which it was asked to
+        wait.
+    """
+
+    def __init__(
+        self,
+        base_url: str,
+        answer_seconds: float = ANSWER_SECONDS,
+    ) -> None:
         self.base_url = base_url.rstrip('/')
+        self.answer_seconds = answer_seconds
         self._client = CurlAsyncHTTPClient(force_instance=True)
 
     async def get(self, path: str, wait_seconds: float = 0) -> HTTPResponse:
@@ -46,8 +60,8 @@
             return await self._client.fetch(
                 url,
                 raise_error=False,
-                connect_timeout=CONNECT_SECONDS,
-                request_timeout=wait_seconds + ANSWER_SECONDS,
+                connect_timeout=min(CONNECT_SECONDS, self.answer_seconds),
+                request_timeout=wait_seconds + self.answer_seconds,
             )
         except (HTTPClientError, OSError, ValueError) as error:
             raise PlatformError(f'GET {url}: {error}') from error
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/routing/__init__.py
@@ -0,0 +1,31 @@
+"""What an entry that calls endpoints itself knows of routes and endpoints."""
+
+from .directory import EndpointDirectory
+from .endpoints import EndpointRecord
+from .engines import EngineCosts
+from .loads import EngineLoad, EngineShare
+from .routes import (
+    CallerLimits,
+    Route,
+    RouteKind,
+    ServiceRecord,
+    ServiceShare,
+    WorkspaceRecord,
+)
+from .table import PublishedTable, RoutingTable
+
+__all__ = (
+    'CallerLimits',
+    'EndpointDirectory',
+    'EndpointRecord',
+    'EngineCosts',
+    'EngineLoad',
+    'EngineShare',
+    'PublishedTable',
+    'Route',
+    'RouteKind',
+    'RoutingTable',
+    'ServiceRecord',
+    'ServiceShare',
+    'WorkspaceRecord',
+)
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/routing/directory.py
@@ -0,0 +1,110 @@
+"""Which endpoints of a service may be given new requests.
+
+What goes wrong: an endpoint announces that it leaves, or its registration
+vanishes, and requests sent to it later are cut off when it exits. Once this
+process has seen either, no later sighting of an older state may bring the
+endpoint back, or requests would go to it again.
+
+Registrations also vanish while the platform is away, as they cannot be
+renewed. To drop them at once would leave a service without endpoints while
+all of them are well; they are therefore kept for a moment after the platform
+has come back, in which a living endpoint registers again.
+"""
+
+from collections.abc import Iterable
+
+from ..ids import EndpointId, ServiceId
+from .endpoints import EndpointRecord
+
+#: How long a registration that is missing after an outage of the platform is
+#: kept, in seconds. Living endpoints have registered again within two.
+RETURN_SECONDS = 2.2
+
+
+class EndpointDirectory:
+    """The endpoints that are registered, with the state seen last.
+
+    Examples
+    --------
+    >>> directory = EndpointDirectory()
+    >>> directory.put(EndpointRecord(
+    ...     endpoint='e1', service='chat', host='10.0.0.1', port=80, zone='a',
+    ... ))
+    >>> [one.endpoint for one in directory.usable('chat')]
+    ['e1']
+    >>> directory.remove('e1')
+    >>> directory.usable('chat')
+    []
+    """
+
+    def __init__(self) -> None:
+        self.records: dict[EndpointId, EndpointRecord] = {}
+        self.missing_since: dict[EndpointId, float] = {}
+
+    def usable(self, service: ServiceId) -> list[EndpointRecord]:
+        """Return the endpoints of a service that take new requests."""
+        return [
+            record
+            for record in self.records.values()
+            if record.service == service and not record.is_leaving
+        ]
+
+    def find(self, endpoint: EndpointId) -> EndpointRecord | None:
+        """Return the record of an endpoint, if it is registered."""
+        return self.records.get(endpoint)
+
+    def put(self, record: EndpointRecord) -> None:
+        """Take a registration, unless it is older than what is known."""
+        self.missing_since.pop(record.endpoint, None)
+        known = self.records.get(record.endpoint)
+        if known is not None and not _may_follow(known, record):
+            return
+        self.records[record.endpoint] = record
+
+    def remove(self, endpoint: EndpointId) -> None:
+        """Drop an endpoint whose registration was removed."""
+        self.records.pop(endpoint, None)
+        self.missing_since.pop(endpoint, None)
+
+    def replace(
+        self,
+        records: Iterable[EndpointRecord],
+        now: float,
+        *,
+        after_outage: bool,
+    ) -> None:
+        """Take a whole list of registrations.
+
+        Parameters
+        ----------
+        now
+            Monotonic time, in seconds.
+        after_outage
+            Whether the platform was away just before: endpoints that are
+            missing from the list are then kept for `RETURN_SECONDS`.
+        """
+        listed = {record.endpoint: record for record in records}
+        for record in listed.values():
+            self.put(record)
+        for endpoint in self.records.keys() - listed.keys():
+            if after_outage:
+                self.missing_since.setdefault(endpoint, now)
+            else:
+                self.remove(endpoint)
+
+    def expire(self, now: float) -> list[EndpointId]:
+        """Drop the endpoints that did not register again; return them."""
+        expired = [
+            endpoint
+            for endpoint, since in self.missing_since.items()
+            if now - since >= RETURN_SECONDS
+        ]
+        for endpoint in expired:
+            self.remove(endpoint)
+        return expired
+
+
+def _may_follow(known: EndpointRecord, record: EndpointRecord) -> bool:
+    if record.started_ms != known.started_ms:
+        return record.started_ms > known.started_ms
+    return record.is_leaving or not known.is_leaving
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/routing/table.py
@@ -0,0 +1,82 @@
+"""The operator's configuration, looked up by host, path and key."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
+
+import msgspec
+
+from ..ids import ServiceId, SettingsVersion
+from .routes import CallerLimits, Route, ServiceRecord, WorkspaceRecord
+
+_NO_LIMITS = CallerLimits()
+_NO_WORKSPACES: Mapping[str, WorkspaceRecord] = MappingProxyType({})
+
+
+class RoutingTable:
+    """One version of the configuration.
+
+    Parameters
+    ----------
+    version
+        Number under which the operator published it.
+    workspaces
+        Workspace by API key; empty if callers need no key.
+    """
+
+    def __init__(
+        self,
+        version: SettingsVersion,
+        routes: Iterable[Route],
+        services: Iterable[ServiceRecord],
+        workspaces: Mapping[str, WorkspaceRecord] = _NO_WORKSPACES,
+        limits: CallerLimits = _NO_LIMITS,
+    ) -> None:
+        self.version = version
+        self.routes = tuple(routes)
+        self.services = {service.service: service for service in services}
+        self.workspaces = dict(workspaces)
+        self.limits = limits
+        self._by_host = _longest_first(self.routes)
+
+    @property
+    def needs_keys(self) -> bool:
+        """Whether requests on routes that are not public carry a key."""
+        return bool(self.workspaces)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of `path`, if any."""
+        candidates = self._by_host.get(host.lower(), ())
+        matching = (
+            route for route in candidates if path.startswith(route.prefix)
+        )
+        return next(matching, None)
+
+    def workspace_of(self, api_key: str) -> WorkspaceRecord | None:
+        """Return the workspace that holds a key, if any does."""
+        return self.workspaces.get(api_key)
+
+    def service(self, service: ServiceId) -> ServiceRecord | None:
+        """Return what the configuration says of a service, if anything."""
+        return self.services.get(service)
+
+
+class PublishedTable(msgspec.Struct, frozen=True):
+    """A table with the bytes that it was read from."""
+
+    table: RoutingTable
+    source: bytes
+
+
+def _longest_first(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
+    by_host: defaultdict[str, list[Route]] = defaultdict(list)
+    for route in routes:
+        by_host[route.host.lower()].append(route)
+    return {
+        host: tuple(sorted(found, key=_prefix_length, reverse=True))
+        for host, found in by_host.items()
+    }
+
+
+def _prefix_length(route: Route) -> int:
+    return len(route.prefix)
