--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/__init__.py
@@ -0,0 +1,50 @@
+"""An entry that forwards requests to endpoints without a process beside them.
+
+The endpoints themselves say what they have not run, check whom a request was
+meant for, and keep reservations as leases; the entry decides where.
+"""
+
+from .errors import ForwardingError, WireError
+from .feed import (
+    Change,
+    ChangeBatch,
+    EndpointChanged,
+    EndpointRemoved,
+    FleetFeed,
+    FleetSnapshot,
+    HistoryLostError,
+    Revision,
+    TableChanged,
+)
+from .process import ForwardingProcess
+from .settings import ForwardingSettings
+from .wire import (
+    AnswerHead,
+    CallTerms,
+    Helper,
+    Order,
+    OutgoingTerms,
+    WireFormat,
+)
+
+__all__ = (
+    'AnswerHead',
+    'CallTerms',
+    'Change',
+    'ChangeBatch',
+    'EndpointChanged',
+    'EndpointRemoved',
+    'FleetFeed',
+    'FleetSnapshot',
+    'ForwardingError',
+    'ForwardingProcess',
+    'ForwardingSettings',
+    'Helper',
+    'HistoryLostError',
+    'Order',
+    'OutgoingTerms',
+    'Revision',
+    'TableChanged',
+    'WireError',
+    'WireFormat',
+)
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/calls.py
@@ -0,0 +1,33 @@
+"""What is forwarded, whichever endpoint gets it."""
+
+import msgspec
+from sycamore_core.ids import RequestId, WorkspaceId
+from sycamore_core.routing import Route, ServiceRecord
+
+from .caller import CallerRequest
+from .wire import CallTerms
+
+
+class AttemptCall(msgspec.Struct, frozen=True, kw_only=True):
+    """A request that was admitted.
+
+    Attributes
+    ----------
+    workspace
+        Whose request it is; None on public routes.
+    limit
+        When it is over, on the monotonic clock, in seconds.
+    """
+
+    request_id: RequestId
+    terms: CallTerms
+    request: CallerRequest
+    route: Route
+    service: ServiceRecord
+    workspace: WorkspaceId | None
+    limit: float
+
+    @property
+    def objective_at(self) -> float:
+        """Return by when the answer, or its first event, was promised."""
+        return self.request.arrived_at + self.route.objective
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
@@ -0,0 +1,202 @@
+"""Chooses endpoints for requests and keeps count of what is where."""
+
+from collections.abc import Iterable
+
+import msgspec
+from sycamore_core.clock import Clock
+from sycamore_core.decisions.direct import (
+    Candidate,
+    LoadBook,
+    ReadRequest,
+    Stake,
+    choose_plain,
+    plan_read,
+)
+from sycamore_core.hashes import stable_part
+from sycamore_core.ids import EndpointId, EntryId, RequestId
+from sycamore_core.routing import (
+    EndpointRecord,
+    EngineCosts,
+    ServiceRecord,
+)
+
+from .fleet import FleetKeeper
+
+#: Cost of an endpoint that failed lately, in broken promises: others are
+#: taken as long as any of them keeps its promises.
+_ILL_COST = 3.0
+#: Largest difference by which equal engines are told apart, in broken
+#: promises, so that two entries choose different ones at the same moment.
+_TIE_COST = 0.004
+#: Calls by which a replica that failed lately seems busier than it is.
+_ILL_CALLS = 6.0
+#: How long a failure keeps work away from an endpoint, in seconds: the first
+#: time and, doubled each time in a row, at most.
+FIRST_REST = 0.4
+LONGEST_REST = 4.0
+
+
+class Placement(msgspec.Struct, frozen=True, kw_only=True):
+    """Where a request is sent.
+
+    Attributes
+    ----------
+    home
+        Endpoint that gets the request.
+    helpers
+        Engines that read parts of the prompt.
+    stored
+        Tokens that helpers store, by endpoint.
+    part_ms, expected_ms
+        Estimates of a part's reading and of the first event.
+    """
+
+    home: EndpointRecord
+    helpers: tuple[EndpointRecord, ...] = ()
+    stored: tuple[tuple[EndpointId, int], ...] = ()
+    part_ms: float = 0
+    expected_ms: float = 0
+    cost: float = 0
+
+    @property
+    def members(self) -> tuple[EndpointId, ...]:
+        """Return all endpoints that take part."""
+        names = [one.endpoint for one in self.helpers]
+        return (self.home.endpoint, *names)
+
+
+class Illness(msgspec.Struct):
+    """Failures in a row of one endpoint."""
+
+    failures: int = 0
+    rests_until: float = 0
+
+
+class DirectDispatcher:
+    """Places requests on endpoints.
+
+    Attributes
+    ----------
+    book
+        What is in progress where.
+    """
+
+    def __init__(
+        self,
+        entry: EntryId,
+        keeper: FleetKeeper,
+        clock: Clock,
+    ) -> None:
+        self.entry = entry
+        self.keeper = keeper
+        self.clock = clock
+        self.book = LoadBook()
+        self.illnesses: dict[EndpointId, Illness] = {}
+        self._ties: dict[EndpointId, float] = {}
+
+    def place_model(
+        self,
+        service: ServiceRecord,
+        costs: EngineCosts,
+        request: ReadRequest,
+        excluded: Iterable[EndpointId],
+    ) -> Placement | None:
+        """Return where a prompt is read; None if no engine has a slot."""
+        now = self.clock.monotonic()
+        records = self._records(service, excluded)
+        candidates = [
+            Candidate(name, self.book.load(name, now), self._penalty(name, now))
+            for name in records
+        ]
+        plan = plan_read(request, candidates, costs)
+        if plan is None:
+            return None
+        return Placement(
+            home=records[plan.home],
+            helpers=tuple(records[name] for name in plan.helpers),
+            stored=plan.stored,
+            part_ms=plan.part_ms,
+            expected_ms=plan.expected_ms,
+            cost=plan.cost,
+        )
+
+    def place_plain(
+        self,
+        service: ServiceRecord,
+        excluded: Iterable[EndpointId],
+    ) -> Placement | None:
+        """Return the replica for a call; None if there is none."""
+        now = self.clock.monotonic()
+        records = self._records(service, excluded)
+        chosen = choose_plain(
+            tuple(records.values()),
+            lambda name: self._calls(name, now),
+        )
+        return None if chosen is None else Placement(home=chosen)
+
+    def begin(
+        self,
+        request_id: RequestId,
+        stakes: dict[EndpointId, Stake],
+    ) -> None:
+        """Note that a request was sent."""
+        self.book.begin(request_id, stakes, self.clock.monotonic())
+
+    def first_event(self, request_id: RequestId, placed: Placement) -> None:
+        """Note that a prompt has been read."""
+        now = self.clock.monotonic()
+        self.book.first_token(request_id, placed.members, now)
+
+    def end(self, request_id: RequestId, placed: Placement) -> None:
+        """Note that an attempt is over."""
+        self.book.end(request_id, placed.members, self.clock.monotonic())
+
+    def answered(self, endpoint: EndpointId) -> None:
+        """Note that an endpoint works."""
+        self.illnesses.pop(endpoint, None)
+
+    def failed(self, endpoint: EndpointId) -> None:
+        """Note that an attempt at an endpoint broke."""
+        illness = self.illnesses.setdefault(endpoint, Illness())
+        rest = min(LONGEST_REST, FIRST_REST * 2**illness.failures)
+        illness.failures += 1
+        illness.rests_until = self.clock.monotonic() + rest
+
+    def endpoint_at(self, address: str) -> EndpointId | None:
+        """Return the endpoint that has an address, if one is registered."""
+        for record in self.keeper.directory.records.values():
+            if record.address == address:
+                return record.endpoint
+        return None
+
+    def _records(
+        self,
+        service: ServiceRecord,
+        excluded: Iterable[EndpointId],
+    ) -> dict[EndpointId, EndpointRecord]:
+        left_out = set(excluded)
+        usable = self.keeper.directory.usable(service.service)
+        return {
+            record.endpoint: record
+            for record in usable
+            if record.endpoint not in left_out
+        }
+
+    def _penalty(self, endpoint: EndpointId, now: float) -> float:
+        tie = self._tie(endpoint) * _TIE_COST
+        return tie + _ILL_COST if self._is_ill(endpoint, now) else tie
+
+    def _calls(self, endpoint: EndpointId, now: float) -> float:
+        calls = self.book.load(endpoint, now).requests + self._tie(endpoint)
+        return calls + _ILL_CALLS if self._is_ill(endpoint, now) else calls
+
+    def _is_ill(self, endpoint: EndpointId, now: float) -> bool:
+        illness = self.illnesses.get(endpoint)
+        return illness is not None and now < illness.rests_until
+
+    def _tie(self, endpoint: EndpointId) -> float:
+        known = self._ties.get(endpoint)
+        if known is None:
+            known = stable_part(f'{self.entry} {endpoint}')
+            self._ties[endpoint] = known
+        return known
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
@@ -0,0 +1,256 @@
+"""The whole life of one forwarded request, written straight down."""
+
+import asyncio
+
+from sycamore_core.decisions.direct import (
+    AttemptEnd,
+    AttemptLog,
+    NextStep,
+    next_step,
+)
+from sycamore_core.ids import EndpointId
+from tornado.httputil import HTTPHeaders
+
+from .admission import admit
+from .attempt import Attempt
+from .caller import CallerAnswer, CallerRequest
+from .calls import AttemptCall
+from .context import ForwardingContext
+from .errors import AttemptError, CallerLeftError
+from .placing import Placing
+from .refusals import (
+    BAD_GATEWAY,
+    GATEWAY_TIMEOUT,
+    Refusal,
+    RefusalCause,
+    refuse,
+)
+from .relay import AnswerRelay
+
+
+class Exchange:
+    """One request, from its head to the end of its answer.
+
+    Attributes
+    ----------
+    attempts
+        What became of the attempts so far.
+    call
+        What is forwarded; None if nothing can be.
+    """
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        request: CallerRequest,
+        answer: CallerAnswer,
+    ) -> None:
+        self.context = context
+        self.request = request
+        self.answer = answer
+        self.attempts = AttemptLog()
+        self.excluded: set[EndpointId] = set()
+        self.call: AttemptCall | None = None
+        self.request_id = context.wire.request_id(request.headers)
+        self.end = 'none'
+        self.first_event_ms: float = -1
+        self.last_endpoint = EndpointId('')
+
+    async def run(self) -> None:
+        """Answer the request."""
+        try:
+            await self._serve()
+        except CallerLeftError:
+            self.end = 'caller_left'
+        except asyncio.CancelledError:
+            self.end = 'caller_left'
+            raise
+        except Exception as error:
+            # A fault of ours. Its caller sees a failure that promises
+            # nothing; the others must not suffer from it.
+            self.end = 'fault'
+            self.context.log.error(
+                'exchange_fault',
+                request_id=self.request_id,
+                error=repr(error),
+            )
+        finally:
+            self._settle()
+
+    async def _serve(self) -> None:
+        try:
+            call = admit(self.context, self.request)
+        except Refusal as refusal:
+            await self._refuse(refusal)
+            return
+        self.call = call
+        try:
+            async with asyncio.timeout(call.limit - self._now()):
+                await self._try_until_answered(call)
+        except TimeoutError:
+            await self._out_of_time()
+        except Refusal as refusal:
+            await self._refuse(refusal)
+
+    async def _try_until_answered(self, call: AttemptCall) -> None:
+        relay = AnswerRelay(self.answer, call.route, self._note_first)
+        placing = Placing(self.context, call)
+        self.context.allowance(call.service.service).first_try(self._now())
+        is_over = False
+        while not is_over:
+            placement = await placing.place(self.excluded)
+            self.last_endpoint = placement.home.endpoint
+            attempt = Attempt(
+                self.context,
+                call,
+                placement,
+                may_move=self._may_move(call),
+            )
+            self.attempts.begin()
+            try:
+                await attempt.run(relay)
+            except AttemptError as error:
+                is_over = await self._after(call, attempt, error, relay)
+            else:
+                self.attempts.note(AttemptEnd.ANSWERED)
+                self.end = 'answered'
+                is_over = True
+
+    async def _after(
+        self,
+        call: AttemptCall,
+        attempt: Attempt,
+        error: AttemptError,
+        relay: AnswerRelay,
+    ) -> bool:
+        """Decide what follows a failed attempt; return whether it is over."""
+        self.attempts.note(error.end)
+        self.attempts.has_begun = self.answer.has_begun
+        at_fault = self._exclude(attempt, error)
+        step = self._next_step(call, error.end)
+        self.context.log.info(
+            'attempt_failed',
+            request_id=call.request_id,
+            endpoint=attempt.placement.home.endpoint,
+            at_fault=at_fault,
+            how=error.end,
+            detail=error.detail,
+            sent=self.attempts.sent,
+            may_have_run=self.attempts.may_have_run,
+            events=relay.last_number,
+            step=step,
+        )
+        if step == NextStep.TRY_AGAIN:
+            self.context.metrics.retries.add(error.end)
+            return False
+        if step == NextStep.REFUSE:
+            raise Refusal(RefusalCause.ENDPOINT_REFUSED, error.detail)
+        if step == NextStep.HAND_ON:
+            self.end = 'endpoint_failed'
+            await relay.hand_on_failure()
+            return True
+        await self._fail()
+        return True
+
+    def _exclude(self, attempt: Attempt, error: AttemptError) -> EndpointId:
+        """Leave the endpoint at fault out of the next attempt; return it."""
+        dispatcher = self.context.dispatcher
+        at_fault = attempt.placement.home.endpoint
+        if error.faulty_address:
+            named = dispatcher.endpoint_at(error.faulty_address)
+            at_fault = named or at_fault
+        self.excluded.add(at_fault)
+        if error.end not in {AttemptEnd.FAILED, AttemptEnd.NOT_RUN}:
+            dispatcher.failed(at_fault)
+        elif error.faulty_address:
+            dispatcher.failed(at_fault)
+        return at_fault
+
+    def _may_move(self, call: AttemptCall) -> bool:
+        is_idempotent = call.route.kind.is_idempotent
+        runs = self.attempts.may_have_run + 1
+        return is_idempotent and runs < call.route.max_attempts
+
+    def _next_step(self, call: AttemptCall, end: AttemptEnd) -> NextStep:
+        now = self._now()
+        kind = call.route.kind
+        step = next_step(
+            kind,
+            end,
+            self.attempts,
+            may_repeat=True,
+            max_attempts=call.route.max_attempts,
+        )
+        if step != NextStep.TRY_AGAIN:
+            return step
+        allowance = self.context.allowance(call.service.service)
+        # Nothing reached an endpoint where no connection was made: such an
+        # attempt does not count as a repeat.
+        is_free = end == AttemptEnd.NOT_SENT
+        if is_free or allowance.take(now, self.context.entries):
+            return step
+        return next_step(
+            kind,
+            end,
+            self.attempts,
+            may_repeat=False,
+            max_attempts=call.route.max_attempts,
+        )
+
+    async def _refuse(self, refusal: Refusal) -> None:
+        if self.answer.has_begun:
+            # A head in the middle of a stream would be read as a piece of it.
+            await self._fail()
+            return
+        cause = refusal.cause.value
+        self.end = f'refused_{cause}'
+        self.context.metrics.refusals.add(cause)
+        await refuse(self.answer, self._own_headers(), refusal)
+
+    async def _out_of_time(self) -> None:
+        """Answer at the time limit."""
+        if self.answer.has_begun:
+            self.end = 'cut_at_limit'
+            self.answer.cut()
+        elif self.attempts.may_have_run:
+            self.end = 'late'
+            await self.answer.send(GATEWAY_TIMEOUT, self._own_headers(), b'')
+        else:
+            await self._refuse(Refusal(RefusalCause.TIME_LIMIT))
+
+    async def _fail(self) -> None:
+        """Tell the caller that there is no answer, or no rest of one."""
+        if self.answer.has_begun:
+            self.end = 'cut'
+            self.answer.cut()
+            return
+        self.end = 'failed'
+        await self.answer.send(BAD_GATEWAY, self._own_headers(), b'')
+
+    def _own_headers(self) -> HTTPHeaders:
+        return self.context.wire.own_headers(self.request_id)
+
+    def _note_first(self) -> None:
+        passed = self._now() - self.request.arrived_at
+        self.first_event_ms = passed * 1000
+
+    def _settle(self) -> None:
+        if not self.answer.is_over:
+            # Whatever went wrong, the caller must not take half an answer
+            # for a whole one, nor wait for the rest.
+            self.answer.cut()
+        self.context.metrics.ends.add(self.end)
+        passed = self._now() - self.request.arrived_at
+        self.context.log.info(
+            'request_ended',
+            request_id=self.request_id,
+            route='' if self.call is None else self.call.route.name,
+            how=self.end,
+            endpoint=self.last_endpoint,
+            attempts=self.attempts.sent,
+            first_ms=round(self.first_event_ms, 1),
+            total_ms=round(passed * 1000, 1),
+        )
+
+    def _now(self) -> float:
+        return self.context.clock.monotonic()
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet.py
@@ -0,0 +1,176 @@
+"""Keeps the configuration and the list of endpoints up to date.
+
+What goes wrong: the platform is away, slow, or serves this entry nothing,
+while others see changes. What is in force never goes back to an older
+version, and what an entry has once seen of an endpoint's leaving binds it.
+"""
+
+import asyncio
+
+from sycamore_core.clock import Clock
+from sycamore_core.errors import PlatformError
+from sycamore_core.ids import SettingsVersion
+from sycamore_core.routing import (
+    EndpointDirectory,
+    PublishedTable,
+    RoutingTable,
+)
+from sycamore_core.telemetry import Log
+
+from .feed import (
+    Change,
+    EndpointChanged,
+    EndpointRemoved,
+    FleetFeed,
+    FleetSnapshot,
+    HistoryLostError,
+    Revision,
+    TableChanged,
+)
+
+#: How long a watch waits for a change, in seconds. A connection may fall
+#: silent for good, which only the end of this time shows; a change that was
+#: missed must still be in force within two seconds of the next read. Each
+#: watch counts as a call, so that it is not shorter.
+WATCH_SECONDS = 2.0
+#: Pauses after failed reads, in seconds: the first and the longest. The
+#: platform takes 2,000 reads a second from all entries together.
+FIRST_PAUSE = 0.1
+LONGEST_PAUSE = 0.6
+#: Time between looks for registrations that did not come back, in seconds.
+EXPIRE_SECONDS = 0.25
+
+
+class FleetKeeper:
+    """Holds the table in force and the directory of endpoints.
+
+    Attributes
+    ----------
+    table
+        The configuration in force; None before the first.
+    confirmed_at
+        When the platform was last known to have nothing newer, on the
+        monotonic clock; None if it never was.
+    """
+
+    def __init__(self, feed: FleetFeed, clock: Clock) -> None:
+        self.feed = feed
+        self.clock = clock
+        self.table: RoutingTable | None = None
+        self.directory = EndpointDirectory()
+        self.confirmed_at: float | None = None
+        self.log = Log('fleet')
+        self.changed = asyncio.Event()
+        self._revision = Revision(0)
+        self._failures = 0
+        self._was_away = False
+
+    @property
+    def version(self) -> SettingsVersion:
+        """Return the version in force, 0 before the first."""
+        return SettingsVersion(0) if self.table is None else self.table.version
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether requests can be served."""
+        return self.table is not None and bool(self.directory.records)
+
+    async def run(self) -> None:
+        """Read and watch the platform until cancelled."""
+        while True:
+            try:
+                await self._read()
+            except HistoryLostError as error:
+                self.log.warning('history_lost', reason=str(error))
+                self._revision = Revision(0)
+            except PlatformError as error:
+                await self._pause(error)
+            else:
+                self._recovered()
+
+    async def expire(self) -> None:
+        """Drop registrations that did not come back, until cancelled."""
+        while True:
+            await asyncio.sleep(EXPIRE_SECONDS)
+            for endpoint in self.directory.expire(self.clock.monotonic()):
+                self.log.info('endpoint_expired', endpoint=endpoint)
+                self._notify()
+
+    async def _read(self) -> None:
+        started = self.clock.monotonic()
+        if self._revision == 0:
+            self._take_snapshot(await self.feed.snapshot())
+        else:
+            batch = await self.feed.changes(self._revision, WATCH_SECONDS)
+            for change in batch.changes:
+                self._take(change)
+            self._revision = max(self._revision, batch.revision)
+        self.confirmed_at = started
+
+    async def _pause(self, error: PlatformError) -> None:
+        self._failures += 1
+        if self._failures == 1:
+            self.log.warning('platform_lost', reason=str(error))
+        self._was_away = True
+        pause = FIRST_PAUSE * 2 ** min(self._failures - 1, 4)
+        await asyncio.sleep(min(pause, LONGEST_PAUSE))
+        if self._failures > 1:
+            # The connection answers nothing: registrations may have lapsed
+            # meanwhile, and only a whole list tells.
+            self._revision = Revision(0)
+
+    def _recovered(self) -> None:
+        if self._failures:
+            self.log.info('platform_regained', failures=self._failures)
+        self._failures = 0
+        self._was_away = False
+
+    def _take_snapshot(self, snapshot: FleetSnapshot) -> None:
+        if snapshot.published is not None:
+            self._take_table(snapshot.published)
+        self.directory.replace(
+            snapshot.endpoints,
+            self.clock.monotonic(),
+            after_outage=self._was_away,
+        )
+        self._revision = snapshot.revision
+        self.log.info(
+            'endpoints_listed',
+            endpoints=len(snapshot.endpoints),
+            revision=snapshot.revision,
+            after_outage=self._was_away,
+        )
+        self._notify()
+
+    def _take(self, change: Change) -> None:
+        if isinstance(change, TableChanged):
+            self._take_table(change.published)
+        elif isinstance(change, EndpointChanged):
+            self.directory.put(change.record)
+            self.log.info(
+                'endpoint_changed',
+                endpoint=change.record.endpoint,
+                service=change.record.service,
+                address=change.record.address,
+                leaving=change.record.is_leaving,
+            )
+        elif isinstance(change, EndpointRemoved):
+            self.directory.remove(change.endpoint)
+            self.log.info('endpoint_removed', endpoint=change.endpoint)
+        self._notify()
+
+    def _take_table(self, published: PublishedTable) -> None:
+        table = published.table
+        if self.table is not None and table.version <= self.table.version:
+            return
+        self.table = table
+        self.log.info(
+            'table_in_force',
+            settings_version=table.version,
+            routes=len(table.routes),
+            workspaces=len(table.workspaces),
+        )
+
+    def _notify(self) -> None:
+        self.changed.set()
+        self.changed = asyncio.Event()
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
@@ -0,0 +1,151 @@
+"""Entries tell one another what they have at which engines.
+
+Each tells all others: what has changed, at most every `TELL_SECONDS`, and all
+that it has once a second, so that a lost message is made good by then. A
+newcomer finds the others through a few seeds and the addresses that these
+name.
+"""
+
+import asyncio
+import time
+from typing import Self
+
+from sycamore_core.clock import Clock
+from sycamore_core.decisions.direct import LoadBook
+from sycamore_core.errors import TransportError
+from sycamore_core.ids import EndpointId, Incarnation, PeerId
+from sycamore_core.messages import EntryWord, PacketCodec, PeerKeys
+from sycamore_core.telemetry import Log
+from sycamore_core.transport import Node, NodeAddress, Peer
+
+from .context import ForwardingContext
+
+#: Least time between two messages, in seconds. Two short turns an entry come
+#: within it at most, so that engines are seldom chosen twice.
+TELL_SECONDS = 0.02
+#: Time between two messages that name everything, in seconds.
+WHOLE_SECONDS = 1.0
+#: A peer that was not heard for this long counts as gone, in seconds.
+HEARD_SECONDS = 3.2
+
+
+class EntryMesh:
+    """One entry among the others.
+
+    Attributes
+    ----------
+    heard
+        When each peer was last heard, by address.
+    """
+
+    def __init__(self, node: Node, context: ForwardingContext) -> None:
+        self.node = node
+        self.context = context
+        self.clock: Clock = context.clock
+        self.book: LoadBook = context.dispatcher.book
+        self.heard: dict[str, float] = {}
+        self.log = Log('mesh')
+        self._names: dict[str, PeerId] = {}
+        self._lost: set[str] = set()
+        self._next_whole: float = 0
+        node.serve_peer = self.serve
+
+    @classmethod
+    def from_settings(
+        cls,
+        keys: PeerKeys,
+        context: ForwardingContext,
+    ) -> Self:
+        """Return the mesh of an entry that listens where its settings say."""
+        settings = context.settings
+        address = f'tcp://{settings.peers}'
+        codec = PacketCodec(
+            keys,
+            PeerId(settings.name),
+            Incarnation(time.time_ns()),
+            address,
+        )
+        node = Node(NodeAddress(address, address), codec, context.clock)
+        return cls(node, context)
+
+    def start(self) -> None:
+        """Listen, and greet the seeds."""
+        try:
+            self.node.start()
+        except TransportError as error:
+            # Without it the entry serves on its own knowledge alone.
+            self.log.error('mesh_closed', reason=str(error))
+        for seed in self.context.settings.seeds:
+            self._meet(seed)
+
+    async def run(self) -> None:
+        """Tell the peers what changes, until cancelled."""
+        while True:
+            await asyncio.sleep(TELL_SECONDS)
+            now = self.clock.monotonic()
+            changed = self.book.take_changed()
+            if now >= self._next_whole:
+                self._next_whole = now + WHOLE_SECONDS
+                self._check_lost(now)
+                self._tell(tuple(self.book.own), now, is_whole=True)
+            elif changed:
+                self._tell(tuple(changed), now, is_whole=False)
+
+    async def serve(self, peer: Peer) -> None:
+        """Take what one peer says, until cancelled."""
+        while True:
+            message = await peer.inbound.get()
+            if isinstance(message, EntryWord):
+                self._hear(peer, message)
+
+    def _hear(self, peer: Peer, word: EntryWord) -> None:
+        now = self.clock.monotonic()
+        name = PeerId(word.entry)
+        self.book.hear(name, word.shares, now, is_whole=word.is_whole)
+        if peer.address not in self.heard or peer.address in self._lost:
+            self._lost.discard(peer.address)
+            self.log.info('peer_found', peer=name, address=peer.address)
+        self.heard[peer.address] = now
+        self._names[peer.address] = name
+        for address in word.peers:
+            self._meet(address)
+
+    def _meet(self, address: str) -> None:
+        if address != self.node.address.advertise:
+            self.node.peer(address)
+
+    def _tell(
+        self,
+        endpoints: tuple[EndpointId, ...],
+        now: float,
+        *,
+        is_whole: bool,
+    ) -> None:
+        context = self.context
+        word = EntryWord(
+            entry=context.entry,
+            zone=context.settings.zone,
+            settings_version=context.keeper.version,
+            is_whole=is_whole,
+            shares=self.book.shares(endpoints, now),
+            peers=self._addresses if is_whole else (),
+        )
+        for peer in tuple(self.node.peers.values()):
+            peer.post(word)
+
+    @property
+    def _addresses(self) -> tuple[str, ...]:
+        return tuple(self.heard)
+
+    def _check_lost(self, now: float) -> None:
+        for address, at in tuple(self.heard.items()):
+            if now - at > HEARD_SECONDS and address not in self._lost:
+                self._lose(address)
+        alive = self.heard.keys() - self._lost
+        self.context.entries = len(alive) + 1
+
+    def _lose(self, address: str) -> None:
+        self._lost.add(address)
+        name = self._names[address]
+        self.book.forget(name)
+        self.log.warning('peer_lost', peer=name, address=address)
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
@@ -0,0 +1,97 @@
+"""Waits for a place for one request, for a moment, or refuses it."""
+
+import asyncio
+from collections.abc import Iterable
+
+from sycamore_core.decisions.direct import ReadRequest
+from sycamore_core.ids import EndpointId
+
+from .calls import AttemptCall
+from .context import ForwardingContext
+from .dispatcher import Placement
+from .refusals import Refusal, RefusalCause
+
+#: Part of its objective for which a request waits for a free slot. A slot
+#: that frees within it still serves the request in time; beyond it, the
+#: caller is better told at once when to come back.
+_WAIT_PART = 0.12
+#: Time between two looks for a slot, in seconds; slots free a few times a
+#: second on each engine.
+_LOOK_SECONDS = 0.012
+#: When callers come back to engines that are full, in seconds: about a third
+#: of the slots are free again after the third of an answer.
+_FULL_SECONDS = 0.5
+_MS = 1000.0
+
+
+class Placing:
+    """Finds places for the attempts of one request."""
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        call: AttemptCall,
+    ) -> None:
+        self.context = context
+        self.call = call
+
+    async def place(
+        self,
+        excluded: Iterable[EndpointId],
+    ) -> Placement:
+        """Return where to send the request.
+
+        Raises
+        ------
+        Refusal
+            If there is no place, and none is expected in time.
+        """
+        until = self._now() + self.call.route.objective * _WAIT_PART
+        until = min(until, self.call.limit)
+        while True:
+            placement = self._place(excluded)
+            if placement is not None:
+                return placement
+            if self._now() >= until or not self._others(excluded):
+                raise self._refusal(excluded)
+            await asyncio.sleep(_LOOK_SECONDS)
+
+    def _place(self, excluded: Iterable[EndpointId]) -> Placement | None:
+        dispatcher = self.context.dispatcher
+        service = self.call.service
+        if service.engine is None:
+            return dispatcher.place_plain(service, excluded)
+        terms = self.call.terms
+        route = self.call.route
+        left = self.call.objective_at - self._now()
+        request = ReadRequest(
+            prompt_tokens=terms.prompt_tokens,
+            answer_tokens=terms.answer_tokens,
+            objective_ms=left * _MS,
+            pause_ms=route.pause_objective * _MS,
+        )
+        return dispatcher.place_model(
+            service,
+            service.engine,
+            request,
+            excluded,
+        )
+
+    def _others(self, excluded: Iterable[EndpointId]) -> bool:
+        """Return whether there are endpoints that were not tried."""
+        directory = self.context.keeper.directory
+        usable = directory.usable(self.call.service.service)
+        return bool({one.endpoint for one in usable}.difference(excluded))
+
+    def _refusal(self, excluded: Iterable[EndpointId]) -> Refusal:
+        if not self._others(()):
+            return Refusal(RefusalCause.NO_ENDPOINT)
+        if not self._others(excluded):
+            return Refusal(RefusalCause.ENDPOINT_REFUSED)
+        return Refusal(
+            RefusalCause.OVERLOADED,
+            retry_after=_FULL_SECONDS,
+        )
+
+    def _now(self) -> float:
+        return self.context.clock.monotonic()
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -0,0 +1,196 @@
+"""A forwarding entry: its start, its tasks and its end."""
+
+import asyncio
+import os
+import signal
+from collections.abc import Coroutine
+from typing import Self
+
+from sycamore_core.clock import SystemClock
+from sycamore_core.messages import PeerKeys
+from sycamore_core.telemetry import Log
+from tornado.httpserver import HTTPServer
+
+from .caller import (
+    CallerAnswer,
+    CallerConnections,
+    CallerRequest,
+    RequestServer,
+)
+from .context import ForwardingContext
+from .dispatcher import DirectDispatcher
+from .exchange import Exchange
+from .feed import FleetFeed
+from .fleet import FleetKeeper
+from .mesh import EntryMesh
+from .metrics import ForwardingMetrics
+from .pool import ChannelPool
+from .readiness import Readiness
+from .settings import ForwardingSettings
+from .wire import WireFormat
+
+#: Idle time of a caller's connection, in seconds. Callers reuse connections
+#: that were idle for twelve seconds; one that closes under a request that is
+#: on its way costs that caller a repeat.
+_IDLE_SECONDS = 20.0
+#: Time for the body of a request, in seconds.
+_BODY_SECONDS = 10.0
+#: Bounds of a request's head and body, in bytes.
+_MAX_HEAD = 32_768
+_MAX_BODY = 8_388_608
+#: How long a stopping entry takes requests that still come, in seconds. The
+#: balancer asks once a second and believes the second answer.
+_LINGER_SECONDS = 2.8
+#: What is left of the time to stop when the last exchanges are cut.
+_LAST_SECONDS = 0.8
+_LOOK_SECONDS = 0.05
+_SWEEP_SECONDS = 0.5
+
+
+class ForwardingProcess(RequestServer):
+    """One forwarding entry."""
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        feed: FleetFeed,
+        mesh: EntryMesh,
+    ) -> None:
+        self.context = context
+        self.feed = feed
+        self.mesh = mesh
+        self.log = Log('process')
+        self.connections = CallerConnections(self, context.clock.monotonic)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @classmethod
+    def from_settings(
+        cls,
+        settings: ForwardingSettings,
+        feed: FleetFeed,
+        wire: WireFormat,
+        keys: PeerKeys,
+    ) -> Self:
+        """Return a process with all its parts."""
+        clock = SystemClock()
+        keeper = FleetKeeper(feed, clock)
+        context = ForwardingContext(
+            settings=settings,
+            clock=clock,
+            wire=wire,
+            keeper=keeper,
+            dispatcher=DirectDispatcher(settings.name, keeper, clock),
+            pool=ChannelPool(wire),
+            metrics=ForwardingMetrics(),
+            log=Log('forwarding'),
+        )
+        return cls(context, feed, EntryMesh.from_settings(keys, context))
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether connections are to end after their answers."""
+        return self.context.is_stopping
+
+    def serve(
+        self,
+        request: CallerRequest,
+        answer: CallerAnswer,
+    ) -> Coroutine[None, None, None]:
+        """Answer one request."""
+        return Exchange(self.context, request, answer).run()
+
+    async def run(self) -> None:
+        """Serve until told to stop, then let what is in progress finish."""
+        stop = _stop_on_signal()
+        settings = self.context.settings
+        self.log.info('started', entry=settings.name, zone=settings.zone)
+        callers = self._listen_to_callers()
+        ready = HTTPServer(Readiness(self._is_ready))
+        _listen(ready, settings.ready)
+        self._start_tasks()
+        await stop.wait()
+        await self._stop(callers)
+        ready.stop()
+        await self._close()
+
+    async def _close(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.context.pool.close()
+        self.feed.close()
+        self.log.info('stopped', entry=self.context.entry)
+
+    def _is_ready(self) -> bool:
+        return self.context.keeper.is_ready and not self.is_stopping
+
+    def _listen_to_callers(self) -> HTTPServer:
+        server = HTTPServer(
+            self.connections,
+            idle_connection_timeout=_IDLE_SECONDS,
+            body_timeout=_BODY_SECONDS,
+            max_header_size=_MAX_HEAD,
+            max_body_size=_MAX_BODY,
+        )
+        _listen(server, self.context.settings.callers)
+        return server
+
+    def _start_tasks(self) -> None:
+        if self.context.settings.peers:
+            self.mesh.start()
+            self._start(self.mesh.run())
+        self._start(self.context.keeper.run())
+        self._start(self.context.keeper.expire())
+        self._start(self._sweep())
+
+    def _start(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._task_ended)
+        self._tasks.append(task)
+
+    def _task_ended(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        # A fault of ours. Half alive, the process would look well to the
+        # balancer and be deaf to changes: it ends and is started anew.
+        self.log.error('task_failed', error=repr(task.exception()))
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(_SWEEP_SECONDS)
+            self.context.pool.sweep()
+
+    async def _stop(self, callers: HTTPServer) -> None:
+        """Let callers go, and what is in progress finish."""
+        clock = self.context.clock
+        began = clock.monotonic()
+        self.context.is_stopping = True
+        in_progress = len(self.connections.tasks)
+        self.log.info('stopping', exchanges=in_progress)
+        await asyncio.sleep(_LINGER_SECONDS)
+        callers.stop()
+        until = began + self.context.settings.stop_seconds - _LAST_SECONDS
+        while clock.monotonic() < until:
+            self.connections.close_waiting()
+            if not self.connections.tasks:
+                break
+            await asyncio.sleep(_LOOK_SECONDS)
+        for task in tuple(self.connections.tasks):
+            task.cancel()
+        last = {*self.connections.tasks, *self.context.background}
+        if last:
+            await asyncio.wait(last, timeout=_LOOK_SECONDS)
+
+
+def _listen(server: HTTPServer, address: str) -> None:
+    host, _, port = address.rpartition(':')
+    server.listen(int(port), host)
+
+
+def _stop_on_signal() -> asyncio.Event:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stop.set)
+    return stop
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/refusals.py
@@ -0,0 +1,73 @@
+"""Answers to requests that are not served."""
+
+import enum
+from types import MappingProxyType
+
+from tornado.httputil import HTTPHeaders
+
+from .caller import CallerAnswer
+
+
+class RefusalCause(enum.StrEnum):
+    """Why the entry answers itself."""
+
+    NOT_READY = 'not_ready'
+    BAD_REQUEST = 'bad_request'
+    NO_ROUTE = 'no_route'
+    UNKNOWN_KEY = 'unknown_key'
+    NO_ENDPOINT = 'no_endpoint'
+    ENDPOINT_REFUSED = 'endpoint_refused'
+    OVERLOADED = 'overloaded'
+    TIME_LIMIT = 'time_limit'
+
+
+_STATUS = MappingProxyType(
+    {
+        RefusalCause.BAD_REQUEST: 400,
+        RefusalCause.NO_ROUTE: 404,
+        RefusalCause.UNKNOWN_KEY: 401,
+    },
+)
+_UNAVAILABLE = 503
+#: The endpoint gave no answer that can be handed on.
+BAD_GATEWAY = 502
+#: It gave none in time.
+GATEWAY_TIMEOUT = 504
+#: When a caller may come back, in seconds, where nothing else is known: a
+#: process that has just started, or an endpoint that has just refused, is
+#: usually well again by then.
+COME_BACK_SECONDS = 0.4
+
+
+class Refusal(Exception):
+    """A request is not served, and has not run.
+
+    Attributes
+    ----------
+    retry_after
+        When the caller may come back, in seconds.
+    """
+
+    def __init__(
+        self,
+        cause: RefusalCause,
+        detail: str = '',
+        retry_after: float = COME_BACK_SECONDS,
+    ) -> None:
+        super().__init__(detail or cause.value)
+        self.cause = cause
+        self.detail = detail
+        self.retry_after = retry_after
+
+
+async def refuse(
+    answer: CallerAnswer,
+    headers: HTTPHeaders,
+    refusal: Refusal,
+) -> None:
+    """Send the answer that a request was not run."""
+    status = _STATUS.get(refusal.cause, _UNAVAILABLE)
+    if status == _UNAVAILABLE:
+        headers['Retry-After'] = f'{refusal.retry_after:.2f}'
+    headers['Content-Type'] = 'text/plain'
+    await answer.send(status, headers, refusal.cause.value.encode())
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/reservations.py
@@ -0,0 +1,138 @@
+"""Memory that engines set aside for parts of a prompt beyond one engine.
+
+What goes wrong: an entry dies, or forgets, and memory stays set aside that
+nobody uses. Reservations are therefore leases that are shorter than the time
+within which memory must be free again, renewed while the request runs, and
+given back in every ending.
+"""
+
+import asyncio
+import secrets
+
+from sycamore_core.decisions.direct import AttemptEnd
+from sycamore_core.ids import EndpointId
+from sycamore_core.routing import EndpointRecord
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from .context import ForwardingContext
+from .dispatcher import Placement
+from .errors import AttemptError
+from .wire import Helper, Order
+
+#: Length of a lease, in seconds. Memory has to be free four seconds after its
+#: request, also when the entry that reserved it is gone.
+HOLD_SECONDS = 3.6
+#: Time between renewals, in seconds: two may be lost.
+RENEW_SECONDS = 1.2
+#: Time for an order's answer, in seconds.
+ORDER_SECONDS = 0.5
+#: Tries to give memory back; the lease ends by itself after them.
+_RELEASE_TRIES = 3
+_NAME_BYTES = 6
+_HTTP_OK = 200
+
+
+class Reservations:
+    """The memory that is set aside for one attempt.
+
+    Attributes
+    ----------
+    made
+        Helpers at which memory is set aside, with its id.
+    """
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        placement: Placement,
+    ) -> None:
+        self.context = context
+        self.placement = placement
+        self.made: tuple[Helper, ...] = ()
+        self._name = secrets.token_hex(_NAME_BYTES)
+        self._asked: list[EndpointRecord] = []
+        self._renewing: asyncio.Task[None] | None = None
+
+    async def make(self) -> None:
+        """Set the memory aside.
+
+        Raises
+        ------
+        AttemptError
+            If an engine does not do so.
+        """
+        by_name = {one.endpoint: one for one in self.placement.helpers}
+        self._asked = [by_name[name] for name, _ in self.placement.stored]
+        answers = await asyncio.gather(
+            *(self._reserve(name) for name, _ in self.placement.stored),
+        )
+        if not all(answers):
+            raise AttemptError(AttemptEnd.NOT_SENT, 'memory not set aside')
+        self.made = tuple(
+            Helper(record.address, self._name) for record in self._asked
+        )
+        self._renewing = asyncio.create_task(self._renew())
+
+    def release(self) -> None:
+        """Give the memory back, in a task of its own."""
+        if self._renewing is not None:
+            self._renewing.cancel()
+        order = self.context.wire.release(self._name)
+        for record in self._asked:
+            task = asyncio.create_task(self._release(record, order))
+            self.context.background.add(task)
+            task.add_done_callback(self.context.background.discard)
+
+    async def _reserve(self, endpoint: EndpointId) -> bool:
+        tokens = dict(self.placement.stored)[endpoint]
+        record = next(one for one in self._asked if one.endpoint == endpoint)
+        order = self.context.wire.reserve(self._name, tokens, HOLD_SECONDS)
+        return await self._send(record, order) == _HTTP_OK
+
+    async def _renew(self) -> None:
+        while True:
+            await asyncio.sleep(RENEW_SECONDS)
+            await asyncio.gather(
+                *(self._reserve(name) for name, _ in self.placement.stored),
+            )
+
+    async def _release(self, record: EndpointRecord, order: Order) -> None:
+        for _ in range(_RELEASE_TRIES):
+            if await self._send(record, order) == _HTTP_OK:
+                return
+        self.context.log.warning(
+            'memory_not_released',
+            endpoint=record.endpoint,
+            reservation=self._name,
+        )
+
+    async def _send(self, record: EndpointRecord, order: Order) -> int:
+        """Return the status of the answer; 0 if there was none."""
+        headers = HTTPHeaders(
+            {
+                'Host': record.address,
+                'Content-Type': 'application/json',
+                'Content-Length': str(len(order.body)),
+            },
+        )
+        start = RequestStartLine('POST', order.path, 'HTTP/1.1')
+        try:
+            async with asyncio.timeout(ORDER_SECONDS):
+                channel = await self.context.pool.take(record, fresh=False)
+                return await _status(channel, start, headers, order.body)
+        except (AttemptError, TimeoutError) as error:
+            self.context.log.info(
+                'order_unanswered',
+                endpoint=record.endpoint,
+                reason=str(error),
+            )
+            return 0
+
+
+async def _status(channel, start, headers, body) -> int:
+    try:
+        channel.send(start, headers, body, '')
+        head = await channel.read_head()
+        return head.status
+    finally:
+        channel.close()
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/settings.py
@@ -0,0 +1,35 @@
+"""Settings of one forwarding entry."""
+
+import msgspec
+from sycamore_core.decisions.direct import AllowanceBounds
+from sycamore_core.ids import EntryId, ZoneId
+
+
+class ForwardingSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """Addresses and bounds of one forwarding entry.
+
+    Attributes
+    ----------
+    name, zone
+        Which entry it is, and where.
+    callers, ready
+        Where callers are served, and where the balancer asks whether to send
+        any, as ``HOST:PORT``.
+    peers
+        Where other entries send, as ``HOST:PORT``; empty for an entry alone.
+    seeds
+        Such addresses of a few entries, by which all find one another.
+    allowance
+        The operator's bound on repeats.
+    stop_seconds
+        Time from the signal to stop until the process is killed.
+    """
+
+    name: EntryId
+    zone: ZoneId
+    callers: str
+    ready: str
+    peers: str = ''
+    seeds: tuple[str, ...] = ()
+    allowance: AllowanceBounds = AllowanceBounds()
+    stop_seconds: float = 8
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
@@ -0,0 +1,397 @@
+"""A forwarding entry on loopback, with endpoints that say what a test wants."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from sycamore_core.clock import SystemClock
+from sycamore_core.ids import (
+    EndpointId,
+    EntryId,
+    ServiceId,
+    SettingsVersion,
+    WorkspaceId,
+    ZoneId,
+)
+from sycamore_core.routing import (
+    EndpointRecord,
+    EngineCosts,
+    PublishedTable,
+    Route,
+    RouteKind,
+    RoutingTable,
+    ServiceRecord,
+    ServiceShare,
+    WorkspaceRecord,
+)
+from sycamore_core.telemetry import Log
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders
+
+from ..caller import (
+    CallerAnswer,
+    CallerConnections,
+    CallerRequest,
+    RequestServer,
+)
+from ..context import ForwardingContext
+from ..dispatcher import DirectDispatcher
+from ..errors import WireError
+from ..exchange import Exchange
+from ..feed import ChangeBatch, FleetFeed, FleetSnapshot, Revision
+from ..fleet import FleetKeeper
+from ..metrics import ForwardingMetrics
+from ..pool import ChannelPool
+from ..settings import ForwardingSettings
+from ..wire import (
+    AnswerHead,
+    CallTerms,
+    Order,
+    OutgoingTerms,
+    WireFormat,
+)
+
+HOST = '127.0.0.1'
+SERVICE = ServiceId('booking')
+MODEL = ServiceId('assistant')
+KEY = 'a-key'
+COSTS = EngineCosts(
+    slots=8,
+    memory_tokens=315_000,
+    step_ms=0.85,
+    writer_ms=0.0085,
+    context_ms=0.00285,
+    read_tokens_per_ms=177,
+    pair_ms=0.184,
+    pass_steps=51,
+)
+
+Talk = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class SimpleWire(WireFormat):
+    """Headers of these tests."""
+
+    def request_id(self, headers: HTTPHeaders) -> str:
+        return headers.get('Id', '')
+
+    def read_terms(self, headers: HTTPHeaders) -> CallTerms:
+        patience = headers.get('Patience')
+        if patience == 'soon':
+            raise WireError('Patience')
+        return CallTerms(
+            request_id=headers.get('Id', ''),
+            patience=None if patience is None else float(patience),
+            api_key=headers.get('Key', ''),
+            prompt_tokens=int(headers.get('Prompt', '0')),
+        )
+
+    def request_headers(
+        self,
+        received: HTTPHeaders,
+        terms: OutgoingTerms,
+    ) -> HTTPHeaders:
+        return HTTPHeaders(
+            {
+                'Id': received.get('Id', ''),
+                'For': terms.endpoint,
+                'After': terms.after_event,
+                'Workspace': terms.workspace or '',
+            },
+        )
+
+    def read_head(self, status: int, headers: HTTPHeaders) -> AnswerHead:
+        kept = HTTPHeaders(
+            {
+                name: text
+                for name, text in headers.get_all()
+                if name not in {'Content-Length', 'Transfer-Encoding'}
+            },
+        )
+        return AnswerHead(
+            status=status,
+            headers=kept,
+            request_id=headers.get('Id', ''),
+            has_not_run='Not-Run' in headers,
+            is_signed='Signed' in headers,
+            is_other_instance=status == 421,
+            closes=headers.get('Connection', '') == 'close',
+        )
+
+    def own_headers(self, request_id: str) -> HTTPHeaders:
+        return HTTPHeaders()
+
+    def reserve(self, reservation: str, tokens: int, hold: float) -> Order:
+        return Order('/order', b'')
+
+    def release(self, reservation: str) -> Order:
+        return Order('/order', b'')
+
+
+class FixedFeed(FleetFeed):
+    """A platform that never changes."""
+
+    def __init__(self, snapshot: FleetSnapshot) -> None:
+        self.fixed = snapshot
+
+    async def snapshot(self) -> FleetSnapshot:
+        return self.fixed
+
+    async def changes(
+        self,
+        after: Revision,
+        wait_seconds: float,
+    ) -> ChangeBatch:
+        await asyncio.sleep(wait_seconds)
+        return ChangeBatch(after)
+
+    def close(self) -> None:
+        """Nothing is open."""
+
+
+class RawEndpoint:
+    """Takes connections and hands each request to a script.
+
+    Attributes
+    ----------
+    requests
+        Ids of the requests that arrived, in order.
+    """
+
+    def __init__(self, name: str, talk: Talk) -> None:
+        self.name = name
+        self.talk = talk
+        self.requests: list[dict[str, str]] = []
+        self.closed = 0
+        self.server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, HOST, 0)
+
+    def record(self, service: ServiceId) -> EndpointRecord:
+        assert self.server is not None
+        port = self.server.sockets[0].getsockname()[1]
+        return EndpointRecord(
+            endpoint=EndpointId(self.name),
+            service=service,
+            host=HOST,
+            port=port,
+            zone=ZoneId('a'),
+            slots=6,
+        )
+
+    async def _serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b'\r\n\r\n')
+                headers = parse_head(head.decode())
+                length = int(headers.get('content-length', '0'))
+                await reader.readexactly(length)
+                self.requests.append(headers)
+                await self.talk(reader, writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.closed += 1
+        finally:
+            writer.close()
+
+
+def parse_head(head: str) -> dict[str, str]:
+    lines = head.split('\r\n')
+    pairs = (line.partition(':') for line in lines[1:] if line)
+    found = {name.lower(): text.strip() for name, _, text in pairs}
+    found['line'] = lines[0]
+    return found
+
+
+def whole(body: str = 'done', status: int = 200, extra: str = '') -> bytes:
+    """Return a whole signed answer."""
+    return (
+        f'HTTP/1.1 {status} Answer\r\nSigned: yes\r\n{extra}'
+        f'Content-Length: {len(body)}\r\n\r\n{body}'
+    ).encode()
+
+
+def stream_head() -> bytes:
+    return (
+        b'HTTP/1.1 200 OK\r\nSigned: yes\r\n'
+        b'Content-Type: text/event-stream\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n'
+    )
+
+
+def chunk(payload: str) -> bytes:
+    return f'{len(payload):x}\r\n{payload}\r\n'.encode()
+
+
+def event(number: int) -> str:
+    return f'id: {number}\ndata: piece {number}\n\n'
+
+
+LAST_CHUNK = b'0\r\n\r\n'
+#: Between the last bytes and the end of a connection.
+PAUSE_SECONDS = 0.05
+
+
+def saying(*parts: bytes, close: bool = False) -> Talk:
+    """Return a script that writes some bytes to each request."""
+
+    async def talk(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+        if close:
+            # Bytes that come together with the end of a connection may be
+            # lost with it.
+            await asyncio.sleep(PAUSE_SECONDS)
+            writer.close()
+            raise ConnectionError
+
+    return talk
+
+
+async def say_nothing(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Read on without an answer, until the other side closes."""
+    await reader.read(1)
+    raise ConnectionError
+
+
+def route(
+    kind: RouteKind,
+    service: ServiceId = SERVICE,
+    time_limit: float = 3,
+) -> Route:
+    return Route(
+        name='r1',
+        host='shop.example',
+        prefix='/a/',
+        kind=kind,
+        services=(ServiceShare(service, 1),),
+        time_limit=time_limit,
+        objective=0.3,
+        pause_objective=0.25,
+        max_attempts=2,
+    )
+
+
+def table_of(*routes: Route) -> RoutingTable:
+    return RoutingTable(
+        SettingsVersion(3),
+        routes,
+        (
+            ServiceRecord(service=SERVICE, max_connections=100),
+            ServiceRecord(service=MODEL, max_connections=100, engine=COSTS),
+        ),
+        {KEY: WorkspaceRecord(WorkspaceId('school'))},
+    )
+
+
+class TestEntry(RequestServer):
+    """The caller's side of an entry."""
+
+    __test__ = False
+
+    def __init__(self, context: ForwardingContext) -> None:
+        self.context = context
+        self.connections = CallerConnections(self, context.clock.monotonic)
+        self.server = HTTPServer(self.connections)
+
+    @property
+    def is_stopping(self) -> bool:
+        return self.context.is_stopping
+
+    @property
+    def port(self) -> int:
+        sockets = self.server._sockets.values()
+        return next(iter(sockets)).getsockname()[1]
+
+    def serve(self, request: CallerRequest, answer: CallerAnswer):
+        return Exchange(self.context, request, answer).run()
+
+    async def ask(
+        self, *lines: str, body: bytes = b'', **headers: str
+    ) -> bytes:
+        """Send one request; return all bytes until the entry is done."""
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(request_bytes(*lines, body=body, **headers))
+        answer = await asyncio.wait_for(reader.read(), 8)
+        writer.close()
+        return answer
+
+
+def request_bytes(
+    *lines: str,
+    body: bytes = b'',
+    **headers: str,
+) -> bytes:
+    named = {
+        'Host': 'shop.example',
+        'Id': 'q1',
+        'Key': KEY,
+        'Connection': 'close',
+        'Content-Length': str(len(body)),
+        **headers,
+    }
+    start = lines or ('POST /a/x?q=1 HTTP/1.1',)
+    rest = [f'{name}: {text}' for name, text in named.items()]
+    return '\r\n'.join((*start, *rest, '', '')).encode() + body
+
+
+@contextlib.asynccontextmanager
+async def entry_before(
+    served: Route,
+    *endpoints: RawEndpoint,
+) -> AsyncIterator[TestEntry]:
+    """Run an entry before some endpoints of the route's service."""
+    await asyncio.gather(*(endpoint.start() for endpoint in endpoints))
+    service = served.services[0].service
+    snapshot = FleetSnapshot(
+        Revision(1),
+        PublishedTable(table_of(served), b''),
+        tuple(endpoint.record(service) for endpoint in endpoints),
+    )
+    clock = SystemClock()
+    keeper = FleetKeeper(FixedFeed(snapshot), clock)
+    context = ForwardingContext(
+        settings=ForwardingSettings(
+            name=EntryId('entry-1'),
+            zone=ZoneId('a'),
+            callers='',
+            ready='',
+        ),
+        clock=clock,
+        wire=SimpleWire(),
+        keeper=keeper,
+        dispatcher=DirectDispatcher(EntryId('entry-1'), keeper, clock),
+        pool=ChannelPool(SimpleWire()),
+        metrics=ForwardingMetrics(),
+        log=Log('forwarding'),
+    )
+    entry = TestEntry(context)
+    entry.server.listen(0, HOST)
+    keeping = asyncio.create_task(keeper.run())
+    while not keeper.is_ready:
+        await asyncio.sleep(0.01)
+    try:
+        yield entry
+    finally:
+        keeping.cancel()
+        _close(entry, endpoints)
+
+
+def _close(entry: TestEntry, endpoints: tuple[RawEndpoint, ...]) -> None:
+    entry.server.stop()
+    entry.context.pool.close()
+    for endpoint in endpoints:
+        if endpoint.server is not None:
+            endpoint.server.close()
