Write log lines on standard output without holding up the process

Ruled out: a non-blocking descriptor, which is shared with whoever started the process; dropping old lines, as the first ones tell the cause. Before: test_reader_that_stops_reading_costs_lines_only would hang in write.

--- a/packages/sycamore-core/src/sycamore_core/telemetry/logs.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/logs.py
@@ -1,5 +1,6 @@
 """Logs as JSON lines, with stable event names and no prompt text."""
 
+import atexit
 import sys
 from types import MappingProxyType
 from typing import Any, TextIO
@@ -7,6 +8,8 @@
 import logbook
 import msgspec
 
+from .line_writer import LineWriter
+
 #: Fields that no log line may have, whatever their content: they name what
 #: callers and operators trust us with.
 FORBIDDEN_FIELDS = frozenset(
@@ -39,7 +42,7 @@
 
     def __init__(
         self,
-        stream: TextIO,
+        stream: TextIO | LineWriter,
         level: int = logbook.NOTSET,
         common: dict[str, Any] | None = None,
     ) -> None:
@@ -94,7 +97,9 @@
 
 
 def start_logging(level: str, **common: Any) -> None:
-    """Send all records of at least `level` to standard error.
+    """Send all records of at least `level` to standard output.
+
+    Writing never blocks, see `LineWriter`.
 
     Parameters
     ----------
@@ -106,5 +111,7 @@
     LookupError
         If there is no such level.
     """
-    handler = JsonLines(sys.stderr, logbook.lookup_level(level), common)
+    writer = LineWriter(sys.stdout)
+    atexit.register(writer.close)
+    handler = JsonLines(writer, logbook.lookup_level(level), common)
     handler.push_application()
