--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -8,6 +8,7 @@
 
 from .attempts import AttemptEnd, AttemptLog, NextStep, next_step
 from .engine_work import EngineWork, Stake
+from .isolation import is_isolated
 from .load_book import LoadBook
 from .plain_choice import choose_plain
 from .read_plan import Candidate, ReadPlan, ReadRequest, plan_read
@@ -26,6 +27,7 @@
     'RetryAllowance',
     'Stake',
     'choose_plain',
+    'is_isolated',
     'next_step',
     'plan_read',
 )
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_work.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_work.py
@@ -6,6 +6,10 @@
 from ...routing import EngineLoad
 
 _MS = 1000.0
+#: Part of the time by which reading is overdue that it is taken to need yet.
+#: An engine that others load unseen takes longer than was estimated; without
+#: this it would look idle from that moment on and draw more work.
+_OVERDUE_PART = 0.5
 
 
 class Stake(msgspec.Struct, kw_only=True):
@@ -71,13 +75,23 @@
 
     def load(self, now: float) -> EngineLoad:
         """Return what these requests have the engine do."""
-        load = EngineLoad(backlog_ms=max(0, self.read_until - now) * _MS)
+        load = EngineLoad(backlog_ms=self._backlog(now) * _MS)
         for stake in self.stakes.values():
             load.memory_tokens += stake.memory_tokens
             if stake.is_home:
                 _count_home(load, stake)
         return load
 
+    def _backlog(self, now: float) -> float:
+        left = self.read_until - now
+        if left >= 0:
+            return left
+        is_reading = any(
+            stake.is_home and not stake.is_writing
+            for stake in self.stakes.values()
+        )
+        return -left * _OVERDUE_PART if is_reading else 0
+
     def _settle(self, now: float) -> None:
         # Estimates of reading add up; the first moment at which nothing is
         # left to read sets them right.
