--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
@@ -175,14 +175,25 @@
         silent, and the caller waits until its deadline although others could
         have answered.
         """
-        patience = self._patience()
         while True:
-            left = self._last_event_at + patience - self._now()
+            left = self._heard_at() + self._patience() - self._now()
             if left <= 0:
                 channel.close()
                 return
             await asyncio.sleep(left)
-            patience = self._patience()
+
+    def _heard_at(self) -> float:
+        """Return the last sign that the answer is on its way.
+
+        Before the first event, any sign of life of the engine counts: one
+        that is busy with others is no faster elsewhere, and the reading that
+        it has done would be lost.
+        """
+        if self.has_event or not self.call.route.kind.is_stream:
+            return self._last_event_at
+        home = self.placement.home.endpoint
+        alive_at = self.context.dispatcher.alive_at.get(home, 0)
+        return max(self._last_event_at, alive_at)
 
     def _patience(self) -> float:
         """Return for how long nothing may come, in seconds."""
@@ -200,9 +211,10 @@
 
     def _on_event(self) -> None:
         self._last_event_at = self._now()
+        dispatcher = self.context.dispatcher
+        dispatcher.sent_something(self.placement.home.endpoint)
         if not self.has_event:
             self.has_event = True
-            dispatcher = self.context.dispatcher
             dispatcher.first_event(self.call.request_id, self.placement)
 
     def _helpers(self, reserved: tuple[Helper, ...]) -> tuple[Helper, ...]:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/caller.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import socket
 from collections.abc import Callable, Coroutine
 
 import msgspec
@@ -15,7 +16,7 @@
     ResponseStartLine,
     responses,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
 
 from .errors import CallerLeftError
 
@@ -132,7 +133,7 @@
 
     @property
     @abc.abstractmethod
-    def is_stopping(self) -> bool:
+    def hands_over(self) -> bool:
         """Whether connections are to end after their answers."""
 
 
@@ -171,23 +172,44 @@
         """Forget nothing: readers forget their own connections."""
 
     def close_waiting(self) -> None:
-        """Close the connections on which no request is in progress."""
-        for connection in tuple(self.waiting.values()):
-            connection.close()
-        self.waiting.clear()
+        """Close the connections on which nothing of a request has come.
+
+        What goes wrong otherwise: a request has been read, or lies in the
+        socket, as its connection is closed; its caller cannot tell whether
+        it will run.
+        """
+        for key, connection in tuple(self.waiting.items()):
+            if is_quiet(connection.stream):
+                self.waiting.pop(key)
+                connection.close()
 
     def begin(
         self, request: CallerRequest, connection: HTTP1Connection
     ) -> None:
         """Start the exchange of a request that has been read."""
         answer = CallerAnswer(connection)
-        answer.closes = self.server.is_stopping
+        answer.closes = self.server.hands_over
         task = asyncio.create_task(self.server.serve(request, answer))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         connection.set_close_callback(_Leaving(task, answer).on_close)
 
 
+def is_quiet(stream: IOStream) -> bool:
+    """Return whether nothing has come on a connection that awaits it."""
+    if stream.closed():
+        return True
+    if not stream.reading():
+        # Bytes were read, and their reader is about to run.
+        return False
+    try:
+        return not stream.socket.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return True
+
+
 class _Leaving:
     """Ends an exchange whose caller closes its connection."""
 
@@ -239,6 +261,10 @@
     def finish(self) -> None:
         """Serve the request, which is whole."""
         assert self.start is not None
+        if self.connection.stream.closed():
+            # Its caller has gone, or this entry has closed the connection:
+            # passed on, it would run for nobody.
+            return
         request = CallerRequest(
             self.start,
             self.headers,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from sycamore_core.clock import Clock
-from sycamore_core.decisions.direct import RetryAllowance
+from sycamore_core.decisions.direct import RetryAllowance, is_isolated
 from sycamore_core.ids import EntryId, ServiceId
 from sycamore_core.telemetry import Log
 
@@ -24,6 +24,8 @@
     ----------
     entries
         Number of entries that are heard, this one included.
+    peer_heard_at
+        When another entry was last heard, on the monotonic clock.
     background
         Tasks that go on after the exchange that began them.
     """
@@ -38,6 +40,7 @@
     log: Log
     is_stopping: bool = False
     entries: int = 1
+    peer_heard_at: float | None = None
     background: set[asyncio.Task[None]] = dataclasses.field(
         default_factory=set,
     )
@@ -45,11 +48,31 @@
         default_factory=dict,
     )
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether callers are better served by other entries."""
+        return is_isolated(
+            self.peer_heard_at,
+            self.clock.monotonic(),
+            platform_away=self.keeper.is_away,
+        )
+
+    @property
+    def hands_over(self) -> bool:
+        """Whether callers are to go to other entries."""
+        return self.is_stopping or self.is_isolated
+
     @property
     def entry(self) -> EntryId:
         """Return the name of this entry."""
         return self.settings.name
 
+    def take_settings(self, settings: ForwardingSettings) -> None:
+        """Take changed settings; addresses stay those of the start."""
+        self.settings = settings
+        for allowance in self.allowances.values():
+            allowance.bounds = settings.allowance
+
     def allowance(self, service: ServiceId) -> RetryAllowance:
         """Return the retry allowance of a service."""
         known = self.allowances.get(service)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
@@ -79,6 +79,9 @@
     ----------
     book
         What is in progress where.
+    alive_at
+        When each endpoint last sent anything to this entry, on the monotonic
+        clock, in seconds.
     """
 
     def __init__(
@@ -92,6 +95,7 @@
         self.clock = clock
         self.book = LoadBook()
         self.illnesses: dict[EndpointId, Illness] = {}
+        self.alive_at: dict[EndpointId, float] = {}
         self._ties: dict[EndpointId, float] = {}
 
     def place_model(
@@ -151,6 +155,10 @@
         """Note that an attempt is over."""
         self.book.end(request_id, placed.members, self.clock.monotonic())
 
+    def sent_something(self, endpoint: EndpointId) -> None:
+        """Note a sign of life of an endpoint."""
+        self.alive_at[endpoint] = self.clock.monotonic()
+
     def answered(self, endpoint: EndpointId) -> None:
         """Note that an endpoint works."""
         self.illnesses.pop(endpoint, None)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
@@ -16,6 +16,7 @@
 from .caller import CallerAnswer, CallerRequest
 from .calls import AttemptCall
 from .context import ForwardingContext
+from .dispatcher import Placement
 from .errors import AttemptError, CallerLeftError
 from .placing import Placing
 from .refusals import (
@@ -27,6 +28,8 @@
 )
 from .relay import AnswerRelay
 
+_MS = 1000.0
+
 
 class Exchange:
     """One request, from its head to the end of its answer.
@@ -100,6 +103,7 @@
         while not is_over:
             placement = await placing.place(self.excluded)
             self.last_endpoint = placement.home.endpoint
+            self._log_placement(call, placement)
             attempt = Attempt(
                 self.context,
                 call,
@@ -116,6 +120,30 @@
                 self.end = 'answered'
                 is_over = True
 
+    def _log_placement(
+        self,
+        call: AttemptCall,
+        placement: Placement,
+    ) -> None:
+        keeper = self.context.keeper
+        now = self._now()
+        self.context.log.info(
+            'request_placed',
+            request_id=call.request_id,
+            workspace=call.workspace,
+            prompt_length=call.terms.prompt_tokens,
+            endpoint=placement.home.endpoint,
+            helpers=[one.endpoint for one in placement.helpers],
+            stored=len(placement.stored),
+            part_ms=round(placement.part_ms, 1),
+            expected_ms=round(placement.expected_ms, 1),
+            cost=round(placement.cost, 3),
+            left_ms=round((call.objective_at - now) * _MS, 1),
+            settings_version=keeper.version,
+            settings_age=keeper.age,
+            entries=self.context.entries,
+        )
+
     async def _after(
         self,
         call: AttemptCall,
@@ -232,7 +260,7 @@
 
     def _note_first(self) -> None:
         passed = self._now() - self.request.arrived_at
-        self.first_event_ms = passed * 1000
+        self.first_event_ms = passed * _MS
 
     def _settle(self) -> None:
         if not self.answer.is_over:
@@ -249,7 +277,7 @@
             endpoint=self.last_endpoint,
             attempts=self.attempts.sent,
             first_ms=round(self.first_event_ms, 1),
-            total_ms=round(passed * 1000, 1),
+            total_ms=round(passed * _MS, 1),
         )
 
     def _now(self) -> float:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/feed.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/feed.py
@@ -80,7 +80,3 @@
         PlatformError
             If the platform cannot be read.
         """
-
-    @abc.abstractmethod
-    def close(self) -> None:
-        """Drop all connections."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet.py
@@ -65,11 +65,23 @@
         self._failures = 0
         self._was_away = False
 
+    @property
+    def is_away(self) -> bool:
+        """Whether the platform does not answer."""
+        return self._failures > 0
+
     @property
     def version(self) -> SettingsVersion:
         """Return the version in force, 0 before the first."""
         return SettingsVersion(0) if self.table is None else self.table.version
 
+    @property
+    def age(self) -> float | None:
+        """Return the seconds since the last confirmation, if there was one."""
+        if self.confirmed_at is None:
+            return None
+        return round(self.clock.monotonic() - self.confirmed_at, 3)
+
     @property
     def is_ready(self) -> bool:
         """Whether requests can be served."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
@@ -75,6 +75,10 @@
         except TransportError as error:
             # Without it the entry serves on its own knowledge alone.
             self.log.error('mesh_closed', reason=str(error))
+        self.meet_seeds()
+
+    def meet_seeds(self) -> None:
+        """Greet the entries that the settings name."""
         for seed in self.context.settings.seeds:
             self._meet(seed)
 
@@ -106,6 +110,7 @@
             self._lost.discard(peer.address)
             self.log.info('peer_found', peer=name, address=peer.address)
         self.heard[peer.address] = now
+        self.context.peer_heard_at = now
         self._names[peer.address] = name
         for address in word.peers:
             self._meet(address)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -1,12 +1,14 @@
 """A forwarding entry: its start, its tasks and its end."""
 
 import asyncio
+import contextlib
 import os
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Self
 
 from sycamore_core.clock import SystemClock
+from sycamore_core.errors import SettingsError
 from sycamore_core.messages import PeerKeys
 from sycamore_core.telemetry import Log
 from tornado.httpserver import HTTPServer
@@ -45,6 +47,9 @@
 _LAST_SECONDS = 0.8
 _LOOK_SECONDS = 0.05
 _SWEEP_SECONDS = 0.5
+#: Time between looks whether the settings have changed, in seconds: a file
+#: may change without a signal, and nothing in it is urgent.
+_RELOAD_SECONDS = 5.0
 
 
 class ForwardingProcess(RequestServer):
@@ -53,11 +58,11 @@
     def __init__(
         self,
         context: ForwardingContext,
-        feed: FleetFeed,
         mesh: EntryMesh,
+        read_settings: Callable[[], ForwardingSettings],
     ) -> None:
         self.context = context
-        self.feed = feed
+        self.read_settings = read_settings
         self.mesh = mesh
         self.log = Log('process')
         self.connections = CallerConnections(self, context.clock.monotonic)
@@ -66,12 +71,24 @@
     @classmethod
     def from_settings(
         cls,
-        settings: ForwardingSettings,
+        read_settings: Callable[[], ForwardingSettings],
         feed: FleetFeed,
         wire: WireFormat,
         keys: PeerKeys,
     ) -> Self:
-        """Return a process with all its parts."""
+        """Return a process with all its parts.
+
+        Parameters
+        ----------
+        read_settings
+            Reads the settings, now and whenever they may have changed.
+
+        Raises
+        ------
+        SettingsError
+            If they cannot be read.
+        """
+        settings = read_settings()
         clock = SystemClock()
         keeper = FleetKeeper(feed, clock)
         context = ForwardingContext(
@@ -84,12 +101,13 @@
             metrics=ForwardingMetrics(),
             log=Log('forwarding'),
         )
-        return cls(context, feed, EntryMesh.from_settings(keys, context))
+        mesh = EntryMesh.from_settings(keys, context)
+        return cls(context, mesh, read_settings)
 
     @property
-    def is_stopping(self) -> bool:
+    def hands_over(self) -> bool:
         """Whether connections are to end after their answers."""
-        return self.context.is_stopping
+        return self.context.hands_over
 
     def serve(
         self,
@@ -101,7 +119,8 @@
 
     async def run(self) -> None:
         """Serve until told to stop, then let what is in progress finish."""
-        stop = _stop_on_signal()
+        stop = _event_on(signal.SIGTERM, signal.SIGINT)
+        self._start(self._reload_on(_event_on(signal.SIGHUP)))
         settings = self.context.settings
         self.log.info('started', entry=settings.name, zone=settings.zone)
         callers = self._listen_to_callers()
@@ -113,16 +132,29 @@
         ready.stop()
         await self._close()
 
+    def reload(self, *, asked: bool) -> None:
+        """Read the settings again; those in force stay if they cannot be."""
+        try:
+            settings = self.read_settings()
+        except SettingsError as error:
+            self.log.error('reload_failed', reason=str(error))
+            return
+        if settings != self.context.settings:
+            self.context.take_settings(settings)
+            self.mesh.meet_seeds()
+        elif not asked:
+            return
+        self.log.info('reloaded', entry=settings.name, asked=asked)
+
     async def _close(self) -> None:
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.context.pool.close()
-        self.feed.close()
         self.log.info('stopped', entry=self.context.entry)
 
     def _is_ready(self) -> bool:
-        return self.context.keeper.is_ready and not self.is_stopping
+        return self.context.keeper.is_ready and not self.hands_over
 
     def _listen_to_callers(self) -> HTTPServer:
         server = HTTPServer(
@@ -156,6 +188,19 @@
         self.log.error('task_failed', error=repr(task.exception()))
         os.kill(os.getpid(), signal.SIGTERM)
 
+    async def _reload_on(self, asked: asyncio.Event) -> None:
+        """Take changed settings, on a signal or when the file has changed.
+
+        What goes wrong otherwise: a signal that nobody handles ends the
+        process in the middle of its requests.
+        """
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_RELOAD_SECONDS):
+                    await asked.wait()
+            self.reload(asked=asked.is_set())
+            asked.clear()
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(_SWEEP_SECONDS)
@@ -173,7 +218,7 @@
         until = began + self.context.settings.stop_seconds - _LAST_SECONDS
         while clock.monotonic() < until:
             self.connections.close_waiting()
-            if not self.connections.tasks:
+            if not self.connections.tasks and not self.connections.waiting:
                 break
             await asyncio.sleep(_LOOK_SECONDS)
         for task in tuple(self.connections.tasks):
@@ -188,9 +233,9 @@
     server.listen(int(port), host)
 
 
-def _stop_on_signal() -> asyncio.Event:
-    stop = asyncio.Event()
+def _event_on(*signals: signal.Signals) -> asyncio.Event:
+    event = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for signum in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signum, stop.set)
-    return stop
+    for signum in signals:
+        loop.add_signal_handler(signum, event.set)
+    return event
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
@@ -145,9 +145,6 @@
         await asyncio.sleep(wait_seconds)
         return ChangeBatch(after)
 
-    def close(self) -> None:
-        """Nothing is open."""
-
 
 class RawEndpoint:
     """Takes connections and hands each request to a script.
@@ -307,8 +304,8 @@
         self.server = HTTPServer(self.connections)
 
     @property
-    def is_stopping(self) -> bool:
-        return self.context.is_stopping
+    def hands_over(self) -> bool:
+        return self.context.hands_over
 
     @property
     def port(self) -> int:
