Read split prompts with a model of what goes ahead of what; store whole tokens

Ruled out: collisions of two entries in the same instant (the later entry had heard of the earlier prompt: its estimate contains the wait).

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_work.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_work.py
@@ -3,13 +3,15 @@
 import msgspec
 
 from ...ids import RequestId
-from ...routing import EngineLoad
+from ...routing import EngineLoad, Unread
 
 _MS = 1000.0
 #: Part of the time by which reading is overdue that it is taken to need yet.
 #: An engine that others load unseen takes longer than was estimated; without
 #: this it would look idle from that moment on and draw more work.
 _OVERDUE_PART = 0.5
+#: Characters of a request's id by which peers tell its parts apart.
+_KEY_LENGTH = 8
 
 
 class Stake(msgspec.Struct, kw_only=True):
@@ -19,6 +21,10 @@
     ----------
     read_ms
         Time that the engine needs to read its part of the prompt.
+    weight
+        How many short turns its promise counts for.
+    promised_at
+        By when its first event was promised, on the monotonic clock.
     context_tokens
         Tokens that each of its steps carries while it generates; 0 at an
         engine that only helps to read.
@@ -29,16 +35,25 @@
         nothing was.
     is_home
         Whether this engine generates the answer.
+    is_ahead
+        Whether it is a part of a split prompt. Engines read such parts ahead
+        of all others, also of earlier parts.
     is_writing
         Whether its first token has come.
+    done_at
+        When it will have been read, on the monotonic clock.
     """
 
     read_ms: float
+    weight: float = 1
+    promised_at: float = 0
     context_tokens: int = 0
     memory_tokens: int = 0
     pause_ms: float = 0
     is_home: bool = True
+    is_ahead: bool = False
     is_writing: bool = False
+    done_at: float = 0
 
 
 class EngineWork:
@@ -58,8 +73,14 @@
 
     def add(self, request_id: RequestId, stake: Stake, now: float) -> None:
         """Note that a request was sent to the engine."""
+        seconds = stake.read_ms / _MS
+        self.read_until = max(self.read_until, now) + seconds
+        stake.done_at = self.read_until
+        if stake.is_ahead:
+            stake.done_at = now + seconds
+            for other in self.stakes.values():
+                other.done_at += seconds
         self.stakes[request_id] = stake
-        self.read_until = max(self.read_until, now) + stake.read_ms / _MS
 
     def first_token(self, request_id: RequestId, now: float) -> None:
         """Note that a request's prompt has been read."""
@@ -76,10 +97,14 @@
     def load(self, now: float) -> EngineLoad:
         """Return what these requests have the engine do."""
         load = EngineLoad(backlog_ms=self._backlog(now) * _MS)
-        for stake in self.stakes.values():
+        unread: list[Unread] = []
+        for request_id, stake in self.stakes.items():
             load.memory_tokens += stake.memory_tokens
             if stake.is_home:
                 _count_home(load, stake)
+            if not stake.is_writing:
+                unread.append(_unread(request_id, stake, now))
+        load.unread = tuple(unread)
         return load
 
     def _backlog(self, now: float) -> float:
@@ -99,6 +124,15 @@
             self.read_until = now
 
 
+def _unread(request_id: RequestId, stake: Stake, now: float) -> Unread:
+    return Unread(
+        request_id[:_KEY_LENGTH],
+        stake.weight,
+        max(0, stake.done_at - now) * _MS,
+        (stake.promised_at - now) * _MS,
+    )
+
+
 def _count_home(load: EngineLoad, stake: Stake) -> None:
     load.requests += 1
     if stake.is_writing:
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
@@ -142,7 +142,10 @@
 
 
 def _age(word: PeerWord, now: float) -> None:
-    passed_ms = (now - word.at) * 1000
-    for load in word.loads.values():
-        load.backlog_ms = max(0, load.backlog_ms - passed_ms)
+    """Bring what a peer said before up to now."""
+    passed = now - word.at
     word.at = now
+    for endpoint, load in word.loads.items():
+        aged = EngineLoad()
+        aged.add(load, passed)
+        word.loads[endpoint] = aged
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
@@ -3,7 +3,9 @@
 Load pattern: short turns, each a few tens of milliseconds of reading, come
 many times as often as prompts whose reading takes seconds. An engine reads
 between the tokens of other requests, so that a long read stretches the pauses
-of all streams beside it; a turn that comes behind one waits for it.
+of all streams beside it; a turn that comes behind one waits for it. Parts of
+a split prompt are read ahead of everything that an engine has, so that a new
+one delays all prompts that were begun there.
 
 Without it: by least requests alone, one engine reads a whole prompt of
 154,000 tokens in 3 s, which is past its own objective, and each short answer
@@ -16,13 +18,12 @@
 so that others stay free for long parts.
 """
 
-import math
 from collections.abc import Sequence
 
 import msgspec
 
 from ...ids import EndpointId
-from ...routing import EngineCosts, EngineLoad
+from ...routing import EngineCosts, EngineLoad, Unread
 
 #: Engines that may help the one that writes: what engines accept at most.
 MOST_HELPERS = 16
@@ -43,6 +44,13 @@
 #: Part of a promised time that may be used up without harm; estimates are
 #: off by a pass or two.
 _SAFE_PART = 0.5
+#: Harm below which a short prompt is read alone, in broken promises. Above
+#: it, parts are weighed as well: these are read ahead of long prompts that
+#: would hold the turn up.
+_GOOD_ENOUGH = 0.15
+#: Backlog that counts as one broken promise, in ms: it only orders engines
+#: that are otherwise alike.
+_BUSY_MS = 20_000.0
 #: Time that the network and the entry add to the first event, in ms.
 OVERHEAD_MS = 15.0
 #: Prompt tokens that weigh as much as one short turn. The operator's own
@@ -158,7 +166,9 @@
         return None
     read_ms = costs.read_ms(request.prompt_tokens)
     if read_ms <= LEAST_SPLIT_MS:
-        return planner.alone(homes, read_ms)
+        plan = planner.alone(homes, read_ms)
+        if plan is not None and plan.cost < _GOOD_ENOUGH:
+            return plan
     return planner.best_split(homes, candidates, read_ms)
 
 
@@ -170,7 +180,9 @@
         self.costs = costs
         needed = request.prompt_tokens + request.answer_tokens
         self.needed_tokens = needed
-        self.room = costs.memory_tokens * (1 - _MEMORY_RESERVE)
+        # Whole tokens: a fraction of one that fits nowhere would make every
+        # plan for a prompt beyond one engine impossible.
+        self.room = int(costs.memory_tokens * (1 - _MEMORY_RESERVE))
 
     def alone(
         self,
@@ -179,7 +191,7 @@
     ) -> ReadPlan | None:
         """Return the best engine to read and write alone."""
         roomy = [one for one in homes if self._free(one) >= self.needed_tokens]
-        plans = [self._plan(home, (), read_ms) for home in roomy]
+        plans = [self._plan_alone(home, read_ms) for home in roomy]
         return min(plans, key=_cost_of, default=None)
 
     def best_split(
@@ -192,8 +204,9 @@
         most = min(MOST_HELPERS + 1, len(candidates))
         plans = [
             self._split(homes, candidates, read_ms / parts, parts)
-            for parts in range(1, most + 1)
+            for parts in range(2, most + 1)
         ]
+        plans.append(self.alone(homes, read_ms))
         found = [plan for plan in plans if plan is not None]
         return min(found, key=_cost_of, default=None)
 
@@ -206,32 +219,43 @@
     ) -> ReadPlan | None:
         ranked = sorted(
             candidates,
-            key=lambda one: self._reading_cost(one, part_ms),
+            key=lambda one: self._part_cost(one, part_ms),
         )
-        chosen = ranked[:parts]
-        able = [one for one in chosen if one in homes]
-        if not able:
-            able = list(homes)
-        home = max(able, key=self._free)
+        able = [one for one in ranked[:parts] if one in homes]
+        home = max(able or homes, key=self._free)
         helpers = [one for one in ranked if one is not home][: parts - 1]
         stored = self._stored(home, helpers)
         if stored is None:
             return None
-        plan = self._plan(home, helpers, part_ms)
+        plan = self._plan_split(home, helpers, part_ms)
         return msgspec.structs.replace(plan, stored=stored)
 
-    def _plan(
+    def _plan_alone(self, home: Candidate, read_ms: float) -> ReadPlan:
+        """Return the plan to read a prompt behind what an engine has."""
+        waited = home.load.backlog_ms + self._rest_of_pass_ms(home)
+        expected = waited + read_ms + self._pass_ms(home) + OVERHEAD_MS
+        cost = self._lateness(expected) + self._home_cost(home)
+        cost += self._pause_cost(home, read_ms) + home.penalty
+        return ReadPlan(
+            home=home.endpoint,
+            part_ms=read_ms,
+            expected_ms=expected,
+            cost=cost + home.load.backlog_ms / _BUSY_MS,
+        )
+
+    def _plan_split(
         self,
         home: Candidate,
         helpers: Sequence[Candidate],
         part_ms: float,
     ) -> ReadPlan:
+        """Return the plan to read a prompt in parts, ahead of others."""
         members = (home, *helpers)
-        waited = max(self._wait_ms(one) for one in members)
+        waited = max(self._rest_of_pass_ms(one) for one in members)
         expected = waited + part_ms + self._pass_ms(home) + OVERHEAD_MS
         cost = self._lateness(expected) + self._home_cost(home)
-        cost += sum(self._reading_cost(one, part_ms) for one in members)
-        cost += _PART_COST * len(helpers)
+        cost += sum(self._own_cost(one, part_ms) for one in members)
+        cost += _PART_COST * len(helpers) + self._delay_cost(members, part_ms)
         return ReadPlan(
             home=home.endpoint,
             helpers=tuple(one.endpoint for one in helpers),
@@ -244,22 +268,38 @@
         objective = max(1, self.request.objective_ms)
         return self.request.weight * lateness(expected_ms / objective)
 
-    def _reading_cost(self, one: Candidate, part_ms: float) -> float:
-        """Return the harm of reading a part at an engine."""
+    def _part_cost(self, one: Candidate, part_ms: float) -> float:
+        """Return the harm of a part at one engine, to choose engines by."""
+        delayed = self._delay_cost((one,), part_ms)
+        return self._own_cost(one, part_ms) + delayed
+
+    def _own_cost(self, one: Candidate, part_ms: float) -> float:
+        busy = one.load.backlog_ms / _BUSY_MS
+        return one.penalty + self._pause_cost(one, part_ms) + busy
+
+    def _pause_cost(self, one: Candidate, part_ms: float) -> float:
+        """Return the harm to streams that pause while a part is read."""
         load = one.load
-        cost = one.penalty
-        reading_ms = load.backlog_ms + part_ms
-        if load.writers:
-            pause = (self._pass_ms(one) + reading_ms) / load.pause_ms
-            cost += load.writers * lateness(pause)
-        waiting = load.requests - load.writers
-        if waiting > 0:
-            # Their own objectives are not known here; those of short turns
-            # are a few passes long.
-            cost += waiting * lateness(reading_ms / _SHORT_OBJECTIVE_MS)
-        # A part that fits into what is promised, but not much, still makes
-        # the next decision worse: others find the engine occupied.
-        return cost + load.backlog_ms / _BUSY_MS
+        if not load.writers:
+            return 0
+        pause = self._pass_ms(one) + load.backlog_ms + part_ms
+        return load.writers * lateness(pause / load.pause_ms)
+
+    def _delay_cost(
+        self,
+        members: Sequence[Candidate],
+        part_ms: float,
+    ) -> float:
+        """Return the harm to prompts that are read later.
+
+        A prompt that is read at several of the engines is delayed once.
+        """
+        worst: dict[str, float] = {}
+        for one in members:
+            for unread in one.load.unread:
+                harm = _harm_of_delay(unread, part_ms)
+                worst[unread.key] = max(harm, worst.get(unread.key, 0))
+        return sum(worst.values())
 
     def _home_cost(self, home: Candidate) -> float:
         off = abs(GATHERED_WRITERS - home.load.requests)
@@ -269,16 +309,14 @@
             cost += lateness(pause / self.request.pause_ms)
         return cost
 
-    def _wait_ms(self, one: Candidate) -> float:
-        if one.load.requests:
-            return one.load.backlog_ms + self._pass_ms(one) * _HALF
-        return one.load.backlog_ms
+    def _rest_of_pass_ms(self, one: Candidate) -> float:
+        return self._pass_ms(one) * _HALF if one.load.requests else 0
 
     def _pass_ms(self, one: Candidate) -> float:
         context = one.load.context_tokens + self.request.prompt_tokens
         return self.costs.pass_ms(one.load.writers + 1, context)
 
-    def _free(self, one: Candidate) -> float:
+    def _free(self, one: Candidate) -> int:
         return self.room - one.load.memory_tokens
 
     def _stored(
@@ -292,19 +330,19 @@
         for helper in sorted(helpers, key=self._free, reverse=True):
             if missing <= 0:
                 break
-            tokens = int(min(missing, self._free(helper)))
+            tokens = min(missing, self._free(helper))
             if tokens > 0:
                 stored.append((helper.endpoint, tokens))
                 missing -= tokens
         return None if missing > 0 else tuple(stored)
 
 
-#: Objective that requests are taken to have that wait for their first token.
-_SHORT_OBJECTIVE_MS = 300.0
-#: Backlog that counts as one broken promise, in ms: it only orders engines
-#: that are otherwise alike.
-_BUSY_MS = 20_000.0
+def _harm_of_delay(unread: Unread, part_ms: float) -> float:
+    slack = max(1, unread.slack_ms)
+    before = lateness(unread.done_ms / slack)
+    after = lateness((unread.done_ms + part_ms) / slack)
+    return unread.weight * (after - before)
 
 
 def _cost_of(plan: ReadPlan) -> float:
-    return plan.cost if math.isfinite(plan.cost) else math.inf
+    return plan.cost
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_loads.py
@@ -0,0 +1,80 @@
+"""What entries know of engines: their own work and their peers' words."""
+
+from ....ids import EndpointId, PeerId, RequestId
+from ....routing import EngineLoad, EngineShare
+from ..engine_work import Stake
+from ..load_book import STALE_SECONDS, LoadBook
+
+ENGINE = EndpointId('e1')
+PEER = PeerId('entry-2')
+REQUEST = RequestId('r1')
+
+
+def share(**load: object) -> EngineShare:
+    return EngineShare(ENGINE, EngineLoad(**load))
+
+
+def backlog(book: LoadBook, now: float) -> int:
+    return round(book.load(ENGINE, now).backlog_ms)
+
+
+def test_reading_ends_with_the_first_token() -> None:
+    book = LoadBook()
+    book.begin(REQUEST, {ENGINE: Stake(read_ms=800)}, now=10)
+    assert backlog(book, 10.3) == 500
+    book.first_token(REQUEST, [ENGINE], now=10.5)
+    assert backlog(book, 10.5) == 0
+    assert book.load(ENGINE, 10.5).writers == 1
+    book.end(REQUEST, [ENGINE], now=11)
+    assert book.load(ENGINE, 11) == EngineLoad()
+
+
+def test_overdue_reading_does_not_make_an_engine_look_idle() -> None:
+    """An engine takes longer to read than was estimated.
+
+    If it looked idle from then on, more prompts would be sent to it, and
+    each would wait longer than the one before.
+    """
+    book = LoadBook()
+    book.begin(REQUEST, {ENGINE: Stake(read_ms=800)}, now=10)
+    assert backlog(book, 11.8) == 500
+
+
+def test_later_part_goes_ahead() -> None:
+    book = LoadBook()
+    first = Stake(read_ms=500, is_ahead=True)
+    second = Stake(read_ms=300, is_ahead=True)
+    book.begin(RequestId('first'), {ENGINE: first}, now=10)
+    book.begin(RequestId('second'), {ENGINE: second}, now=10.1)
+    done = {
+        one.key: round(one.done_ms) for one in book.load(ENGINE, 10.1).unread
+    }
+    assert done == {'first': 700, 'second': 300}
+
+
+def test_word_of_a_peer_ages() -> None:
+    """A peer falls silent, as if cut off, after it began a long prompt."""
+    book = LoadBook()
+    word = share(requests=1, backlog_ms=1000.0)
+    book.hear(PEER, [word], now=10, is_whole=True)
+    assert backlog(book, 10.4) == 600
+    assert book.load(ENGINE, 10.4).requests == 1
+    assert book.load(ENGINE, 10.1 + STALE_SECONDS) == EngineLoad()
+
+
+def test_lost_word_is_made_good_by_the_next_whole_one() -> None:
+    """The message that a request is over is lost on the way."""
+    book = LoadBook()
+    book.hear(PEER, [share(requests=5)], now=10, is_whole=False)
+    book.hear(PEER, [], now=11, is_whole=True)
+    assert book.load(ENGINE, 11).requests == 0
+
+
+def test_only_what_changed_is_told() -> None:
+    book = LoadBook()
+    book.begin(REQUEST, {ENGINE: Stake(read_ms=100)}, now=10)
+    assert book.take_changed() == {ENGINE}
+    assert book.take_changed() == set()
+    book.end(REQUEST, [ENGINE], now=11)
+    told = book.shares(book.take_changed(), now=11)
+    assert told == (EngineShare(ENGINE, EngineLoad()),)
--- a/packages/sycamore-core/src/sycamore_core/routing/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/__init__.py
@@ -3,7 +3,7 @@
 from .directory import EndpointDirectory
 from .endpoints import EndpointRecord
 from .engines import EngineCosts
-from .loads import EngineLoad, EngineShare
+from .loads import EngineLoad, EngineShare, Unread
 from .routes import (
     CallerLimits,
     Route,
@@ -27,5 +27,6 @@
     'RoutingTable',
     'ServiceRecord',
     'ServiceShare',
+    'Unread',
     'WorkspaceRecord',
 )
--- a/packages/sycamore-core/src/sycamore_core/routing/loads.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/loads.py
@@ -9,6 +9,36 @@
 _MS = 1000.0
 
 
+class Unread(msgspec.Struct, frozen=True, array_like=True):
+    """A prompt, or a part of one, that an engine has not read yet.
+
+    Attributes
+    ----------
+    key
+        Names the request; parts of one prompt at several engines share it.
+    weight
+        How many short turns its promise counts for.
+    done_ms
+        Time until it is read here, in milliseconds.
+    slack_ms
+        Time until its first event was promised, in milliseconds.
+    """
+
+    key: str
+    weight: float
+    done_ms: float
+    slack_ms: float
+
+    def aged(self, age_ms: float) -> 'Unread':
+        """Return the same some time later."""
+        return Unread(
+            self.key,
+            self.weight,
+            max(0, self.done_ms - age_ms),
+            self.slack_ms - age_ms,
+        )
+
+
 class EngineLoad(msgspec.Struct, kw_only=True, array_like=True):
     """What one engine has to do, as far as an entry knows.
 
@@ -27,6 +57,8 @@
     pause_ms
         Shortest pause that was promised to one of its writers; infinite if
         none was.
+    unread
+        What it has not read yet.
     """
 
     requests: int = 0
@@ -35,6 +67,7 @@
     memory_tokens: int = 0
     backlog_ms: float = 0
     pause_ms: float = math.inf
+    unread: tuple[Unread, ...] = ()
 
     def add(self, other: 'EngineLoad', age: float) -> None:
         """Add what another entry has there.
@@ -45,12 +78,16 @@
             Time since the other load was seen, in seconds. Reading has gone
             on meanwhile.
         """
+        age_ms = age * _MS
         self.requests += other.requests
         self.writers += other.writers
         self.context_tokens += other.context_tokens
         self.memory_tokens += other.memory_tokens
-        self.backlog_ms += max(0, other.backlog_ms - age * _MS)
+        self.backlog_ms += max(0, other.backlog_ms - age_ms)
         self.pause_ms = min(self.pause_ms, other.pause_ms)
+        if other.unread:
+            aged = [one.aged(age_ms) for one in other.unread]
+            self.unread = (*self.unread, *aged)
 
 
 class EngineShare(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
@@ -239,6 +239,9 @@
         stakes = {
             helper.endpoint: Stake(
                 read_ms=placement.part_ms,
+                weight=placement.weight,
+                promised_at=self.call.objective_at,
+                is_ahead=True,
                 memory_tokens=stored.get(helper.endpoint, 0),
                 is_home=False,
             )
@@ -246,6 +249,9 @@
         }
         stakes[placement.home.endpoint] = Stake(
             read_ms=placement.part_ms,
+            weight=placement.weight,
+            promised_at=self.call.objective_at,
+            is_ahead=bool(placement.helpers),
             context_tokens=terms.prompt_tokens,
             memory_tokens=max(0, tokens - sum(stored.values())),
             pause_ms=self.call.route.pause_objective * _MS,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
@@ -49,6 +49,8 @@
         Tokens that helpers store, by endpoint.
     part_ms, expected_ms
         Estimates of a part's reading and of the first event.
+    cost, weight
+        Expected harm, and how many short turns the request counts for.
     """
 
     home: EndpointRecord
@@ -57,6 +59,7 @@
     part_ms: float = 0
     expected_ms: float = 0
     cost: float = 0
+    weight: float = 1
 
     @property
     def members(self) -> tuple[EndpointId, ...]:
@@ -122,6 +125,7 @@
             part_ms=plan.part_ms,
             expected_ms=plan.expected_ms,
             cost=plan.cost,
+            weight=request.weight,
         )
 
     def place_plain(
