Let entries tell one another of newer settings and of leaving endpoints

Cause: the platform may turn some entries away while it serves others and the operator; an entry that is turned away goes on with keys that were taken back and sends to endpoints that leave.

--- a/packages/sycamore-core/src/sycamore_core/messages/entries.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/entries.py
@@ -1,7 +1,7 @@
 """What entries that call endpoints themselves tell one another."""
 
 from ..ids import EntryId, ZoneId
-from ..routing import EngineShare
+from ..routing import EndpointLifetime, EngineShare
 from .base import BaseMessage
 
 
@@ -16,6 +16,8 @@
     peers
         Addresses of the entries that it hears, by which a newcomer finds
         them all.
+    leaving
+        Endpoints that it has lately seen to leave.
     """
 
     entry: EntryId
@@ -24,3 +26,4 @@
     is_whole: bool
     shares: tuple[EngineShare, ...] = ()
     peers: tuple[str, ...] = ()
+    leaving: tuple[EndpointLifetime, ...] = ()
--- a/packages/sycamore-core/src/sycamore_core/platform/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/platform/__init__.py
@@ -7,6 +7,7 @@
     TreeRank,
     digest_of,
 )
+from .bodies import pack, unpack
 from .claims import SettingsClaim
 from .http_sources import (
     HttpInstanceSource,
@@ -47,5 +48,7 @@
     'ZoneMember',
     'digest_of',
     'is_reader',
+    'pack',
     'rank_in_zone',
+    'unpack',
 )
--- a/packages/sycamore-core/src/sycamore_core/routing/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/__init__.py
@@ -1,7 +1,7 @@
 """What an entry that calls endpoints itself knows of routes and endpoints."""
 
 from .directory import EndpointDirectory
-from .endpoints import EndpointRecord
+from .endpoints import EndpointLifetime, EndpointRecord
 from .engines import EngineCosts
 from .loads import EngineLoad, EngineShare, Unread
 from .routes import (
@@ -17,6 +17,7 @@
 __all__ = (
     'CallerLimits',
     'EndpointDirectory',
+    'EndpointLifetime',
     'EndpointRecord',
     'EngineCosts',
     'EngineLoad',
--- a/packages/sycamore-core/src/sycamore_core/routing/directory.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/directory.py
@@ -13,8 +13,10 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from ..ids import EndpointId, ServiceId
-from .endpoints import EndpointRecord
+from .endpoints import EndpointLifetime, EndpointRecord
 
 #: How long a registration that is missing after an outage of the platform is
 #: kept, in seconds. Living endpoints have registered again within two.
@@ -61,6 +63,21 @@
             return
         self.records[record.endpoint] = record
 
+    def mark_leaving(self, lifetime: EndpointLifetime) -> bool:
+        """Take it from another entry that an endpoint leaves.
+
+        Returns
+        -------
+        bool
+            Whether that was news.
+        """
+        known = self.records.get(lifetime.endpoint)
+        if known is None or known.is_leaving or known.lifetime != lifetime:
+            return False
+        leaving = msgspec.structs.replace(known, is_leaving=True)
+        self.records[lifetime.endpoint] = leaving
+        return True
+
     def remove(self, endpoint: EndpointId) -> None:
         """Drop an endpoint whose registration was removed."""
         self.records.pop(endpoint, None)
--- a/packages/sycamore-core/src/sycamore_core/routing/endpoints.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/endpoints.py
@@ -5,6 +5,13 @@
 from ..ids import EndpointId, ServiceId, ZoneId
 
 
+class EndpointLifetime(msgspec.Struct, frozen=True, array_like=True):
+    """One start of an endpoint, which may start again under its id."""
+
+    endpoint: EndpointId
+    started_ms: int
+
+
 class EndpointRecord(msgspec.Struct, frozen=True, kw_only=True):
     """One registration of an endpoint.
 
@@ -31,6 +38,11 @@
     is_leaving: bool = False
     started_ms: int = 0
 
+    @property
+    def lifetime(self) -> EndpointLifetime:
+        """Return which start of the endpoint this is."""
+        return EndpointLifetime(self.endpoint, self.started_ms)
+
     @property
     def address(self) -> str:
         """Return where it takes requests, as ``HOST:PORT``."""
--- a/packages/sycamore-core/src/sycamore_core/transport/node.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/node.py
@@ -1,7 +1,7 @@
 """The listening socket of a process and the peers that talk to it."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import msgspec
 import pynng
@@ -19,6 +19,10 @@
 #: packet.
 FORGET_PEER_SECONDS = 120.0
 _SWEEP_SECONDS = 10.0
+#: How often the tasks of a closing node are cancelled, and how long each time
+#: is waited for them, in seconds. They end within milliseconds.
+CLOSE_TRIES = 5
+CLOSE_SECONDS = 0.1
 #: Peers whose packet ages are remembered beyond their forgetting: three times
 #: the processes of the largest fleet planned, two numbers each.
 REMEMBERED_AGES = 4096
@@ -94,11 +98,9 @@
         tasks = list(self._own_tasks)
         for peer_tasks in self._tasks.values():
             tasks.extend(peer_tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
         if self._socket is not None:
             self._socket.close()
+        await _end_all(tasks)
 
     def peer(self, address: str) -> Peer:
         """Return the peer at `address`, met now if it was not known."""
@@ -134,7 +136,11 @@
 
     async def _receive(self, socket: pynng.Pull0) -> None:
         while True:
-            received = await socket.arecv()
+            try:
+                received = await socket.arecv()
+            except pynng.Closed:
+                # The node is closing.
+                return
             self.counts.received_packets += 1
             self.counts.received_bytes += len(received)
             self._accept(received)
@@ -168,5 +174,21 @@
                     self.forget(address)
 
 
+async def _end_all(tasks: Iterable[asyncio.Task[None]]) -> None:
+    """Cancel tasks until they have ended, for a bounded time.
+
+    What goes wrong otherwise: pynng loses the cancellation of a call that
+    completes in the same moment; its task goes on to the next call, and the
+    process that waits for it never ends.
+    """
+    pending = set(tasks)
+    tries = 0
+    while pending and tries < CLOSE_TRIES:
+        tries += 1
+        for task in pending:
+            task.cancel()
+        _, pending = await asyncio.wait(pending, timeout=CLOSE_SECONDS)
+
+
 async def _serve_nobody(peer: Peer) -> None:
     """Take no message; a node without a task for its peers only sends."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/feed.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/feed.py
@@ -65,6 +65,16 @@
             If it cannot be read.
         """
 
+    @abc.abstractmethod
+    def read_table(self, source: bytes) -> PublishedTable:
+        """Return the configuration in a document that a peer has sent.
+
+        Raises
+        ------
+        PlatformError
+            If it cannot be read.
+        """
+
     @abc.abstractmethod
     async def changes(
         self,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet.py
@@ -6,12 +6,17 @@
 """
 
 import asyncio
+from collections import deque
+from collections.abc import Iterable
 
 from sycamore_core.clock import Clock
 from sycamore_core.errors import PlatformError
 from sycamore_core.ids import SettingsVersion
+from sycamore_core.messages import SettingsBody
+from sycamore_core.platform import unpack
 from sycamore_core.routing import (
     EndpointDirectory,
+    EndpointLifetime,
     PublishedTable,
     RoutingTable,
 )
@@ -37,6 +42,9 @@
 #: platform takes 2,000 reads a second from all entries together.
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 0.6
+#: How long peers are told of an endpoint that leaves, in seconds: three of
+#: the messages that name everything may be lost.
+LEAVING_SECONDS = 4.0
 #: Time between looks for registrations that did not come back, in seconds.
 EXPIRE_SECONDS = 0.25
 
@@ -61,6 +69,8 @@
         self.confirmed_at: float | None = None
         self.log = Log('fleet')
         self.changed = asyncio.Event()
+        self.published: PublishedTable | None = None
+        self._left: deque[tuple[float, EndpointLifetime]] = deque()
         self._revision = Revision(0)
         self._failures = 0
         self._was_away = False
@@ -87,6 +97,33 @@
         """Whether requests can be served."""
         return self.table is not None and bool(self.directory.records)
 
+    @property
+    def leaving(self) -> tuple[EndpointLifetime, ...]:
+        """Return the endpoints that were lately seen to leave."""
+        begin = self.clock.monotonic() - LEAVING_SECONDS
+        while self._left and self._left[0][0] < begin:
+            self._left.popleft()
+        return tuple(lifetime for _, lifetime in self._left)
+
+    def offer_table(self, body: SettingsBody) -> None:
+        """Take a peer's configuration if it is newer."""
+        try:
+            published = self.feed.read_table(unpack(body).body)
+        except PlatformError as error:
+            self.log.warning('table_of_peer_unreadable', reason=str(error))
+            return
+        self._take_table(published, source='peer')
+
+    def hear_leaving(self, lifetimes: Iterable[EndpointLifetime]) -> None:
+        """Take it from a peer that endpoints leave."""
+        for lifetime in lifetimes:
+            if self.directory.mark_leaving(lifetime):
+                self._note_leaving(lifetime)
+                self.log.info(
+                    'endpoint_leaving_by_peer',
+                    endpoint=lifetime.endpoint,
+                )
+
     async def run(self) -> None:
         """Read and watch the platform until cancelled."""
         while True:
@@ -159,6 +196,8 @@
             self._take_table(change.published)
         elif isinstance(change, EndpointChanged):
             self.directory.put(change.record)
+            if change.record.is_leaving:
+                self._note_leaving(change.record.lifetime)
             self.log.info(
                 'endpoint_changed',
                 endpoint=change.record.endpoint,
@@ -171,16 +210,25 @@
             self.log.info('endpoint_removed', endpoint=change.endpoint)
         self._notify()
 
-    def _take_table(self, published: PublishedTable) -> None:
+    def _note_leaving(self, lifetime: EndpointLifetime) -> None:
+        self._left.append((self.clock.monotonic(), lifetime))
+
+    def _take_table(
+        self,
+        published: PublishedTable,
+        source: str = 'platform',
+    ) -> None:
         table = published.table
         if self.table is not None and table.version <= self.table.version:
             return
         self.table = table
+        self.published = published
         self.log.info(
             'table_in_force',
             settings_version=table.version,
             routes=len(table.routes),
             workspaces=len(table.workspaces),
+            source=source,
         )
 
     def _notify(self) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
@@ -14,7 +14,14 @@
 from sycamore_core.decisions.direct import LoadBook
 from sycamore_core.errors import TransportError
 from sycamore_core.ids import EndpointId, Incarnation, PeerId
-from sycamore_core.messages import EntryWord, PacketCodec, PeerKeys
+from sycamore_core.messages import (
+    EntryWord,
+    PacketCodec,
+    PeerKeys,
+    SettingsBody,
+    SettingsWanted,
+)
+from sycamore_core.platform import PublishedSettings, pack
 from sycamore_core.telemetry import Log
 from sycamore_core.transport import Node, NodeAddress, Peer
 
@@ -25,6 +32,9 @@
 TELL_SECONDS = 0.02
 #: Time between two messages that name everything, in seconds.
 WHOLE_SECONDS = 1.0
+#: How long a peer may have a newer configuration before it is asked for it,
+#: in seconds. The platform shows a change within some ten milliseconds.
+BEHIND_SECONDS = 0.15
 #: A peer that was not heard for this long counts as gone, in seconds.
 HEARD_SECONDS = 3.2
 
@@ -43,11 +53,14 @@
         self.context = context
         self.clock: Clock = context.clock
         self.book: LoadBook = context.dispatcher.book
+        self.keeper = context.keeper
         self.heard: dict[str, float] = {}
         self.log = Log('mesh')
         self._names: dict[str, PeerId] = {}
         self._lost: set[str] = set()
         self._next_whole: float = 0
+        self._asked_for = 0
+        self._told: tuple[object, ...] = ()
         node.serve_peer = self.serve
 
     @classmethod
@@ -88,7 +101,7 @@
             await asyncio.sleep(TELL_SECONDS)
             now = self.clock.monotonic()
             changed = self.book.take_changed()
-            if now >= self._next_whole:
+            if now >= self._next_whole or self._has_news():
                 self._next_whole = now + WHOLE_SECONDS
                 self._check_lost(now)
                 self._tell(tuple(self.book.own), now, is_whole=True)
@@ -101,6 +114,17 @@
             message = await peer.inbound.get()
             if isinstance(message, EntryWord):
                 self._hear(peer, message)
+            elif isinstance(message, SettingsWanted):
+                self._answer(peer, message)
+            elif isinstance(message, SettingsBody):
+                self.keeper.offer_table(message)
+
+    def _has_news(self) -> bool:
+        """Return whether peers should know more than loads at once."""
+        news = (self.keeper.version, self.keeper.leaving)
+        is_new = news != self._told
+        self._told = news
+        return is_new
 
     def _hear(self, peer: Peer, word: EntryWord) -> None:
         now = self.clock.monotonic()
@@ -112,9 +136,36 @@
         self.heard[peer.address] = now
         self.context.peer_heard_at = now
         self._names[peer.address] = name
+        self.keeper.hear_leaving(word.leaving)
+        self._compare_versions(peer, word)
         for address in word.peers:
             self._meet(address)
 
+    def _compare_versions(self, peer: Peer, word: EntryWord) -> None:
+        """Ask for a configuration that the platform does not show here.
+
+        The platform shows a change to all within milliseconds, so that a
+        peer is asked only if it has been ahead for a moment.
+        """
+        version = word.settings_version
+        if version <= max(self.keeper.version, self._asked_for):
+            return
+        self._asked_for = version
+        loop = asyncio.get_running_loop()
+        loop.call_later(BEHIND_SECONDS, self._ask, peer, version)
+
+    def _ask(self, peer: Peer, version: int) -> None:
+        self._asked_for = 0
+        if version > self.keeper.version:
+            peer.post(SettingsWanted(above=self.keeper.version))
+
+    def _answer(self, peer: Peer, wanted: SettingsWanted) -> None:
+        published = self.keeper.published
+        if published is None or self.keeper.version <= wanted.above:
+            return
+        settings = PublishedSettings(self.keeper.version, published.source)
+        peer.post(pack(settings))
+
     def _meet(self, address: str) -> None:
         if address != self.node.address.advertise:
             self.node.peer(address)
@@ -134,6 +185,7 @@
             is_whole=is_whole,
             shares=self.book.shares(endpoints, now),
             peers=self._addresses if is_whole else (),
+            leaving=self.keeper.leaving if is_whole else (),
         )
         for peer in tuple(self.node.peers.values()):
             peer.post(word)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -126,11 +126,20 @@
         callers = self._listen_to_callers()
         ready = HTTPServer(Readiness(self._is_ready))
         _listen(ready, settings.ready)
-        self._start_tasks()
+        self.start_tasks()
         await stop.wait()
         await self._stop(callers)
         ready.stop()
-        await self._close()
+        await self.close()
+
+    def start_tasks(self) -> None:
+        """Start everything but the serving of callers."""
+        if self.context.settings.peers:
+            self.mesh.start()
+            self._start(self.mesh.run())
+        self._start(self.context.keeper.run())
+        self._start(self.context.keeper.expire())
+        self._start(self._sweep())
 
     def reload(self, *, asked: bool) -> None:
         """Read the settings again; those in force stay if they cannot be."""
@@ -146,11 +155,13 @@
             return
         self.log.info('reloaded', entry=settings.name, asked=asked)
 
-    async def _close(self) -> None:
+    async def close(self) -> None:
+        """End all tasks and drop all connections."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.context.pool.close()
+        await self.mesh.node.close()
         self.log.info('stopped', entry=self.context.entry)
 
     def _is_ready(self) -> bool:
@@ -167,14 +178,6 @@
         _listen(server, self.context.settings.callers)
         return server
 
-    def _start_tasks(self) -> None:
-        if self.context.settings.peers:
-            self.mesh.start()
-            self._start(self.mesh.run())
-        self._start(self.context.keeper.run())
-        self._start(self.context.keeper.expire())
-        self._start(self._sweep())
-
     def _start(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.create_task(work)
         task.add_done_callback(self._task_ended)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
@@ -137,6 +137,11 @@
     async def snapshot(self) -> FleetSnapshot:
         return self.fixed
 
+    def read_table(self, source: bytes) -> PublishedTable:
+        made = table_of(route(RouteKind.SAFE))
+        made.version = SettingsVersion(int(source))
+        return PublishedTable(made, source)
+
     async def changes(
         self,
         after: Revision,
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_mesh.py
@@ -0,0 +1,164 @@
+"""Entries that tell one another what the platform hides from some of them."""
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+import msgspec
+from sycamore_core.decisions.direct import Stake
+from sycamore_core.errors import PlatformError
+from sycamore_core.ids import (
+    EndpointId,
+    EntryId,
+    KeyId,
+    RequestId,
+    ServiceId,
+    ZoneId,
+)
+from sycamore_core.messages import PeerKeys
+from sycamore_core.routing import EndpointRecord, PublishedTable, RouteKind
+
+from ..feed import (
+    Change,
+    ChangeBatch,
+    EndpointChanged,
+    FleetSnapshot,
+    Revision,
+    TableChanged,
+)
+from ..process import ForwardingProcess
+from ..settings import ForwardingSettings
+from .builders import HOST, FixedFeed, SimpleWire, route, table_of
+
+KEYS = PeerKeys({KeyId('k'): b'0123456789abcdef'}, KeyId('k'))
+ENDPOINT = EndpointRecord(
+    endpoint=EndpointId('e1'),
+    service=ServiceId('booking'),
+    host=HOST,
+    port=1,
+    zone=ZoneId('a'),
+    started_ms=5,
+)
+SNAPSHOT = FleetSnapshot(
+    Revision(1),
+    PublishedTable(table_of(route(RouteKind.SAFE)), b'3'),
+    (ENDPOINT,),
+)
+
+
+class MovingFeed(FixedFeed):
+    """A platform that shows what a test puts in, or turns an entry away."""
+
+    def __init__(self) -> None:
+        super().__init__(SNAPSHOT)
+        self.is_away = False
+        self.news: asyncio.Queue[Change] = asyncio.Queue()
+
+    async def snapshot(self) -> FleetSnapshot:
+        if self.is_away:
+            raise PlatformError('turned away')
+        return self.fixed
+
+    async def changes(
+        self,
+        after: Revision,
+        wait_seconds: float,
+    ) -> ChangeBatch:
+        change = await self.news.get()
+        if self.is_away:
+            raise PlatformError('turned away')
+        return ChangeBatch(Revision(after + 1), (change,))
+
+
+def news_of(process: ForwardingProcess) -> asyncio.Queue[Change]:
+    feed = process.context.keeper.feed
+    assert isinstance(feed, MovingFeed)
+    return feed.news
+
+
+def free_address() -> str:
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        _, port = probe.getsockname()
+    return f'{HOST}:{port}'
+
+
+@contextlib.asynccontextmanager
+async def two_entries() -> AsyncIterator[list[ForwardingProcess]]:
+    addresses = [free_address(), free_address()]
+    made = []
+    for number, address in enumerate(addresses):
+        settings = ForwardingSettings(
+            name=EntryId(f'entry-{number}'),
+            zone=ZoneId('a'),
+            callers='',
+            ready='',
+            peers=address,
+            seeds=(f'tcp://{addresses[0]}',),
+        )
+        made.append(
+            ForwardingProcess.from_settings(
+                lambda settings=settings: settings,
+                MovingFeed(),
+                SimpleWire(),
+                KEYS,
+            ),
+        )
+    for started in made:
+        started.start_tasks()
+    while any(one.context.entries < 2 for one in made):
+        await asyncio.sleep(0.02)
+    try:
+        yield made
+    finally:
+        await asyncio.gather(*(one.close() for one in made))
+
+
+async def test_configuration_reaches_an_entry_that_is_turned_away() -> None:
+    """The platform turns one entry away while the operator takes a key back.
+
+    Until the platform takes it in again, that entry would serve a workspace
+    that has been closed.
+    """
+    async with two_entries() as (first, second):
+        second.context.keeper.feed.is_away = True
+        newer = table_of(route(RouteKind.SAFE))
+        newer.version += 6
+        published = PublishedTable(newer, b'9')
+        change = TableChanged(published)
+        news_of(first).put_nowait(change)
+        async with asyncio.timeout(5):
+            while second.context.keeper.version < 9:
+                await asyncio.sleep(0.02)
+
+
+async def test_leaving_endpoint_is_known_to_an_entry_that_is_turned_away() -> (
+    None
+):
+    """An endpoint announces that it leaves, which one entry cannot read.
+
+    Requests that it goes on sending there are cut off when the endpoint
+    exits.
+    """
+    async with two_entries() as (first, second):
+        second.context.keeper.feed.is_away = True
+        leaving = msgspec.structs.replace(ENDPOINT, is_leaving=True)
+        news_of(first).put_nowait(EndpointChanged(leaving))
+        directory = second.context.keeper.directory
+        async with asyncio.timeout(5):
+            while directory.usable(ServiceId('booking')):
+                await asyncio.sleep(0.02)
+
+
+async def test_work_of_one_entry_is_known_to_the_other() -> None:
+    async with two_entries() as (first, second):
+        stake = Stake(read_ms=5000)
+        name = EndpointId('e1')
+        first.context.dispatcher.begin(RequestId('r1'), {name: stake})
+        book = second.context.dispatcher.book
+        now = second.context.clock.monotonic
+        async with asyncio.timeout(5):
+            while book.load(name, now()).requests < 1:
+                await asyncio.sleep(0.005)
+        assert book.load(name, now()).backlog_ms > 4000
