Serve metrics of forwarded requests; explain one request from several logs

Cause: the users' on-call engineers have only logs and metrics; the forwarding entry counted refusals and retries for nobody, and the lines of one request lie in the logs of several processes. Before: no page, no command.

--- a/packages/sycamore-core/src/sycamore_core/cli/app.py
+++ b/packages/sycamore-core/src/sycamore_core/cli/app.py
@@ -18,6 +18,7 @@
 from . import operator_commands, settings_commands
 from .documents import read_bytes
 from .exits import ExitCode, reporting
+from .request_log import cause_of, lines_of, read_files
 
 Settings = TypeVar('Settings', EntryProcessSettings, EndpointProcessSettings)
 
@@ -37,6 +38,14 @@
     str,
     typer.Argument(help='JSON file with the case to decide.', metavar='CASE'),
 ]
+RequestName = Annotated[
+    str,
+    typer.Argument(help='Id of the request.', metavar='ID'),
+]
+Logs = Annotated[
+    list[str],
+    typer.Argument(help='Log files; - for standard input.'),
+]
 ShowVersion = Annotated[
     bool,
     typer.Option('--version', help='Print the version and exit.'),
@@ -108,6 +117,17 @@
     typer.echo(str(explain(read_bytes(case))))
 
 
+@reporting
+def explain_request(request_id: RequestName, logs: Logs) -> None:
+    """Show what became of one request, from the logs of several processes."""
+    lines = lines_of(request_id, read_files(logs))
+    for line in lines:
+        typer.echo(str(line))
+    typer.echo(cause_of(lines))
+    if not lines:
+        raise typer.Exit(ExitCode.FAILED)
+
+
 def make_app(
     name: str,
     run: Callable[[Settings], Coroutine[Any, Any, None]],
@@ -139,6 +159,7 @@
         'show-settings': settings_commands.show_settings,
         'schema': own.schema,
         'explain': explain_case,
+        'explain-request': explain_request,
         'fleet': operator_commands.fleet,
         'attainment': operator_commands.attainment,
         'record': operator_commands.record,
--- a/packages/sycamore-core/src/sycamore_core/telemetry/metrics.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/metrics.py
@@ -71,11 +71,11 @@
         self.meter = self.provider.get_meter(process)
         self.times = Histograms(self.meter)
         self._gauges: dict[Gauge, Read] = {}
-        self.refusals = self._tally('refusals', _REASON)
-        self.retries = self._tally('retries', _REASON)
-        self.cancels = self._tally('cancels', _REASON)
-        self.reads = self._tally('settings_reads', 'outcome')
-        self.offers = self._tally('settings_offers', 'verdict')
+        self.refusals = self.tally('refusals', _REASON)
+        self.retries = self.tally('retries', _REASON)
+        self.cancels = self.tally('cancels', _REASON)
+        self.reads = self.tally('settings_reads', 'outcome')
+        self.offers = self.tally('settings_offers', 'verdict')
         self._settings_version = self.meter.create_gauge(
             'sycamore_settings_version',
             description='Settings version in force',
@@ -146,14 +146,8 @@
         """Return the Prometheus page."""
         return generate_latest(self.registry)
 
-    def _show(self, gauge: Gauge) -> None:
-        self.meter.create_observable_gauge(
-            gauge.value,
-            [reading(lambda: self._gauges[gauge]())],
-            description=DESCRIPTIONS[gauge],
-        )
-
-    def _tally(self, name: str, label: str) -> Tally:
+    def tally(self, name: str, label: str) -> Tally:
+        """Return a new count by one label, shown on the page."""
         words = name.replace('_', ' ')
         return Tally.from_meter(
             self.meter,
@@ -162,6 +156,13 @@
             f'Number of {words} by {label}',
         )
 
+    def _show(self, gauge: Gauge) -> None:
+        self.meter.create_observable_gauge(
+            gauge.value,
+            [reading(lambda: self._gauges[gauge]())],
+            description=DESCRIPTIONS[gauge],
+        )
+
 
 def _count_reader(counts: TransportCounts, name: str) -> Read:
     read = operator.attrgetter(name)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
@@ -261,6 +261,10 @@
     def _note_first(self) -> None:
         passed = self._now() - self.request.arrived_at
         self.first_event_ms = passed * _MS
+        call = self.call
+        if call is not None and call.route.kind.is_stream:
+            tokens = call.terms.prompt_tokens
+            self.context.metrics.first_event(tokens, passed)
 
     def _settle(self) -> None:
         if not self.answer.is_over:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
@@ -1,10 +1,29 @@
-"""Counts and times of a forwarding entry."""
+"""Counts and times of a forwarding entry, and the page that shows them."""
 
-from sycamore_core.telemetry.tallies import Tally
+from http import HTTPStatus
+
+from sycamore_core.states import PromptBand
+from sycamore_core.telemetry import Metrics
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    ResponseStartLine,
+)
+
+#: Bounds of the bands of prompts, in tokens: a chat turn, a briefing, what one
+#: engine reads within a few seconds, and what needs several.
+BAND_BOUNDS = (
+    (12_000, PromptBand.SHORT),
+    (60_000, PromptBand.MEDIUM),
+    (200_000, PromptBand.LONG),
+)
+_OK = ResponseStartLine('HTTP/1.1', HTTPStatus.OK, 'OK')
 
 
 class ForwardingMetrics:
-    """Counts by reason, shown as text.
+    """What is counted of forwarded requests.
 
     Attributes
     ----------
@@ -12,7 +31,68 @@
         Refusals and retries by reason, requests by how they ended.
     """
 
-    def __init__(self) -> None:
-        self.refusals = Tally('reason')
-        self.retries = Tally('reason')
-        self.ends = Tally('end')
+    def __init__(self, process: str = 'entry') -> None:
+        self.metrics = Metrics(process)
+        self.refusals = self.metrics.refusals
+        self.retries = self.metrics.retries
+        self.ends = self.metrics.tally('forwarded_requests', 'end')
+
+    def first_event(self, prompt_tokens: int, seconds: float) -> None:
+        """Record the time to the first event of a stream."""
+        self.metrics.first_token(band_of(prompt_tokens), seconds)
+
+    def page(self) -> bytes:
+        """Return the page for operators."""
+        return self.metrics.page()
+
+
+class MetricsPage(HTTPServerConnectionDelegate):
+    """Answers every request with the page."""
+
+    def __init__(self, metrics: ForwardingMetrics) -> None:
+        self.metrics = metrics
+
+    def start_request(
+        self,
+        server_conn: object,
+        request_conn: HTTPConnection,
+    ) -> HTTPMessageDelegate:
+        """Return what answers the next request of a connection."""
+        return _Answer(self.metrics, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Nothing is kept for a connection."""
+
+
+class _Answer(HTTPMessageDelegate):
+    def __init__(
+        self,
+        metrics: ForwardingMetrics,
+        connection: HTTPConnection,
+    ) -> None:
+        self.metrics = metrics
+        self.connection = connection
+
+    def finish(self) -> None:
+        """Answer the request."""
+        page = self.metrics.page()
+        headers = {
+            'Content-Type': 'text/plain; version=0.0.4',
+            'Content-Length': str(len(page)),
+        }
+        self.connection.write_headers(_OK, HTTPHeaders(headers), page)
+        self.connection.finish()
+
+
+def band_of(prompt_tokens: int) -> PromptBand:
+    """Return the band of a prompt.
+
+    Examples
+    --------
+    >>> band_of(5000).value, band_of(700_000).value
+    ('short', 'huge')
+    """
+    for bound, band in BAND_BOUNDS:
+        if prompt_tokens < bound:
+            return band
+    return PromptBand.HUGE
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -25,7 +25,7 @@
 from .feed import FleetFeed
 from .fleet import FleetKeeper
 from .mesh import EntryMesh
-from .metrics import ForwardingMetrics
+from .metrics import ForwardingMetrics, MetricsPage
 from .pool import ChannelPool
 from .readiness import Readiness
 from .settings import ForwardingSettings
@@ -98,7 +98,7 @@
             keeper=keeper,
             dispatcher=DirectDispatcher(settings.name, keeper, clock),
             pool=ChannelPool(wire),
-            metrics=ForwardingMetrics(),
+            metrics=ForwardingMetrics(settings.name),
             log=Log('forwarding'),
         )
         mesh = EntryMesh.from_settings(keys, context)
@@ -124,8 +124,7 @@
         settings = self.context.settings
         self.log.info('started', entry=settings.name, zone=settings.zone)
         callers = self._listen_to_callers()
-        ready = HTTPServer(Readiness(self._is_ready))
-        _listen(ready, settings.ready)
+        ready = self._serve_operators()
         self.start_tasks()
         await stop.wait()
         await self._stop(callers)
@@ -167,6 +166,15 @@
     def _is_ready(self) -> bool:
         return self.context.keeper.is_ready and not self.hands_over
 
+    def _serve_operators(self) -> HTTPServer:
+        settings = self.context.settings
+        if settings.metrics:
+            page = MetricsPage(self.context.metrics)
+            _listen(HTTPServer(page), settings.metrics)
+        ready = HTTPServer(Readiness(self._is_ready))
+        _listen(ready, settings.ready)
+        return ready
+
     def _listen_to_callers(self) -> HTTPServer:
         server = HTTPServer(
             self.connections,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/settings.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/settings.py
@@ -15,6 +15,9 @@
     callers, ready
         Where callers are served, and where the balancer asks whether to send
         any, as ``HOST:PORT``.
+    metrics
+        Where the page of metrics is served, as ``HOST:PORT``; empty for
+        nowhere.
     peers
         Where other entries send, as ``HOST:PORT``; empty for an entry alone.
     seeds
@@ -30,6 +33,7 @@
     callers: str
     ready: str
     peers: str = ''
+    metrics: str = ''
     seeds: tuple[str, ...] = ()
     allowance: AllowanceBounds = AllowanceBounds()
     stop_seconds: float = 8
