Count turns that are about to come against long parts; move turns early

Its plan weighed the streams that existed, not those about to come. Ruled out: a limit on the number of parts (on idle engines 16 are right).

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -11,7 +11,14 @@
 from .isolation import is_isolated
 from .load_book import LoadBook
 from .plain_choice import choose_plain
-from .read_plan import Candidate, ReadPlan, ReadRequest, plan_read
+from .pressure import Pressure, TurnMeter
+from .read_plan import (
+    Candidate,
+    ReadPlan,
+    ReadRequest,
+    is_turn,
+    plan_read,
+)
 from .retry_allowance import AllowanceBounds, RetryAllowance
 
 __all__ = (
@@ -22,12 +29,15 @@
     'EngineWork',
     'LoadBook',
     'NextStep',
+    'Pressure',
     'ReadPlan',
     'ReadRequest',
     'RetryAllowance',
     'Stake',
+    'TurnMeter',
     'choose_plain',
     'is_isolated',
+    'is_turn',
     'next_step',
     'plan_read',
 )
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
@@ -12,6 +12,7 @@
 from ...ids import EndpointId, PeerId, RequestId
 from ...routing import EngineLoad, EngineShare
 from .engine_work import EngineWork, Stake
+from .pressure import Pressure, TurnMeter
 
 #: Age from which on a peer's word is not used, in seconds. A peer repeats its
 #: whole word every second; three missed in a row mean that it is gone or cut
@@ -24,6 +25,7 @@
 
     loads: dict[EndpointId, EngineLoad]
     at: float
+    turns_per_s: float = 0
 
 
 class LoadBook:
@@ -31,6 +33,8 @@
 
     Attributes
     ----------
+    turns
+        Short turns of this entry.
     changed
         Endpoints at which own work has begun or ended since `take_changed`.
     """
@@ -39,6 +43,7 @@
         self.own: dict[EndpointId, EngineWork] = {}
         self.peers: dict[PeerId, PeerWord] = {}
         self.changed: set[EndpointId] = set()
+        self.turns = TurnMeter()
 
     def begin(
         self,
@@ -99,6 +104,7 @@
         now: float,
         *,
         is_whole: bool,
+        turns_per_s: float = 0,
     ) -> None:
         """Take what a peer says that it has.
 
@@ -106,15 +112,30 @@
         ----------
         is_whole
             Whether it names all of its work; otherwise only what changed.
+        turns_per_s
+            Short turns that arrive there.
         """
         word = self.peers.get(peer)
         if word is None or is_whole:
             word = PeerWord({}, now)
             self.peers[peer] = word
         _age(word, now)
+        word.turns_per_s = turns_per_s
         for share in shares:
             word.loads[share.endpoint] = share.load
 
+    def pressure(self, now: float) -> Pressure:
+        """Return the short turns that are to be expected."""
+        heard = [
+            word.turns_per_s
+            for word in self.peers.values()
+            if now - word.at < STALE_SECONDS
+        ]
+        return Pressure(
+            turns_per_s=self.turns.rate(now) + sum(heard),
+            stay_seconds=self.turns.stay_seconds,
+        )
+
     def forget(self, peer: PeerId) -> None:
         """Drop what a peer said; it has started anew or is gone."""
         self.peers.pop(peer, None)
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
@@ -15,7 +15,8 @@
 least harm, which is counted in streams that would break their promise. Parts
 of 100 ms harm nobody; a part of 500 ms goes to engines that write nothing.
 Short answers are gathered on some of the engines, up to `GATHERED_WRITERS`,
-so that others stay free for long parts.
+so that others stay free for long parts. Turns that are about to come count
+as well, see `Pressure`.
 """
 
 from collections.abc import Sequence
@@ -24,6 +25,7 @@
 
 from ...ids import EndpointId
 from ...routing import EngineCosts, EngineLoad, Unread
+from .pressure import Pressure
 
 #: Engines that may help the one that writes: what engines accept at most.
 MOST_HELPERS = 16
@@ -62,6 +64,13 @@
 _LATE_SLOPE = 0.2
 #: Part of the memory that plans leave free, as answers vary in length.
 _MEMORY_RESERVE = 0.05
+#: A part that takes longer makes the turns that come meanwhile late, in ms.
+_LONG_PART_MS = 150.0
+#: Part of an engine's slots that turns can use without being late for their
+#: number alone.
+_USABLE_SLOTS = 0.8
+_MS = 1000.0
+_NO_PRESSURE = Pressure()
 #: Mean part of a pass that is still to run when a request comes.
 _HALF = 0.5
 
@@ -154,18 +163,30 @@
     return over * over
 
 
+def is_turn(costs: EngineCosts, prompt_tokens: int) -> bool:
+    """Return whether a prompt is a short turn, which is read alone."""
+    return costs.read_ms(prompt_tokens) <= LEAST_SPLIT_MS
+
+
 def plan_read(
     request: ReadRequest,
     candidates: Sequence[Candidate],
     costs: EngineCosts,
+    pressure: Pressure = _NO_PRESSURE,
 ) -> ReadPlan | None:
-    """Return the plan with the least harm; None if no engine has a slot."""
-    planner = _Planner(request, costs)
+    """Return the plan with the least harm; None if no engine has a slot.
+
+    Parameters
+    ----------
+    pressure
+        Turns that are to be expected while the prompt is read.
+    """
+    planner = _Planner(request, candidates, costs, pressure)
     homes = [one for one in candidates if one.load.requests < costs.slots]
     if not homes:
         return None
     read_ms = costs.read_ms(request.prompt_tokens)
-    if read_ms <= LEAST_SPLIT_MS:
+    if is_turn(costs, request.prompt_tokens):
         plan = planner.alone(homes, read_ms)
         if plan is not None and plan.cost < _GOOD_ENOUGH:
             return plan
@@ -175,9 +196,17 @@
 class _Planner:
     """Weighs plans for one request."""
 
-    def __init__(self, request: ReadRequest, costs: EngineCosts) -> None:
+    def __init__(
+        self,
+        request: ReadRequest,
+        candidates: Sequence[Candidate],
+        costs: EngineCosts,
+        pressure: Pressure,
+    ) -> None:
         self.request = request
+        self.candidates = candidates
         self.costs = costs
+        self.pressure = pressure
         needed = request.prompt_tokens + request.answer_tokens
         self.needed_tokens = needed
         # Whole tokens: a fraction of one that fits nowhere would make every
@@ -236,6 +265,7 @@
         expected = waited + read_ms + self._pass_ms(home) + OVERHEAD_MS
         cost = self._lateness(expected) + self._home_cost(home)
         cost += self._pause_cost(home, read_ms) + home.penalty
+        cost += self._crowding_cost((home,), read_ms)
         return ReadPlan(
             home=home.endpoint,
             part_ms=read_ms,
@@ -256,6 +286,7 @@
         cost = self._lateness(expected) + self._home_cost(home)
         cost += sum(self._own_cost(one, part_ms) for one in members)
         cost += _PART_COST * len(helpers) + self._delay_cost(members, part_ms)
+        cost += self._crowding_cost(members, part_ms)
         return ReadPlan(
             home=home.endpoint,
             helpers=tuple(one.endpoint for one in helpers),
@@ -301,6 +332,31 @@
                 worst[unread.key] = max(harm, worst.get(unread.key, 0))
         return sum(worst.values())
 
+    def _crowding_cost(
+        self,
+        members: Sequence[Candidate],
+        part_ms: float,
+    ) -> float:
+        """Return the harm to turns that come while a part is read.
+
+        They are left the engines that do not take part and do not read for
+        long already.
+        """
+        if part_ms < _LONG_PART_MS:
+            return 0
+        taken = {one.endpoint for one in members}
+        slots = self.costs.slots
+        free: float = 0
+        busy: float = 0
+        for one in self.candidates:
+            load = one.load
+            if one.endpoint in taken or load.backlog_ms > _LONG_PART_MS:
+                continue
+            busy += load.requests
+            free += max(0, slots * _USABLE_SLOTS - load.requests)
+        seconds = part_ms / _MS
+        return self.pressure.overflow(seconds, free, busy)
+
     def _home_cost(self, home: Candidate) -> float:
         off = abs(GATHERED_WRITERS - home.load.requests)
         cost = off * _GATHERING_COST
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_read_plan.py
@@ -7,6 +7,7 @@
 import msgspec
 import pytest
 
+from ..pressure import Pressure
 from ..read_plan import Candidate, ReadPlan, ReadRequest, plan_read
 from .builders import COSTS, archive, chatting, idle, reading, turn
 
@@ -143,3 +144,22 @@
     ill = Candidate('e1', idle(1)[0].load, penalty=3)
     plan = planned(turn(), [ill, *idle(1, first=2)])
     assert plan.home == 'e2'
+
+
+def test_huge_prompt_leaves_engines_to_turns_that_are_about_to_come() -> None:
+    """Half a million tokens come while guests send 25 turns a second.
+
+    Read by nearly all engines at once, it would be done in two seconds, and
+    the fifty turns of these seconds would find no place.
+    """
+    fleet = [*chatting(12, writers=3), *idle(9)]
+    request = archive(522_000)
+    calm = planned(request, fleet)
+    rushed = plan_read(
+        request,
+        fleet,
+        COSTS,
+        Pressure(turns_per_s=25, stay_seconds=1.7),
+    )
+    assert rushed is not None
+    assert len(rushed.members) < len(calm.members)
--- a/packages/sycamore-core/src/sycamore_core/messages/entries.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/entries.py
@@ -18,6 +18,8 @@
         them all.
     leaving
         Endpoints that it has lately seen to leave.
+    turns_per_s
+        Short turns that arrive at it.
     """
 
     entry: EntryId
@@ -27,3 +29,4 @@
     shares: tuple[EngineShare, ...] = ()
     peers: tuple[str, ...] = ()
     leaving: tuple[EndpointLifetime, ...] = ()
+    turns_per_s: float = 0
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from sycamore_core.decisions.direct import AttemptEnd, Stake
+from sycamore_core.decisions.direct import AttemptEnd, Stake, is_turn
 from sycamore_core.ids import EndpointId
 
 from .calls import AttemptCall
@@ -20,6 +20,10 @@
 #: found out this way; estimates are off by less than a factor of two.
 _FIRST_FACTOR = 2.5
 _FIRST_EXTRA = 0.7
+#: Time without a first event after which a short turn is tried elsewhere, in
+#: seconds. It stands behind a long read that was not foreseen; callers give
+#: up after two seconds, and to read it again takes some 30 ms.
+_TURN_PATIENCE = 0.8
 #: Time between events after which a stream is resumed elsewhere, in multiples
 #: of the promised pause and at least in seconds. Callers give up after two
 #: seconds, and another engine has to read the prompt again before that.
@@ -59,6 +63,9 @@
         self.call = call
         self.placement = placement
         self.may_move = may_move
+        costs = call.service.engine
+        tokens = call.terms.prompt_tokens
+        self.is_turn = costs is not None and is_turn(costs, tokens)
         self.has_event = False
         self._last_event_at: float = 0
 
@@ -71,12 +78,15 @@
             If the caller has no whole answer after it.
         """
         dispatcher = self.context.dispatcher
+        began = self._now()
         dispatcher.begin(self.call.request_id, self._stakes())
         try:
             await self._run_reserved(relay)
         finally:
             dispatcher.end(self.call.request_id, self.placement)
         dispatcher.answered(self.placement.home.endpoint)
+        if self.is_turn:
+            dispatcher.turn_ended(self._now() - began)
 
     async def _run_reserved(self, relay: AnswerRelay) -> None:
         if not self.placement.stored:
@@ -185,11 +195,12 @@
     def _heard_at(self) -> float:
         """Return the last sign that the answer is on its way.
 
-        Before the first event, any sign of life of the engine counts: one
-        that is busy with others is no faster elsewhere, and the reading that
-        it has done would be lost.
+        Before the first event of a long prompt, any sign of life of the
+        engine counts: one that is busy with others is no faster elsewhere,
+        and the reading that it has done would be lost.
         """
-        if self.has_event or not self.call.route.kind.is_stream:
+        is_plain = not self.call.route.kind.is_stream
+        if self.has_event or self.is_turn or is_plain:
             return self._last_event_at
         home = self.placement.home.endpoint
         alive_at = self.context.dispatcher.alive_at.get(home, 0)
@@ -207,6 +218,8 @@
             promised = self.call.route.pause_objective
             return max(_LEAST_PAUSE, promised * _PAUSE_FACTOR)
         expected = self.placement.expected_ms / _MS
+        if self.is_turn:
+            return max(_TURN_PATIENCE, expected + _TURN_PATIENCE / 2)
         return expected * _FIRST_FACTOR + _FIRST_EXTRA
 
     def _on_event(self) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
@@ -10,6 +10,7 @@
     ReadRequest,
     Stake,
     choose_plain,
+    is_turn,
     plan_read,
 )
 from sycamore_core.hashes import stable_part
@@ -115,7 +116,8 @@
             Candidate(name, self.book.load(name, now), self._penalty(name, now))
             for name in records
         ]
-        plan = plan_read(request, candidates, costs)
+        pressure = self.book.pressure(now)
+        plan = plan_read(request, candidates, costs, pressure)
         if plan is None:
             return None
         return Placement(
@@ -163,6 +165,15 @@
         """Note a sign of life of an endpoint."""
         self.alive_at[endpoint] = self.clock.monotonic()
 
+    def turn_came(self, costs: EngineCosts, prompt_tokens: int) -> None:
+        """Note the arrival of a request, which may be a short turn."""
+        if is_turn(costs, prompt_tokens):
+            self.book.turns.arrived(self.clock.monotonic())
+
+    def turn_ended(self, seconds: float) -> None:
+        """Note for how long a short turn held its slot."""
+        self.book.turns.ended(seconds)
+
     def answered(self, endpoint: EndpointId) -> None:
         """Note that an endpoint works."""
         self.illnesses.pop(endpoint, None)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
@@ -99,6 +99,12 @@
         relay = AnswerRelay(self.answer, call.route, self._note_first)
         placing = Placing(self.context, call)
         self.context.allowance(call.service.service).first_try(self._now())
+        if call.service.engine is not None:
+            dispatcher = self.context.dispatcher
+            dispatcher.turn_came(
+                call.service.engine,
+                call.terms.prompt_tokens,
+            )
         is_over = False
         while not is_over:
             placement = await placing.place(self.excluded)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
@@ -129,7 +129,13 @@
     def _hear(self, peer: Peer, word: EntryWord) -> None:
         now = self.clock.monotonic()
         name = PeerId(word.entry)
-        self.book.hear(name, word.shares, now, is_whole=word.is_whole)
+        self.book.hear(
+            name,
+            word.shares,
+            now,
+            is_whole=word.is_whole,
+            turns_per_s=word.turns_per_s,
+        )
         if peer.address not in self.heard or peer.address in self._lost:
             self._lost.discard(peer.address)
             self.log.info('peer_found', peer=name, address=peer.address)
@@ -186,6 +192,7 @@
             shares=self.book.shares(endpoints, now),
             peers=self._addresses if is_whole else (),
             leaving=self.keeper.leaving if is_whole else (),
+            turns_per_s=self.book.turns.rate(now),
         )
         for peer in tuple(self.node.peers.values()):
             peer.post(word)
