Move a turn only where it is better off; start without what serving lacks

Ruled out: a longer patience alone (a turn behind one unforeseen long read is lost after two seconds); calling a busy engine faulty, which sends its work to the others.

--- a/packages/sycamore-core/src/sycamore_core/telemetry/metrics.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/metrics.py
@@ -2,10 +2,7 @@
 
 import dataclasses
 import operator
-
-from opentelemetry.exporter.prometheus import PrometheusMetricReader
-from opentelemetry.sdk.metrics import MeterProvider
-from prometheus_client import CollectorRegistry, generate_latest
+from importlib import import_module
 
 from ..states import (
     CancelReason,
@@ -29,6 +26,11 @@
 from .tallies import Tally
 
 _REASON = 'reason'
+#: Loaded with the first object: they take 0.1 s, a quarter of the time in
+#: which a process that was killed comes back to its callers.
+_EXPORTER = 'opentelemetry.exporter.prometheus'
+_SDK = 'opentelemetry.sdk.metrics'
+_CLIENT = 'prometheus_client'
 
 
 class Metrics:
@@ -59,15 +61,18 @@
     """
 
     def __init__(self, process: str) -> None:
-        self.registry = CollectorRegistry()
-        reader = PrometheusMetricReader(
+        exporter = import_module(_EXPORTER)
+        self._client = import_module(_CLIENT)
+        self.registry = self._client.CollectorRegistry()
+        reader = exporter.PrometheusMetricReader(
             disable_target_info=True,
             scope_info_enabled=False,
             registry=self.registry,
         )
         # The provider's own hook at exit would hold every process object that
         # a test builds until the interpreter ends.
-        self.provider = MeterProvider([reader], shutdown_on_exit=False)
+        sdk = import_module(_SDK)
+        self.provider = sdk.MeterProvider([reader], shutdown_on_exit=False)
         self.meter = self.provider.get_meter(process)
         self.times = Histograms(self.meter)
         self._gauges: dict[Gauge, Read] = {}
@@ -144,7 +149,15 @@
 
     def page(self) -> bytes:
         """Return the Prometheus page."""
-        return generate_latest(self.registry)
+        return self._client.generate_latest(self.registry)
+
+    def show(self, name: str, tally: Tally) -> None:
+        """Show counts that were begun before on the page."""
+        self.meter.create_observable_counter(
+            f'sycamore_{name}',
+            [tally.observe],
+            description=name.replace('_', ' '),
+        )
 
     def tally(self, name: str, label: str) -> Tally:
         """Return a new count by one label, shown on the page."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from sycamore_core.decisions.direct import AttemptEnd, Stake, is_turn
+from sycamore_core.decisions.direct import AttemptEnd, Stake
 from sycamore_core.ids import EndpointId
 
 from .calls import AttemptCall
@@ -12,31 +12,15 @@
 from .errors import AttemptError
 from .relay import AnswerRelay
 from .reservations import Reservations
+from .silence import SilenceWatch
 from .wire import AnswerHead, Helper, OutgoingTerms
 
 _MS = 1000.0
-#: Time without a first event after which a request is tried elsewhere, in
-#: multiples of the estimate and beyond it in seconds. An engine that hangs is
-#: found out this way; estimates are off by less than a factor of two.
-_FIRST_FACTOR = 2.5
-_FIRST_EXTRA = 0.7
-#: Time without a first event after which a short turn is tried elsewhere, in
-#: seconds. It stands behind a long read that was not foreseen; callers give
-#: up after two seconds, and to read it again takes some 30 ms.
-_TURN_PATIENCE = 0.8
-#: Time between events after which a stream is resumed elsewhere, in multiples
-#: of the promised pause and at least in seconds. Callers give up after two
-#: seconds, and another engine has to read the prompt again before that.
-_PAUSE_FACTOR = 3.5
-_LEAST_PAUSE = 0.9
-#: Part of the time left after which an idempotent call is tried elsewhere.
-_PLAIN_PART = 0.4
 #: Ranks that an endpoint's queue knows.
 _LAST_RANK = 9
 #: Rank of an ordinary short turn, which is read before longer prompts.
 _SHORT_RANK = 3
 _LONG_RANK = 5
-_SHORT_TOKENS = 12_000
 #: Least time that an endpoint is told, in seconds; the wire's unit.
 _LEAST_SECONDS = 0.001
 
@@ -62,12 +46,12 @@
         self.context = context
         self.call = call
         self.placement = placement
-        self.may_move = may_move
-        costs = call.service.engine
-        tokens = call.terms.prompt_tokens
-        self.is_turn = costs is not None and is_turn(costs, tokens)
-        self.has_event = False
-        self._last_event_at: float = 0
+        self.watch = SilenceWatch(
+            context,
+            call,
+            placement,
+            may_move=may_move,
+        )
 
     async def run(self, relay: AnswerRelay) -> None:
         """Send the request and relay the answer.
@@ -85,9 +69,18 @@
         finally:
             dispatcher.end(self.call.request_id, self.placement)
         dispatcher.answered(self.placement.home.endpoint)
-        if self.is_turn:
+        if self.watch.is_turn:
             dispatcher.turn_ended(self._now() - began)
 
+    def shows_fault(self, error: AttemptError) -> bool:
+        """Return whether an attempt failed by a fault of the endpoint.
+
+        One that gives others their events meanwhile is only busy.
+        """
+        if error.end == AttemptEnd.SILENT:
+            return not self.watch.is_endpoint_alive
+        return error.end in {AttemptEnd.BROKEN, AttemptEnd.NOT_SENT}
+
     async def _run_reserved(self, relay: AnswerRelay) -> None:
         if not self.placement.stored:
             await self._run_on_channel(relay, ())
@@ -138,7 +131,7 @@
         body = call.request.body
         if body or call.request.start.method in {'POST', 'PUT', 'PATCH'}:
             headers['Content-Length'] = str(len(body))
-        self._last_event_at = self._now()
+        self.watch.last_event_at = self._now()
         channel.send(call.request.start, headers, body, call.request_id)
 
     async def _relay(
@@ -146,7 +139,7 @@
         channel: EndpointChannel,
         relay: AnswerRelay,
     ) -> None:
-        watch = asyncio.create_task(self._watch(channel))
+        watch = asyncio.create_task(self.watch.run(channel))
         try:
             await self._relay_watched(channel, relay)
         except AttemptError as error:
@@ -178,56 +171,10 @@
                 head.faulty_address,
             )
 
-    async def _watch(self, channel: EndpointChannel) -> None:
-        """Close a channel on which nothing comes for too long.
-
-        What goes wrong otherwise: an endpoint hangs or its connection falls
-        silent, and the caller waits until its deadline although others could
-        have answered.
-        """
-        while True:
-            left = self._heard_at() + self._patience() - self._now()
-            if left <= 0:
-                channel.close()
-                return
-            await asyncio.sleep(left)
-
-    def _heard_at(self) -> float:
-        """Return the last sign that the answer is on its way.
-
-        Before the first event of a long prompt, any sign of life of the
-        engine counts: one that is busy with others is no faster elsewhere,
-        and the reading that it has done would be lost.
-        """
-        is_plain = not self.call.route.kind.is_stream
-        if self.has_event or self.is_turn or is_plain:
-            return self._last_event_at
-        home = self.placement.home.endpoint
-        alive_at = self.context.dispatcher.alive_at.get(home, 0)
-        return max(self._last_event_at, alive_at)
-
-    def _patience(self) -> float:
-        """Return for how long nothing may come, in seconds."""
-        kind = self.call.route.kind
-        left = max(0, self.call.limit - self._now())
-        if not self.may_move:
-            return left + 1
-        if not kind.is_stream:
-            return left * _PLAIN_PART
-        if self.has_event:
-            promised = self.call.route.pause_objective
-            return max(_LEAST_PAUSE, promised * _PAUSE_FACTOR)
-        expected = self.placement.expected_ms / _MS
-        if self.is_turn:
-            return max(_TURN_PATIENCE, expected + _TURN_PATIENCE / 2)
-        return expected * _FIRST_FACTOR + _FIRST_EXTRA
-
     def _on_event(self) -> None:
-        self._last_event_at = self._now()
         dispatcher = self.context.dispatcher
         dispatcher.sent_something(self.placement.home.endpoint)
-        if not self.has_event:
-            self.has_event = True
+        if self.watch.event():
             dispatcher.first_event(self.call.request_id, self.placement)
 
     def _helpers(self, reserved: tuple[Helper, ...]) -> tuple[Helper, ...]:
@@ -240,7 +187,7 @@
     def _priority(self) -> int:
         if self.call.service.engine is None:
             return min(_LAST_RANK, self.call.route.priority)
-        if self.call.terms.prompt_tokens < _SHORT_TOKENS:
+        if self.watch.is_turn:
             return _SHORT_RANK
         return _LONG_RANK
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
@@ -185,6 +185,11 @@
         illness.failures += 1
         illness.rests_until = self.clock.monotonic() + rest
 
+    def is_doubtful(self, endpoint: EndpointId) -> bool:
+        """Return whether attempts at an endpoint failed one after another."""
+        illness = self.illnesses.get(endpoint)
+        return illness is not None and illness.failures > 1
+
     def endpoint_at(self, address: str) -> EndpointId | None:
         """Return the endpoint that has an address, if one is registered."""
         for record in self.keeper.directory.records.values():
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
@@ -194,9 +194,7 @@
             named = dispatcher.endpoint_at(error.faulty_address)
             at_fault = named or at_fault
         self.excluded.add(at_fault)
-        if error.end not in {AttemptEnd.FAILED, AttemptEnd.NOT_RUN}:
-            dispatcher.failed(at_fault)
-        elif error.faulty_address:
+        if error.faulty_address or attempt.shows_fault(error):
             dispatcher.failed(at_fault)
         return at_fault
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
@@ -1,9 +1,11 @@
 """Counts and times of a forwarding entry, and the page that shows them."""
 
+from collections import deque
 from http import HTTPStatus
 
 from sycamore_core.states import PromptBand
 from sycamore_core.telemetry import Metrics
+from sycamore_core.telemetry.tallies import Tally
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -19,12 +21,17 @@
     (60_000, PromptBand.MEDIUM),
     (200_000, PromptBand.LONG),
 )
+#: Times that are kept until the page is made.
+MOST_EARLY = 4096
 _OK = ResponseStartLine('HTTP/1.1', HTTPStatus.OK, 'OK')
 
 
 class ForwardingMetrics:
     """What is counted of forwarded requests.
 
+    The page is made some time after the start, or when it is first asked
+    for; until then counts and times are kept here.
+
     Attributes
     ----------
     refusals, retries, ends
@@ -32,18 +39,35 @@
     """
 
     def __init__(self, process: str = 'entry') -> None:
-        self.metrics = Metrics(process)
-        self.refusals = self.metrics.refusals
-        self.retries = self.metrics.retries
-        self.ends = self.metrics.tally('forwarded_requests', 'end')
+        self.process = process
+        self.refusals = Tally('reason')
+        self.retries = Tally('reason')
+        self.ends = Tally('end')
+        self._early: deque[tuple[PromptBand, float]] = deque(maxlen=MOST_EARLY)
+        self._metrics: Metrics | None = None
 
     def first_event(self, prompt_tokens: int, seconds: float) -> None:
         """Record the time to the first event of a stream."""
-        self.metrics.first_token(band_of(prompt_tokens), seconds)
+        band = band_of(prompt_tokens)
+        if self._metrics is None:
+            self._early.append((band, seconds))
+        else:
+            self._metrics.first_token(band, seconds)
+
+    def load(self) -> Metrics:
+        """Return what makes the page; made now if it was not yet."""
+        if self._metrics is None:
+            self._metrics = Metrics(self.process)
+            self._metrics.show('forwarding_refusals', self.refusals)
+            self._metrics.show('forwarding_retries', self.retries)
+            self._metrics.show('forwarded_requests', self.ends)
+            for band, seconds in self._early:
+                self._metrics.first_token(band, seconds)
+        return self._metrics
 
     def page(self) -> bytes:
         """Return the page for operators."""
-        return self.metrics.page()
+        return self.load().page()
 
 
 class MetricsPage(HTTPServerConnectionDelegate):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
@@ -61,15 +61,7 @@
         service = self.call.service
         if service.engine is None:
             return dispatcher.place_plain(service, excluded)
-        terms = self.call.terms
-        route = self.call.route
-        left = self.call.objective_at - self._now()
-        request = ReadRequest(
-            prompt_tokens=terms.prompt_tokens,
-            answer_tokens=terms.answer_tokens,
-            objective_ms=left * _MS,
-            pause_ms=route.pause_objective * _MS,
-        )
+        request = read_request(self.call, self._now())
         return dispatcher.place_model(
             service,
             service.engine,
@@ -95,3 +87,14 @@
 
     def _now(self) -> float:
         return self.context.clock.monotonic()
+
+
+def read_request(call: AttemptCall, now: float) -> ReadRequest:
+    """Return what decides where a prompt is read."""
+    terms = call.terms
+    return ReadRequest(
+        prompt_tokens=terms.prompt_tokens,
+        answer_tokens=terms.answer_tokens,
+        objective_ms=(call.objective_at - now) * _MS,
+        pause_ms=call.route.pause_objective * _MS,
+    )
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -47,6 +47,9 @@
 _LAST_SECONDS = 0.8
 _LOOK_SECONDS = 0.05
 _SWEEP_SECONDS = 0.5
+#: The page of metrics is made this long after the start, in seconds; before,
+#: it would hold up the first callers by 0.1 s.
+_METRICS_SECONDS = 6.0
 #: Time between looks whether the settings have changed, in seconds: a file
 #: may change without a signal, and nothing in it is urgent.
 _RELOAD_SECONDS = 5.0
@@ -170,6 +173,8 @@
         settings = self.context.settings
         if settings.metrics:
             page = MetricsPage(self.context.metrics)
+            loop = asyncio.get_running_loop()
+            loop.call_later(_METRICS_SECONDS, self.context.metrics.load)
             _listen(HTTPServer(page), settings.metrics)
         ready = HTTPServer(Readiness(self._is_ready))
         _listen(ready, settings.ready)
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/silence.py
@@ -0,0 +1,161 @@
+"""Ends an attempt at an endpoint that sends nothing for too long."""
+
+import asyncio
+
+from sycamore_core.decisions.direct import is_turn
+
+from .calls import AttemptCall
+from .channel import EndpointChannel
+from .context import ForwardingContext
+from .dispatcher import Placement
+from .placing import read_request
+
+_MS = 1000.0
+#: Time without a first event after which a request is tried elsewhere, in
+#: multiples of the estimate and beyond it in seconds. An engine that hangs is
+#: found out this way; estimates are off by less than a factor of two.
+_FIRST_FACTOR = 2.5
+_FIRST_EXTRA = 0.7
+#: Time without a first event after which a short turn is tried elsewhere, in
+#: seconds. It stands behind a long read that was not foreseen; callers give
+#: up after two seconds, and to read it again takes some 30 ms.
+_TURN_PATIENCE = 0.8
+#: Part of the time limit for which a long prompt waits at an engine that others
+#: find well: it is read again from the start elsewhere, and in an overload
+#: there is no engine that would be faster.
+_LONG_PART = 0.45
+#: Time until it is looked again whether a turn is better off elsewhere.
+_LOOK_AGAIN = 0.15
+#: Time between events after which a stream is resumed elsewhere, in multiples
+#: of the promised pause and at least in seconds. Callers give up after two
+#: seconds, and another engine has to read the prompt again before that.
+_PAUSE_FACTOR = 3.5
+_LEAST_PAUSE = 0.9
+#: Part of the time left after which an idempotent call is tried elsewhere.
+_PLAIN_PART = 0.4
+
+
+class SilenceWatch:
+    """Watches the answer of one attempt.
+
+    Parameters
+    ----------
+    may_move
+        Whether another endpoint may run the request after this one. If not,
+        an endpoint's silence ends nothing: its answer may still come.
+
+    Attributes
+    ----------
+    is_turn
+        Whether the request is a short turn to a model.
+    has_event
+        Whether the first event has come.
+    last_event_at
+        When anything came last, on the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        call: AttemptCall,
+        placement: Placement,
+        *,
+        may_move: bool,
+    ) -> None:
+        self.context = context
+        self.call = call
+        self.placement = placement
+        self.may_move = may_move
+        costs = call.service.engine
+        tokens = call.terms.prompt_tokens
+        self.is_turn = costs is not None and is_turn(costs, tokens)
+        self.has_event = False
+        self.last_event_at = context.clock.monotonic()
+
+    @property
+    def is_endpoint_alive(self) -> bool:
+        """Whether the endpoint has sent this entry anything meanwhile."""
+        home = self.placement.home.endpoint
+        alive_at = self.context.dispatcher.alive_at.get(home, 0)
+        return alive_at >= self.last_event_at
+
+    def event(self) -> bool:
+        """Note that something came; return whether it was the first."""
+        self.last_event_at = self.context.clock.monotonic()
+        is_first = not self.has_event
+        self.has_event = True
+        return is_first
+
+    async def run(self, channel: EndpointChannel) -> None:
+        """Close a channel on which nothing comes for too long.
+
+        What goes wrong otherwise: an endpoint hangs or its connection falls
+        silent, and the caller waits until its deadline although others could
+        have answered.
+        """
+        while True:
+            left = self._heard_at() + self._patience() - self._now()
+            if left <= 0 and self._is_better_elsewhere():
+                channel.close()
+                return
+            await asyncio.sleep(max(left, _LOOK_AGAIN))
+
+    def _is_better_elsewhere(self) -> bool:
+        """Return whether another endpoint would answer sooner.
+
+        What goes wrong otherwise: all engines are busy for a second, every
+        turn is taken from one and given to another, each is read twice, and
+        the second becomes ten.
+        """
+        costs = self.call.service.engine
+        if costs is None or self.has_event or not self.is_turn:
+            return True
+        request = read_request(self.call, self._now())
+        other = self.context.dispatcher.place_model(
+            self.call.service,
+            costs,
+            request,
+            {self.placement.home.endpoint},
+        )
+        promised_ms = self.call.route.objective * _MS
+        return other is not None and other.expected_ms < promised_ms
+
+    def _heard_at(self) -> float:
+        """Return the last sign that the answer is on its way.
+
+        Before the first event of a long prompt, any sign of life of the
+        engine counts: one that is busy with others is no faster elsewhere,
+        and the reading that it has done would be lost.
+        """
+        is_plain = not self.call.route.kind.is_stream
+        if self.has_event or self.is_turn or is_plain:
+            return self.last_event_at
+        home = self.placement.home.endpoint
+        alive_at = self.context.dispatcher.alive_at.get(home, 0)
+        return max(self.last_event_at, alive_at)
+
+    def _patience(self) -> float:
+        """Return for how long nothing may come, in seconds."""
+        left = max(0, self.call.limit - self._now())
+        if not self.may_move:
+            return left + 1
+        if not self.call.route.kind.is_stream:
+            return left * _PLAIN_PART
+        if self.has_event:
+            promised = self.call.route.pause_objective
+            return max(_LEAST_PAUSE, promised * _PAUSE_FACTOR)
+        return self._first_patience()
+
+    def _first_patience(self) -> float:
+        """Return for how long the first event of a stream may take."""
+        expected = self.placement.expected_ms / _MS
+        if self.is_turn:
+            return max(_TURN_PATIENCE, expected + _TURN_PATIENCE / 2)
+        patience = expected * _FIRST_FACTOR + _FIRST_EXTRA
+        home = self.placement.home.endpoint
+        if self.context.dispatcher.is_doubtful(home):
+            return patience
+        return max(patience, self.call.route.time_limit * _LONG_PART)
+
+    def _now(self) -> float:
+        return self.context.clock.monotonic()
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
@@ -0,0 +1,105 @@
+"""When a request is taken from an endpoint that sends nothing."""
+
+import asyncio
+
+import pytest
+from sycamore_core.decisions.direct import Stake
+from sycamore_core.ids import EndpointId, RequestId
+from sycamore_core.routing import RouteKind
+
+from .builders import (
+    LAST_CHUNK,
+    MODEL,
+    RawEndpoint,
+    TestEntry,
+    chunk,
+    entry_before,
+    event,
+    route,
+    say_nothing,
+    stream_head,
+)
+
+STREAM = route(RouteKind.RESUMABLE_STREAM, MODEL)
+#: Longer than a turn waits at an engine that may be left.
+BUSY_SECONDS = 1.3
+
+
+async def answer_late(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    await asyncio.sleep(BUSY_SECONDS)
+    writer.write(stream_head() + chunk(event(0)) + LAST_CHUNK)
+
+
+async def answer_at_once(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    writer.write(stream_head() + chunk(event(0)) + LAST_CHUNK)
+
+
+def occupy(entry: TestEntry, name: str) -> None:
+    """Have an engine read a long prompt of which the entry knows."""
+    stake = Stake(read_ms=9000)
+    request = RequestId(f'long at {name}')
+    entry.context.dispatcher.begin(request, {EndpointId(name): stake})
+
+
+async def test_turn_stays_where_all_engines_are_busy() -> None:
+    """All engines read long prompts for a second, and guests send turns.
+
+    Taken from one engine and given to the next, each turn would be read
+    again and again, and the second would become ten.
+    """
+    one = RawEndpoint('e1', answer_late)
+    two = RawEndpoint('e2', answer_late)
+    async with entry_before(STREAM, one, two) as entry:
+        occupy(entry, 'e1')
+        occupy(entry, 'e2')
+        answer = await entry.ask(Prompt='4000')
+    assert answer.endswith(LAST_CHUNK)
+    assert len(one.requests) + len(two.requests) == 1
+
+
+async def test_turn_moves_to_an_engine_that_is_free() -> None:
+    """An engine hangs, and another one beside it is idle."""
+    hanging = RawEndpoint('e1', say_nothing)
+    idle = RawEndpoint('e2', answer_at_once)
+    async with entry_before(STREAM, hanging, idle) as entry:
+        occupy(entry, 'e2')
+        asking = asyncio.create_task(entry.ask(Prompt='4000'))
+        while not hanging.requests:
+            await asyncio.sleep(0.01)
+        name = EndpointId('e2')
+        dispatcher = entry.context.dispatcher
+        dispatcher.book.end(RequestId('long at e2'), [name], now=0)
+        answer = await asking
+    assert answer.endswith(LAST_CHUNK)
+    assert len(idle.requests) == 1
+
+
+@pytest.mark.parametrize('is_alive', [True, False])
+async def test_busy_engine_is_not_taken_for_a_faulty_one(
+    is_alive: bool,
+) -> None:
+    """A turn is taken from an engine that gives others their events.
+
+    Taken for faulty, it would be left by all, and the others would have to
+    do its work as well.
+    """
+    busy = RawEndpoint('e1', say_nothing)
+    idle = RawEndpoint('e2', answer_at_once)
+    async with entry_before(STREAM, busy, idle) as entry:
+        occupy(entry, 'e2')
+        dispatcher = entry.context.dispatcher
+        asking = asyncio.create_task(entry.ask(Prompt='4000'))
+        while not busy.requests:
+            await asyncio.sleep(0.01)
+        if is_alive:
+            dispatcher.sent_something(EndpointId('e1'))
+        name = EndpointId('e2')
+        dispatcher.book.end(RequestId('long at e2'), [name], now=0)
+        await asking
+    assert (EndpointId('e1') in dispatcher.illnesses) is not is_alive
