Refuse only what has not run, also where no other endpoint is left

Ruled out: unsafe requests (after one that may have run they are not placed again; the test of a lost answer covers it). Before: 503, 'not run', of a request that may have run; the test fails.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
@@ -230,8 +230,9 @@
         )
 
     async def _refuse(self, refusal: Refusal) -> None:
-        if self.answer.has_begun:
-            # A head in the middle of a stream would be read as a piece of it.
+        if self.answer.has_begun or self.attempts.may_have_run:
+            # In the middle of a stream, a head would be read as a piece of
+            # it; and a refusal says that the request has not run.
             await self._fail()
             return
         cause = refusal.cause.value
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_runs.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_runs.py
@@ -95,6 +95,19 @@
     assert b'Retry-After: 0.4' in answer
 
 
+async def test_request_that_may_have_run_is_not_refused() -> None:
+    """The only replica of a service runs a look-up and its answer is lost.
+
+    There is nowhere else to send it. To answer that it has not run, as if all
+    replicas were full, would be untrue.
+    """
+    only = RawEndpoint('e1', saying(close=True))
+    async with entry_before(SAFE, only) as entry:
+        answer = await entry.ask()
+    assert answer.startswith(b'HTTP/1.1 502')
+    assert b'Retry-After' not in answer
+
+
 async def test_own_failure_of_an_endpoint_is_handed_on() -> None:
     """A replica answers that a deposit failed; the answer is its own."""
     failed = whole('no such guest', 500)
