Say in the log what a refusal for want of a slot was decided on

Cause: a request that is refused at once had one line without what decided it. Ruled out: a line of its own, which would double the volume in an overload. Before: how=refused_overloaded. After: with detail='no slot at 60 endpoints'.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
@@ -56,6 +56,7 @@
         self.call: AttemptCall | None = None
         self.request_id = context.wire.request_id(request.headers)
         self.end = 'none'
+        self.detail = ''
         self.first_event_ms: float = -1
         self.last_endpoint = EndpointId('')
 
@@ -237,6 +238,7 @@
             return
         cause = refusal.cause.value
         self.end = f'refused_{cause}'
+        self.detail = refusal.detail
         self.context.metrics.refusals.add(cause)
         await refuse(self.answer, self._own_headers(), refusal)
 
@@ -283,6 +285,7 @@
             request_id=self.request_id,
             route='' if self.call is None else self.call.route.name,
             how=self.end,
+            detail=self.detail,
             endpoint=self.last_endpoint,
             attempts=self.attempts.sent,
             first_ms=round(self.first_event_ms, 1),
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
@@ -76,12 +76,15 @@
         return bool({one.endpoint for one in usable}.difference(excluded))
 
     def _refusal(self, excluded: Iterable[EndpointId]) -> Refusal:
+        directory = self.context.keeper.directory
         if not self._others(()):
             return Refusal(RefusalCause.NO_ENDPOINT)
         if not self._others(excluded):
             return Refusal(RefusalCause.ENDPOINT_REFUSED)
+        usable = directory.usable(self.call.service.service)
         return Refusal(
             RefusalCause.OVERLOADED,
+            f'no slot at {len(usable)} endpoints',
             retry_after=_FULL_SECONDS,
         )
 
