--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
@@ -122,10 +122,10 @@
         return HTTPHeaders()
 
     def reserve(self, reservation: str, tokens: int, hold: float) -> Order:
-        return Order('/order', b'')
+        return Order('/order', f'reserve {tokens}'.encode())
 
     def release(self, reservation: str) -> Order:
-        return Order('/order', b'')
+        return Order('/order', b'release')
 
 
 class FixedFeed(FleetFeed):
@@ -192,7 +192,8 @@
                 head = await reader.readuntil(b'\r\n\r\n')
                 headers = parse_head(head.decode())
                 length = int(headers.get('content-length', '0'))
-                await reader.readexactly(length)
+                body = await reader.readexactly(length)
+                headers['body'] = body.decode()
                 self.requests.append(headers)
                 await self.talk(reader, writer)
                 await writer.drain()
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_reservations.py
@@ -0,0 +1,156 @@
+"""Memory that is set aside is given back in every ending."""
+
+import asyncio
+
+import pytest
+from sycamore_core.routing import RouteKind
+
+from ..reservations import RENEW_SECONDS
+from .builders import (
+    HOST,
+    LAST_CHUNK,
+    MODEL,
+    RawEndpoint,
+    Talk,
+    TestEntry,
+    chunk,
+    entry_before,
+    event,
+    request_bytes,
+    route,
+    say_nothing,
+    saying,
+    stream_head,
+    whole,
+)
+
+STREAM = route(RouteKind.RESUMABLE_STREAM, MODEL, time_limit=6)
+#: Beyond the memory of one engine, within that of three.
+HUGE = '500000'
+ANSWER = saying(stream_head(), chunk(event(0)), LAST_CHUNK)
+REFUSED = saying(whole('', 409))
+
+
+class Engine(RawEndpoint):
+    """Takes orders, and answers all else by a script."""
+
+    def __init__(self, name: str, answer: Talk, order: Talk) -> None:
+        super().__init__(name, self.choose)
+        self.answer = answer
+        self.order = order
+
+    @property
+    def orders(self) -> list[str]:
+        """Return the orders that came, without the numbers of tokens."""
+        bodies = [one['body'] for one in self.requests if is_order(one)]
+        return [body.split()[0] for body in bodies]
+
+    async def choose(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        talk = self.order if is_order(self.requests[-1]) else self.answer
+        await talk(reader, writer)
+
+
+def is_order(request: dict[str, str]) -> bool:
+    return request['line'].startswith('POST /order')
+
+
+def engines(answer: Talk, order: Talk | None = None) -> list[Engine]:
+    accepted = order or saying(whole('{}'))
+    return [Engine(f'e{one}', answer, accepted) for one in range(4)]
+
+
+async def released(fleet: list[Engine]) -> None:
+    """Wait until each engine that was asked to reserve was asked to release."""
+    async with asyncio.timeout(5):
+        while not all(balanced(one) for one in fleet):
+            await asyncio.sleep(0.02)
+
+
+def balanced(engine: Engine) -> bool:
+    return not engine.orders or engine.orders[-1] == 'release'
+
+
+def reserved(fleet: list[Engine]) -> int:
+    return sum('reserve' in one.orders for one in fleet)
+
+
+async def ask(entry: TestEntry) -> bytes:
+    return await entry.ask(Prompt=HUGE)
+
+
+async def test_after_the_answer() -> None:
+    fleet = engines(ANSWER)
+    async with entry_before(STREAM, *fleet) as entry:
+        answer = await ask(entry)
+        await released(fleet)
+    assert answer.endswith(LAST_CHUNK)
+    assert reserved(fleet)
+
+
+async def test_after_a_broken_answer() -> None:
+    """The engine that reads a whole archive dies before its first event.
+
+    Memory that stayed set aside at the others would be lost to everybody
+    until its lease ends.
+    """
+    fleet = engines(saying(close=True))
+    async with entry_before(STREAM, *fleet) as entry:
+        await ask(entry)
+        await released(fleet)
+    assert reserved(fleet)
+
+
+async def test_after_the_caller_left() -> None:
+    """The auditing committee closes the page while its archive is read."""
+    fleet = engines(say_nothing)
+    async with entry_before(STREAM, *fleet) as entry:
+        _, writer = await asyncio.open_connection(HOST, entry.port)
+        writer.write(request_bytes(Prompt=HUGE))
+        while not reserved(fleet):
+            await asyncio.sleep(0.02)
+        writer.close()
+        await released(fleet)
+
+
+async def test_one_engine_refuses() -> None:
+    """One of two engines has no memory; what the other one set aside goes."""
+    fleet = engines(ANSWER)
+    fleet[1].order = REFUSED
+    fleet[2].order = REFUSED
+    async with entry_before(STREAM, *fleet) as entry:
+        await ask(entry)
+        await released(fleet)
+
+
+@pytest.mark.parametrize('order', [REFUSED, saying(close=True)])
+async def test_no_engine_sets_memory_aside(order: Talk) -> None:
+    """Nothing has run, and the caller is told so."""
+    fleet = engines(ANSWER, order)
+    async with entry_before(STREAM, *fleet) as entry:
+        answer = await ask(entry)
+        await released(fleet)
+    assert answer.startswith(b'HTTP/1.1 503')
+
+
+async def test_lease_is_renewed_while_the_request_runs() -> None:
+    """An archive takes longer to read than a lease lasts.
+
+    Cut off when its memory expires, it would be read for nothing.
+    """
+
+    async def slow(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        await asyncio.sleep(RENEW_SECONDS * 2.3)
+        await ANSWER(reader, writer)
+
+    fleet = engines(slow)
+    async with entry_before(STREAM, *fleet) as entry:
+        await ask(entry)
+        await released(fleet)
+    assert max(one.orders.count('reserve') for one in fleet) == 3
