--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -172,14 +172,21 @@
     def _serve_operators(self) -> HTTPServer:
         settings = self.context.settings
         if settings.metrics:
-            page = MetricsPage(self.context.metrics)
-            loop = asyncio.get_running_loop()
-            loop.call_later(_METRICS_SECONDS, self.context.metrics.load)
-            _listen(HTTPServer(page), settings.metrics)
+            self._serve_metrics(settings.metrics)
         ready = HTTPServer(Readiness(self._is_ready))
         _listen(ready, settings.ready)
         return ready
 
+    def _serve_metrics(self, address: str) -> None:
+        metrics = self.context.metrics
+        try:
+            _listen(HTTPServer(MetricsPage(metrics)), address)
+        except OSError as error:
+            # Callers are served all the same.
+            self.log.error('metrics_closed', reason=str(error))
+        loop = asyncio.get_running_loop()
+        loop.call_later(_METRICS_SECONDS, metrics.load)
+
     def _listen_to_callers(self) -> HTTPServer:
         server = HTTPServer(
             self.connections,
