Weigh engines once a decision; keep their harm in a module of its own

Cause: a split was planned with a search for each engine in the list of all engines with a slot, comparing whole records; a long prompt cost 322 ms of processor time at 770 engines (benchmarks/forwarding_capacity.py), 5.7 ms at 60. Ruled out: fewer numbers of parts to try, which would change decisions. Tests unchanged but for an import.

--- /dev/null
+++ b/benchmarks/forwarding_capacity.py
@@ -0,0 +1,142 @@
+"""Slopes of the forwarding entry: one decision, and one word of a peer.
+
+Usage: ``python benchmarks/forwarding_capacity.py``; processor time of this
+process, median of five rounds.
+"""
+
+import statistics
+import time
+from collections.abc import Callable
+
+import typer
+from sycamore_core.decisions.direct import (
+    Candidate,
+    LoadBook,
+    ReadRequest,
+    Stake,
+    plan_read,
+)
+from sycamore_core.ids import (
+    EndpointId,
+    EntryId,
+    Incarnation,
+    KeyId,
+    PeerId,
+    RequestId,
+    ZoneId,
+)
+from sycamore_core.messages import EntryWord, PacketCodec, PeerKeys
+from sycamore_core.routing import EngineCosts, EngineLoad, EngineShare
+
+COSTS = EngineCosts(
+    slots=6,
+    memory_tokens=267_750,
+    step_ms=0.85,
+    writer_ms=0.0085,
+    context_ms=0.00285,
+    read_tokens_per_ms=177,
+    pair_ms=0.184,
+    pass_steps=57,
+)
+TURN = ReadRequest(
+    prompt_tokens=5000,
+    answer_tokens=1800,
+    objective_ms=300,
+    pause_ms=250,
+)
+LONG = ReadRequest(
+    prompt_tokens=220_000,
+    answer_tokens=900,
+    objective_ms=4000,
+    pause_ms=1000,
+)
+FLEETS = (20, 60, 200, 770)
+ROUNDS = 5
+CALLS = 40
+_MICRO = 1_000_000
+
+
+def microseconds(work: Callable[[], object]) -> float:
+    """Return the processor time of one call, median of some rounds."""
+    times = []
+    for _ in range(ROUNDS):
+        began = time.process_time()
+        for _ in range(CALLS):
+            work()
+        times.append((time.process_time() - began) / CALLS)
+    return statistics.median(times) * _MICRO
+
+
+def book_of(engines: int) -> LoadBook:
+    """Return a book with a stream at every third engine."""
+    book = LoadBook()
+    for number in range(0, engines, 3):
+        stake = Stake(read_ms=30, context_tokens=5000, pause_ms=250)
+        request = RequestId(f'r{number}')
+        book.begin(request, {EndpointId(f'e{number}'): stake}, now=0)
+    return book
+
+
+def place(book: LoadBook, engines: int, request: ReadRequest) -> None:
+    """Decide on one request as the dispatcher does."""
+    names = [EndpointId(f'e{number}') for number in range(engines)]
+    candidates = [Candidate(name, book.load(name, 1)) for name in names]
+    plan_read(request, candidates, COSTS, book.pressure(1))
+
+
+def word_of(shares: int) -> EntryWord:
+    """Return a word that names the load at some engines."""
+    load = EngineLoad(requests=2, writers=1, pause_ms=250)
+    return EntryWord(
+        entry=EntryId('entry-1'),
+        zone=ZoneId('a'),
+        settings_version=3,
+        is_whole=False,
+        shares=tuple(
+            EngineShare(EndpointId(f'i-{number:010x}'), load)
+            for number in range(shares)
+        ),
+    )
+
+
+def main() -> None:
+    """Print the table."""
+    typer.echo('one decision, microseconds')
+    typer.echo('engines      turn      long')
+    for engines in FLEETS:
+        show_decision(engines)
+    secret = PeerKeys({KeyId('k'): b'0123456789abcdef'}, KeyId('k'))
+    codec = PacketCodec(secret, PeerId('entry-1'), Incarnation(1), 'tcp://a')
+    typer.echo('one word: bytes, microseconds to write, to read and take')
+    for shares in (1, 4, 16):
+        show_word(codec, shares)
+
+
+def show_decision(engines: int) -> None:
+    """Print the row of one size of fleet."""
+    book = book_of(engines)
+    turn = microseconds(lambda: place(book, engines, TURN))
+    long = microseconds(lambda: place(book, engines, LONG))
+    typer.echo(f'{engines:7} {turn:9.0f} {long:9.0f}')
+
+
+def show_word(codec: PacketCodec, shares: int) -> None:
+    """Print the row of one size of word."""
+    word = word_of(shares)
+    packet = codec.encode([word], 1)
+    book = LoadBook()
+    write = microseconds(lambda: codec.encode([word], 1))
+    read = microseconds(lambda: take(codec, packet, book))
+    times = f'{write:9.1f} {read:9.1f}'
+    typer.echo(f'{shares:3} shares {len(packet):6} {times}')
+
+
+def take(codec: PacketCodec, packet: bytes, book: LoadBook) -> None:
+    """Read a word and note it."""
+    for word in codec.decode(packet).messages:
+        if isinstance(word, EntryWord):
+            book.hear(PeerId('p'), word.shares, now=1, is_whole=False)
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -7,13 +7,13 @@
 """
 
 from .attempts import AttemptEnd, AttemptLog, NextStep, next_step
+from .engine_harm import Candidate
 from .engine_work import EngineWork, Stake
 from .isolation import is_isolated
 from .load_book import LoadBook
 from .plain_choice import choose_plain
 from .pressure import Pressure, TurnMeter
 from .read_plan import (
-    Candidate,
     ReadPlan,
     ReadRequest,
     is_turn,
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/builders.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/builders.py
@@ -2,7 +2,8 @@
 
 from ....ids import EndpointId
 from ....routing import EngineCosts, EngineLoad, Unread
-from ..read_plan import Candidate, ReadRequest
+from ..engine_harm import Candidate
+from ..read_plan import ReadRequest
 
 COSTS = EngineCosts(
     slots=8,
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_read_plan.py
@@ -7,8 +7,9 @@
 import msgspec
 import pytest
 
+from ..engine_harm import Candidate
 from ..pressure import Pressure
-from ..read_plan import Candidate, ReadPlan, ReadRequest, plan_read
+from ..read_plan import ReadPlan, ReadRequest, plan_read
 from .builders import COSTS, archive, chatting, idle, reading, turn
 
 LARGEST = 700_000
