Name updates, assignments and failure streaks by their usual terms

Cause: read as a newcomer, 'word', 'stake' and 'illness' were metaphors of our own for a load update, an assignment and a streak of failures. Ruled out: renaming what is named by the field already (lease, slot, turn).

--- a/benchmarks/forwarding_capacity.py
+++ b/benchmarks/forwarding_capacity.py
@@ -1,4 +1,4 @@
-"""Slopes of the forwarding entry: one decision, and one word of a peer.
+"""Slopes of the forwarding entry: one decision, and one update of a peer.
 
 Usage: ``python benchmarks/forwarding_capacity.py``; processor time of this
 process, median of five rounds.
@@ -10,10 +10,10 @@
 
 import typer
 from sycamore_core.decisions.direct import (
+    Assignment,
     Candidate,
     LoadBook,
     ReadRequest,
-    Stake,
     plan_read,
 )
 from sycamore_core.ids import (
@@ -25,7 +25,7 @@
     RequestId,
     ZoneId,
 )
-from sycamore_core.messages import EntryWord, PacketCodec, PeerKeys
+from sycamore_core.messages import LoadUpdate, PacketCodec, PeerKeys
 from sycamore_core.routing import EngineCosts, EngineLoad, EngineShare
 
 COSTS = EngineCosts(
@@ -71,9 +71,9 @@
     """Return a book with a stream at every third engine."""
     book = LoadBook()
     for number in range(0, engines, 3):
-        stake = Stake(read_ms=30, context_tokens=5000, pause_ms=250)
+        assignment = Assignment(read_ms=30, context_tokens=5000, pause_ms=250)
         request = RequestId(f'r{number}')
-        book.begin(request, {EndpointId(f'e{number}'): stake}, now=0)
+        book.begin(request, {EndpointId(f'e{number}'): assignment}, now=0)
     return book
 
 
@@ -84,10 +84,10 @@
     plan_read(request, candidates, COSTS, book.pressure(1))
 
 
-def word_of(shares: int) -> EntryWord:
-    """Return a word that names the load at some engines."""
+def update_of(shares: int) -> LoadUpdate:
+    """Return an update that names the load at some engines."""
     load = EngineLoad(requests=2, writers=1, pause_ms=250)
-    return EntryWord(
+    return LoadUpdate(
         entry=EntryId('entry-1'),
         zone=ZoneId('a'),
         settings_version=3,
@@ -107,9 +107,9 @@
         show_decision(engines)
     secret = PeerKeys({KeyId('k'): b'0123456789abcdef'}, KeyId('k'))
     codec = PacketCodec(secret, PeerId('entry-1'), Incarnation(1), 'tcp://a')
-    typer.echo('one word: bytes, microseconds to write, to read and take')
+    typer.echo('one update: bytes, microseconds to write, to read and take')
     for shares in (1, 4, 16):
-        show_word(codec, shares)
+        show_update(codec, shares)
 
 
 def show_decision(engines: int) -> None:
@@ -120,22 +120,22 @@
     typer.echo(f'{engines:7} {turn:9.0f} {long:9.0f}')
 
 
-def show_word(codec: PacketCodec, shares: int) -> None:
-    """Print the row of one size of word."""
-    word = word_of(shares)
-    packet = codec.encode([word], 1)
+def show_update(codec: PacketCodec, shares: int) -> None:
+    """Print the row of one size of update."""
+    update = update_of(shares)
+    packet = codec.encode([update], 1)
     book = LoadBook()
-    write = microseconds(lambda: codec.encode([word], 1))
+    write = microseconds(lambda: codec.encode([update], 1))
     read = microseconds(lambda: take(codec, packet, book))
     times = f'{write:9.1f} {read:9.1f}'
     typer.echo(f'{shares:3} shares {len(packet):6} {times}')
 
 
 def take(codec: PacketCodec, packet: bytes, book: LoadBook) -> None:
-    """Read a word and note it."""
-    for word in codec.decode(packet).messages:
-        if isinstance(word, EntryWord):
-            book.hear(PeerId('p'), word.shares, now=1, is_whole=False)
+    """Read an update and note it."""
+    for update in codec.decode(packet).messages:
+        if isinstance(update, LoadUpdate):
+            book.hear(PeerId('p'), update.shares, now=1, is_whole=False)
 
 
 if __name__ == '__main__':
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -8,7 +8,7 @@
 
 from .attempts import AttemptEnd, AttemptLog, NextStep, next_step
 from .engine_harm import Candidate
-from .engine_work import EngineWork, Stake
+from .engine_work import Assignment, EngineWork
 from .isolation import is_isolated
 from .load_book import LoadBook
 from .plain_choice import choose_plain
@@ -33,7 +33,7 @@
     'ReadPlan',
     'ReadRequest',
     'RetryAllowance',
-    'Stake',
+    'Assignment',
     'TurnMeter',
     'choose_plain',
     'is_isolated',
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_work.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_work.py
@@ -14,7 +14,7 @@
 _KEY_LENGTH = 8
 
 
-class Stake(msgspec.Struct, kw_only=True):
+class Assignment(msgspec.Struct, kw_only=True):
     """Part of one request at one engine.
 
     Attributes
@@ -62,48 +62,50 @@
     Examples
     --------
     >>> work = EngineWork()
-    >>> work.add('r1', Stake(read_ms=200), now=0)
+    >>> work.add('r1', Assignment(read_ms=200), now=0)
     >>> round(work.load(now=0.05).backlog_ms)
     150
     """
 
     def __init__(self) -> None:
-        self.stakes: dict[RequestId, Stake] = {}
+        self.assignments: dict[RequestId, Assignment] = {}
         self.read_until: float = 0
 
-    def add(self, request_id: RequestId, stake: Stake, now: float) -> None:
+    def add(
+        self, request_id: RequestId, assignment: Assignment, now: float
+    ) -> None:
         """Note that a request was sent to the engine."""
-        seconds = stake.read_ms / _MS
+        seconds = assignment.read_ms / _MS
         self.read_until = max(self.read_until, now) + seconds
-        stake.done_at = self.read_until
-        if stake.is_ahead:
-            stake.done_at = now + seconds
-            for other in self.stakes.values():
+        assignment.done_at = self.read_until
+        if assignment.is_ahead:
+            assignment.done_at = now + seconds
+            for other in self.assignments.values():
                 other.done_at += seconds
-        self.stakes[request_id] = stake
+        self.assignments[request_id] = assignment
 
     def first_token(self, request_id: RequestId, now: float) -> None:
         """Note that a request's prompt has been read."""
-        stake = self.stakes.get(request_id)
-        if stake is not None and not stake.is_writing:
-            stake.is_writing = True
+        assignment = self.assignments.get(request_id)
+        if assignment is not None and not assignment.is_writing:
+            assignment.is_writing = True
             self._settle(now)
 
     def end(self, request_id: RequestId, now: float) -> None:
         """Note that a request is over."""
-        if self.stakes.pop(request_id, None) is not None:
+        if self.assignments.pop(request_id, None) is not None:
             self._settle(now)
 
     def load(self, now: float) -> EngineLoad:
         """Return what these requests have the engine do."""
         load = EngineLoad(backlog_ms=self._backlog(now) * _MS)
         unread: list[Unread] = []
-        for request_id, stake in self.stakes.items():
-            load.memory_tokens += stake.memory_tokens
-            if stake.is_home:
-                _count_home(load, stake)
-            if not stake.is_writing:
-                unread.append(_unread(request_id, stake, now))
+        for request_id, assignment in self.assignments.items():
+            load.memory_tokens += assignment.memory_tokens
+            if assignment.is_home:
+                _count_home(load, assignment)
+            if not assignment.is_writing:
+                unread.append(_unread(request_id, assignment, now))
         load.unread = tuple(unread)
         return load
 
@@ -112,31 +114,35 @@
         if left >= 0:
             return left
         is_reading = any(
-            stake.is_home and not stake.is_writing
-            for stake in self.stakes.values()
+            assignment.is_home and not assignment.is_writing
+            for assignment in self.assignments.values()
         )
         return -left * _OVERDUE_PART if is_reading else 0
 
     def _settle(self, now: float) -> None:
         # Estimates of reading add up; the first moment at which nothing is
         # left to read sets them right.
-        if all(stake.is_writing for stake in self.stakes.values()):
+        if all(
+            assignment.is_writing for assignment in self.assignments.values()
+        ):
             self.read_until = now
 
 
-def _unread(request_id: RequestId, stake: Stake, now: float) -> Unread:
+def _unread(
+    request_id: RequestId, assignment: Assignment, now: float
+) -> Unread:
     return Unread(
         request_id[:_KEY_LENGTH],
-        stake.weight,
-        max(0, stake.done_at - now) * _MS,
-        (stake.promised_at - now) * _MS,
+        assignment.weight,
+        max(0, assignment.done_at - now) * _MS,
+        (assignment.promised_at - now) * _MS,
     )
 
 
-def _count_home(load: EngineLoad, stake: Stake) -> None:
+def _count_home(load: EngineLoad, assignment: Assignment) -> None:
     load.requests += 1
-    if stake.is_writing:
+    if assignment.is_writing:
         load.writers += 1
-        load.context_tokens += stake.context_tokens
-    if stake.pause_ms:
-        load.pause_ms = min(load.pause_ms, stake.pause_ms)
+        load.context_tokens += assignment.context_tokens
+    if assignment.pause_ms:
+        load.pause_ms = min(load.pause_ms, assignment.pause_ms)
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/isolation.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/isolation.py
@@ -10,8 +10,8 @@
 entries would leave at once, and nobody would be served.
 """
 
-#: Time without a word of any other entry after which this one counts as cut
-#: off, in seconds: each repeats its word every second, and two may be lost.
+#: Time without an update of any other entry after which this one counts as cut
+#: off, in seconds: each repeats its update every second, and two may be lost.
 SILENT_SECONDS = 2.2
 
 
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
@@ -11,16 +11,16 @@
 
 from ...ids import EndpointId, PeerId, RequestId
 from ...routing import EngineLoad, EngineShare
-from .engine_work import EngineWork, Stake
+from .engine_work import Assignment, EngineWork
 from .pressure import Pressure, TurnMeter
 
-#: Age from which on a peer's word is not used, in seconds. A peer repeats its
-#: whole word every second; three missed in a row mean that it is gone or cut
+#: Age from which on a peer's update is not used, in seconds. A peer repeats its
+#: whole update every second; three missed in a row mean that it is gone or cut
 #: off, and its requests with it or soon over.
 STALE_SECONDS = 3.2
 
 
-class PeerWord(msgspec.Struct):
+class PeerLoads(msgspec.Struct):
     """What a peer said last, and when."""
 
     loads: dict[EndpointId, EngineLoad]
@@ -41,20 +41,20 @@
 
     def __init__(self) -> None:
         self.own: dict[EndpointId, EngineWork] = {}
-        self.peers: dict[PeerId, PeerWord] = {}
+        self.peers: dict[PeerId, PeerLoads] = {}
         self.changed: set[EndpointId] = set()
         self.turns = TurnMeter()
 
     def begin(
         self,
         request_id: RequestId,
-        stakes: dict[EndpointId, Stake],
+        assignments: dict[EndpointId, Assignment],
         now: float,
     ) -> None:
         """Note where a request was sent."""
-        for endpoint, stake in stakes.items():
+        for endpoint, assignment in assignments.items():
             work = self.own.setdefault(endpoint, EngineWork())
-            work.add(request_id, stake, now)
+            work.add(request_id, assignment, now)
             self.changed.add(endpoint)
 
     def first_token(
@@ -83,16 +83,16 @@
                 continue
             work.end(request_id, now)
             self.changed.add(endpoint)
-            if not work.stakes:
+            if not work.assignments:
                 self.own.pop(endpoint)
 
     def load(self, endpoint: EndpointId, now: float) -> EngineLoad:
         """Return what an engine has to do."""
         work = self.own.get(endpoint)
         total = EngineLoad() if work is None else work.load(now)
-        for word in self.peers.values():
-            said = word.loads.get(endpoint)
-            age = now - word.at
+        for known in self.peers.values():
+            said = known.loads.get(endpoint)
+            age = now - known.at
             if said is not None and age < STALE_SECONDS:
                 total.add(said, age)
         return total
@@ -115,21 +115,21 @@
         turns_per_s
             Short turns that arrive there.
         """
-        word = self.peers.get(peer)
-        if word is None or is_whole:
-            word = PeerWord({}, now)
-            self.peers[peer] = word
-        _age(word, now)
-        word.turns_per_s = turns_per_s
+        known = self.peers.get(peer)
+        if known is None or is_whole:
+            known = PeerLoads({}, now)
+            self.peers[peer] = known
+        _age(known, now)
+        known.turns_per_s = turns_per_s
         for share in shares:
-            word.loads[share.endpoint] = share.load
+            known.loads[share.endpoint] = share.load
 
     def pressure(self, now: float) -> Pressure:
         """Return the short turns that are to be expected."""
         heard = [
-            word.turns_per_s
-            for word in self.peers.values()
-            if now - word.at < STALE_SECONDS
+            known.turns_per_s
+            for known in self.peers.values()
+            if now - known.at < STALE_SECONDS
         ]
         return Pressure(
             turns_per_s=self.turns.rate(now) + sum(heard),
@@ -162,11 +162,11 @@
         return EngineLoad() if work is None else work.load(now)
 
 
-def _age(word: PeerWord, now: float) -> None:
+def _age(known: PeerLoads, now: float) -> None:
     """Bring what a peer said before up to now."""
-    passed = now - word.at
-    word.at = now
-    for endpoint, load in word.loads.items():
+    passed = now - known.at
+    known.at = now
+    for endpoint, load in known.loads.items():
         aged = EngineLoad()
         aged.add(load, passed)
-        word.loads[endpoint] = aged
+        known.loads[endpoint] = aged
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_loads.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_loads.py
@@ -1,8 +1,8 @@
-"""What entries know of engines: their own work and their peers' words."""
+"""What entries know of engines: their own work and their peers' updates."""
 
 from ....ids import EndpointId, PeerId, RequestId
 from ....routing import EngineLoad, EngineShare
-from ..engine_work import Stake
+from ..engine_work import Assignment
 from ..load_book import STALE_SECONDS, LoadBook
 
 ENGINE = EndpointId('e1')
@@ -20,7 +20,7 @@
 
 def test_reading_ends_with_the_first_token() -> None:
     book = LoadBook()
-    book.begin(REQUEST, {ENGINE: Stake(read_ms=800)}, now=10)
+    book.begin(REQUEST, {ENGINE: Assignment(read_ms=800)}, now=10)
     assert backlog(book, 10.3) == 500
     book.first_token(REQUEST, [ENGINE], now=10.5)
     assert backlog(book, 10.5) == 0
@@ -36,14 +36,14 @@
     each would wait longer than the one before.
     """
     book = LoadBook()
-    book.begin(REQUEST, {ENGINE: Stake(read_ms=800)}, now=10)
+    book.begin(REQUEST, {ENGINE: Assignment(read_ms=800)}, now=10)
     assert backlog(book, 11.8) == 500
 
 
 def test_later_part_goes_ahead() -> None:
     book = LoadBook()
-    first = Stake(read_ms=500, is_ahead=True)
-    second = Stake(read_ms=300, is_ahead=True)
+    first = Assignment(read_ms=500, is_ahead=True)
+    second = Assignment(read_ms=300, is_ahead=True)
     book.begin(RequestId('first'), {ENGINE: first}, now=10)
     book.begin(RequestId('second'), {ENGINE: second}, now=10.1)
     done = {
@@ -55,8 +55,8 @@
 def test_word_of_a_peer_ages() -> None:
     """A peer falls silent, as if cut off, after it began a long prompt."""
     book = LoadBook()
-    word = share(requests=1, backlog_ms=1000.0)
-    book.hear(PEER, [word], now=10, is_whole=True)
+    update = share(requests=1, backlog_ms=1000.0)
+    book.hear(PEER, [update], now=10, is_whole=True)
     assert backlog(book, 10.4) == 600
     assert book.load(ENGINE, 10.4).requests == 1
     assert book.load(ENGINE, 10.1 + STALE_SECONDS) == EngineLoad()
@@ -72,7 +72,7 @@
 
 def test_only_what_changed_is_told() -> None:
     book = LoadBook()
-    book.begin(REQUEST, {ENGINE: Stake(read_ms=100)}, now=10)
+    book.begin(REQUEST, {ENGINE: Assignment(read_ms=100)}, now=10)
     assert book.take_changed() == {ENGINE}
     assert book.take_changed() == set()
     book.end(REQUEST, [ENGINE], now=11)
--- a/packages/sycamore-core/src/sycamore_core/messages/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/__init__.py
@@ -1,7 +1,7 @@
 """Messages between the processes, their codec and their signatures."""
 
 from .codec import PROTOCOL_VERSION, Packet, PacketCodec, Parcel
-from .entries import EntryWord
+from .entries import LoadUpdate
 from .frames import Ack, Close, Frame
 from .groups import (
     GroupAnswer,
@@ -36,7 +36,7 @@
     'Cancel',
     'Close',
     'Declined',
-    'EntryWord',
+    'LoadUpdate',
     'Frame',
     'GroupAnswer',
     'GroupRelease',
--- a/packages/sycamore-core/src/sycamore_core/messages/entries.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/entries.py
@@ -5,14 +5,14 @@
 from .base import BaseMessage
 
 
-class EntryWord(BaseMessage, frozen=True):
+class LoadUpdate(BaseMessage, frozen=True):
     """Sign of life of an entry, with what it has at endpoints.
 
     Attributes
     ----------
     is_whole
         Whether `shares` names all that the entry has; otherwise only what
-        has changed since the word before.
+        has changed since the update before.
     peers
         Addresses of the entries that it hears, by which a newcomer finds
         them all.
--- a/packages/sycamore-core/src/sycamore_core/messages/union.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/union.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from ..errors import CodecError
-from .entries import EntryWord
+from .entries import LoadUpdate
 from .frames import Ack, Frame
 from .groups import (
     GroupAnswer,
@@ -30,7 +30,9 @@
     Accepted | Attach | Cancel | Declined | Offer | RunReport | Withdraw
 )
 AnswerMessage = Ack | Frame | Reserve | Reserved
-PeerMessage = EntryWord | Heartbeat | LoadReport | SettingsBody | SettingsWanted
+PeerMessage = (
+    LoadUpdate | Heartbeat | LoadReport | SettingsBody | SettingsWanted
+)
 GroupMessage = (
     GroupAnswer | GroupRelease | GroupRenew | GroupReserve | SpanDone | SpanRun
 )
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from sycamore_core.decisions.direct import AttemptEnd, Stake
+from sycamore_core.decisions.direct import Assignment, AttemptEnd
 from sycamore_core.ids import EndpointId
 
 from .calls import AttemptCall
@@ -63,7 +63,7 @@
         """
         dispatcher = self.context.dispatcher
         began = self._now()
-        dispatcher.begin(self.call.request_id, self._stakes())
+        dispatcher.begin(self.call.request_id, self._assignments())
         try:
             await self._run_reserved(relay)
         finally:
@@ -191,13 +191,13 @@
             return _SHORT_RANK
         return _LONG_RANK
 
-    def _stakes(self) -> dict[EndpointId, Stake]:
+    def _assignments(self) -> dict[EndpointId, Assignment]:
         placement = self.placement
         terms = self.call.terms
         stored = dict(placement.stored)
         tokens = terms.prompt_tokens + terms.answer_tokens
-        stakes = {
-            helper.endpoint: Stake(
+        assignments = {
+            helper.endpoint: Assignment(
                 read_ms=placement.part_ms,
                 weight=placement.weight,
                 promised_at=self.call.objective_at,
@@ -207,7 +207,7 @@
             )
             for helper in placement.helpers
         }
-        stakes[placement.home.endpoint] = Stake(
+        assignments[placement.home.endpoint] = Assignment(
             read_ms=placement.part_ms,
             weight=placement.weight,
             promised_at=self.call.objective_at,
@@ -216,7 +216,7 @@
             memory_tokens=max(0, tokens - sum(stored.values())),
             pause_ms=self.call.route.pause_objective * _MS,
         )
-        return stakes
+        return assignments
 
     def _now(self) -> float:
         return self.context.clock.monotonic()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
@@ -5,10 +5,10 @@
 import msgspec
 from sycamore_core.clock import Clock
 from sycamore_core.decisions.direct import (
+    Assignment,
     Candidate,
     LoadBook,
     ReadRequest,
-    Stake,
     choose_plain,
     is_turn,
     plan_read,
@@ -25,12 +25,12 @@
 
 #: Cost of an endpoint that failed lately, in broken promises: others are
 #: taken as long as any of them keeps its promises.
-_ILL_COST = 3.0
+_FAILED_COST = 3.0
 #: Largest difference by which equal engines are told apart, in broken
 #: promises, so that two entries choose different ones at the same moment.
 _TIE_COST = 0.004
 #: Calls by which a replica that failed lately seems busier than it is.
-_ILL_CALLS = 6.0
+_FAILED_CALLS = 6.0
 #: How long a failure keeps work away from an endpoint, in seconds: the first
 #: time and, doubled each time in a row, at most.
 FIRST_REST = 0.4
@@ -69,7 +69,7 @@
         return (self.home.endpoint, *names)
 
 
-class Illness(msgspec.Struct):
+class FailureStreak(msgspec.Struct):
     """Failures in a row of one endpoint."""
 
     failures: int = 0
@@ -98,7 +98,7 @@
         self.keeper = keeper
         self.clock = clock
         self.book = LoadBook()
-        self.illnesses: dict[EndpointId, Illness] = {}
+        self.streaks: dict[EndpointId, FailureStreak] = {}
         self.alive_at: dict[EndpointId, float] = {}
         self._ties: dict[EndpointId, float] = {}
 
@@ -147,10 +147,10 @@
     def begin(
         self,
         request_id: RequestId,
-        stakes: dict[EndpointId, Stake],
+        assignments: dict[EndpointId, Assignment],
     ) -> None:
         """Note that a request was sent."""
-        self.book.begin(request_id, stakes, self.clock.monotonic())
+        self.book.begin(request_id, assignments, self.clock.monotonic())
 
     def first_event(self, request_id: RequestId, placed: Placement) -> None:
         """Note that a prompt has been read."""
@@ -176,19 +176,19 @@
 
     def answered(self, endpoint: EndpointId) -> None:
         """Note that an endpoint works."""
-        self.illnesses.pop(endpoint, None)
+        self.streaks.pop(endpoint, None)
 
     def failed(self, endpoint: EndpointId) -> None:
         """Note that an attempt at an endpoint broke."""
-        illness = self.illnesses.setdefault(endpoint, Illness())
-        rest = min(LONGEST_REST, FIRST_REST * 2**illness.failures)
-        illness.failures += 1
-        illness.rests_until = self.clock.monotonic() + rest
+        streak = self.streaks.setdefault(endpoint, FailureStreak())
+        rest = min(LONGEST_REST, FIRST_REST * 2**streak.failures)
+        streak.failures += 1
+        streak.rests_until = self.clock.monotonic() + rest
 
     def is_doubtful(self, endpoint: EndpointId) -> bool:
         """Return whether attempts at an endpoint failed one after another."""
-        illness = self.illnesses.get(endpoint)
-        return illness is not None and illness.failures > 1
+        streak = self.streaks.get(endpoint)
+        return streak is not None and streak.failures > 1
 
     def endpoint_at(self, address: str) -> EndpointId | None:
         """Return the endpoint that has an address, if one is registered."""
@@ -212,15 +212,17 @@
 
     def _penalty(self, endpoint: EndpointId, now: float) -> float:
         tie = self._tie(endpoint) * _TIE_COST
-        return tie + _ILL_COST if self._is_ill(endpoint, now) else tie
+        return tie + _FAILED_COST if self._is_resting(endpoint, now) else tie
 
     def _calls(self, endpoint: EndpointId, now: float) -> float:
         calls = self.book.load(endpoint, now).requests + self._tie(endpoint)
-        return calls + _ILL_CALLS if self._is_ill(endpoint, now) else calls
+        return (
+            calls + _FAILED_CALLS if self._is_resting(endpoint, now) else calls
+        )
 
-    def _is_ill(self, endpoint: EndpointId, now: float) -> bool:
-        illness = self.illnesses.get(endpoint)
-        return illness is not None and now < illness.rests_until
+    def _is_resting(self, endpoint: EndpointId, now: float) -> bool:
+        streak = self.streaks.get(endpoint)
+        return streak is not None and now < streak.rests_until
 
     def _tie(self, endpoint: EndpointId) -> float:
         known = self._ties.get(endpoint)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
@@ -15,7 +15,7 @@
 from sycamore_core.errors import TransportError
 from sycamore_core.ids import EndpointId, Incarnation, PeerId
 from sycamore_core.messages import (
-    EntryWord,
+    LoadUpdate,
     PacketCodec,
     PeerKeys,
     SettingsBody,
@@ -112,7 +112,7 @@
         """Take what one peer says, until cancelled."""
         while True:
             message = await peer.inbound.get()
-            if isinstance(message, EntryWord):
+            if isinstance(message, LoadUpdate):
                 self._hear(peer, message)
             elif isinstance(message, SettingsWanted):
                 self._answer(peer, message)
@@ -126,15 +126,15 @@
         self._told = news
         return is_new
 
-    def _hear(self, peer: Peer, word: EntryWord) -> None:
+    def _hear(self, peer: Peer, update: LoadUpdate) -> None:
         now = self.clock.monotonic()
-        name = PeerId(word.entry)
+        name = PeerId(update.entry)
         self.book.hear(
             name,
-            word.shares,
+            update.shares,
             now,
-            is_whole=word.is_whole,
-            turns_per_s=word.turns_per_s,
+            is_whole=update.is_whole,
+            turns_per_s=update.turns_per_s,
         )
         if peer.address not in self.heard or peer.address in self._lost:
             self._lost.discard(peer.address)
@@ -142,18 +142,18 @@
         self.heard[peer.address] = now
         self.context.peer_heard_at = now
         self._names[peer.address] = name
-        self.keeper.hear_leaving(word.leaving)
-        self._compare_versions(peer, word)
-        for address in word.peers:
+        self.keeper.hear_leaving(update.leaving)
+        self._compare_versions(peer, update)
+        for address in update.peers:
             self._meet(address)
 
-    def _compare_versions(self, peer: Peer, word: EntryWord) -> None:
+    def _compare_versions(self, peer: Peer, update: LoadUpdate) -> None:
         """Ask for a configuration that the platform does not show here.
 
         The platform shows a change to all within milliseconds, so that a
         peer is asked only if it has been ahead for a moment.
         """
-        version = word.settings_version
+        version = update.settings_version
         if version <= max(self.keeper.version, self._asked_for):
             return
         self._asked_for = version
@@ -184,7 +184,7 @@
         is_whole: bool,
     ) -> None:
         context = self.context
-        word = EntryWord(
+        update = LoadUpdate(
             entry=context.entry,
             zone=context.settings.zone,
             settings_version=context.keeper.version,
@@ -195,7 +195,7 @@
             turns_per_s=self.book.turns.rate(now),
         )
         for peer in tuple(self.node.peers.values()):
-            peer.post(word)
+            peer.post(update)
 
     @property
     def _addresses(self) -> tuple[str, ...]:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_mesh.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator
 
 import msgspec
-from sycamore_core.decisions.direct import Stake
+from sycamore_core.decisions.direct import Assignment
 from sycamore_core.errors import PlatformError
 from sycamore_core.ids import (
     EndpointId,
@@ -153,9 +153,9 @@
 
 async def test_work_of_one_entry_is_known_to_the_other() -> None:
     async with two_entries() as (first, second):
-        stake = Stake(read_ms=5000)
+        assignment = Assignment(read_ms=5000)
         name = EndpointId('e1')
-        first.context.dispatcher.begin(RequestId('r1'), {name: stake})
+        first.context.dispatcher.begin(RequestId('r1'), {name: assignment})
         book = second.context.dispatcher.book
         now = second.context.clock.monotonic
         async with asyncio.timeout(5):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from sycamore_core.decisions.direct import Stake
+from sycamore_core.decisions.direct import Assignment
 from sycamore_core.ids import EndpointId, RequestId
 from sycamore_core.routing import RouteKind
 
@@ -42,9 +42,9 @@
 
 def occupy(entry: TestEntry, name: str) -> None:
     """Have an engine read a long prompt of which the entry knows."""
-    stake = Stake(read_ms=9000)
+    assignment = Assignment(read_ms=9000)
     request = RequestId(f'long at {name}')
-    entry.context.dispatcher.begin(request, {EndpointId(name): stake})
+    entry.context.dispatcher.begin(request, {EndpointId(name): assignment})
 
 
 async def test_turn_stays_where_all_engines_are_busy() -> None:
@@ -102,4 +102,4 @@
         name = EndpointId('e2')
         dispatcher.book.end(RequestId('long at e2'), [name], now=0)
         await asking
-    assert (EndpointId('e1') in dispatcher.illnesses) is not is_alive
+    assert (EndpointId('e1') in dispatcher.streaks) is not is_alive
