Remove what nothing uses in the forwarding entry and its adapter

Cause: read as a newcomer, an event nobody waits for, two attributes nobody reads and a function nobody calls raise questions that have no answer. Ruled out: marking an answer as not complete when its reading ends with an error, which may also come after its end.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/channel.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import socket
 
 from sycamore_core.decisions.direct import AttemptEnd
@@ -27,6 +28,8 @@
 CONNECT_SECONDS = 0.5
 #: Bytes of an answer that wait for a slow caller before reading stops.
 _BUFFER_BYTES = 262_144
+#: How the reading of an answer ends early.
+_ENDS = (StreamClosedError, HTTPInputError, OSError)
 #: Unacknowledged bytes end a connection after this time, in milliseconds. A
 #: cut network would otherwise hold it for many minutes.
 _USER_TIMEOUT_MS = 3000
@@ -118,8 +121,6 @@
 
     Attributes
     ----------
-    used
-        Requests that were sent on it.
     idle_since
         When the last answer ended, on the loop's clock.
     idle_seconds
@@ -129,14 +130,12 @@
     def __init__(self, stream: EndpointStream, wire: WireFormat) -> None:
         self.stream = stream
         self.wire = wire
-        self.used = 0
         self.idle_since: float = 0
         self.idle_seconds: float | None = None
         self.head: AnswerHead | None = None
         self.reader = AnswerReader()
         self._request_id = ''
         self._tasks: list[asyncio.Task[None]] = []
-        self._write_error = ''
 
     @classmethod
     async def connect(
@@ -175,7 +174,6 @@
         request_id: str,
     ) -> None:
         """Begin to send a request and to read its answer."""
-        self.used += 1
         self.head = None
         self.reader = AnswerReader()
         self._request_id = request_id
@@ -267,9 +265,10 @@
     async def _read(self, connection: HTTP1Connection) -> None:
         reader = self.reader
         try:
-            await connection.read_response(reader)
-        except (StreamClosedError, HTTPInputError, OSError) as error:
-            self._write_error = str(error)
+            # Whoever waits for the answer sees that it ended before it was
+            # complete, and logs that with the attempt.
+            with contextlib.suppress(*_ENDS):
+                await connection.read_response(reader)
         finally:
             reader.end()
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet.py
@@ -68,7 +68,6 @@
         self.directory = EndpointDirectory()
         self.confirmed_at: float | None = None
         self.log = Log('fleet')
-        self.changed = asyncio.Event()
         self.published: PublishedTable | None = None
         self._left: deque[tuple[float, EndpointLifetime]] = deque()
         self._revision = Revision(0)
@@ -143,7 +142,6 @@
             await asyncio.sleep(EXPIRE_SECONDS)
             for endpoint in self.directory.expire(self.clock.monotonic()):
                 self.log.info('endpoint_expired', endpoint=endpoint)
-                self._notify()
 
     async def _read(self) -> None:
         started = self.clock.monotonic()
@@ -189,7 +187,6 @@
             revision=snapshot.revision,
             after_outage=self._was_away,
         )
-        self._notify()
 
     def _take(self, change: Change) -> None:
         if isinstance(change, TableChanged):
@@ -208,7 +205,6 @@
         elif isinstance(change, EndpointRemoved):
             self.directory.remove(change.endpoint)
             self.log.info('endpoint_removed', endpoint=change.endpoint)
-        self._notify()
 
     def _note_leaving(self, lifetime: EndpointLifetime) -> None:
         self._left.append((self.clock.monotonic(), lifetime))
@@ -230,7 +226,3 @@
             workspaces=len(table.workspaces),
             source=source,
         )
-
-    def _notify(self) -> None:
-        self.changed.set()
-        self.changed = asyncio.Event()
