--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
@@ -5,10 +5,7 @@
 from sycamore_core.decisions.direct import Assignment, AttemptEnd
 from sycamore_core.ids import EndpointId
 
-from .calls import AttemptCall
 from .channel import EndpointChannel
-from .context import ForwardingContext
-from .dispatcher import Placement
 from .errors import AttemptError
 from .relay import AnswerRelay
 from .reservations import Reservations
@@ -30,28 +27,16 @@
 
     Parameters
     ----------
-    may_move
-        Whether another endpoint may run the request after this one. If not,
-        an endpoint's silence ends nothing: its answer may still come.
+    watch
+        Ends the attempt if the endpoint is silent for too long; it names the
+        request and the endpoint.
     """
 
-    def __init__(
-        self,
-        context: ForwardingContext,
-        call: AttemptCall,
-        placement: Placement,
-        *,
-        may_move: bool,
-    ) -> None:
-        self.context = context
-        self.call = call
-        self.placement = placement
-        self.watch = SilenceWatch(
-            context,
-            call,
-            placement,
-            may_move=may_move,
-        )
+    def __init__(self, watch: SilenceWatch) -> None:
+        self.watch = watch
+        self.context = watch.context
+        self.call = watch.call
+        self.placement = watch.placement
 
     async def run(self, relay: AnswerRelay) -> None:
         """Send the request and relay the answer.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
@@ -27,6 +27,7 @@
     refuse,
 )
 from .relay import AnswerRelay
+from .silence import SilenceWatch
 
 _MS = 1000.0
 
@@ -111,12 +112,13 @@
             placement = await placing.place(self.excluded)
             self.last_endpoint = placement.home.endpoint
             self._log_placement(call, placement)
-            attempt = Attempt(
+            watch = SilenceWatch(
                 self.context,
                 call,
                 placement,
                 may_move=self._may_move(call),
             )
+            attempt = Attempt(watch)
             self.attempts.begin()
             try:
                 await attempt.run(relay)
