Register counts on the metrics page in one place

Ruled out: one delegate for the pages of readiness and metrics, whose answers differ in all but their frame. The help text of the forwarding counts now reads as those of the others do.

--- a/packages/sycamore-core/src/sycamore_core/telemetry/metrics.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/metrics.py
@@ -152,22 +152,19 @@
         return self._client.generate_latest(self.registry)
 
     def show(self, name: str, tally: Tally) -> None:
-        """Show counts that were begun before on the page."""
+        """Show counts on the page, also those that were begun before."""
+        words = name.replace('_', ' ')
         self.meter.create_observable_counter(
             f'sycamore_{name}',
             [tally.observe],
-            description=name.replace('_', ' '),
+            description=f'Number of {words} by {tally.label}',
         )
 
     def tally(self, name: str, label: str) -> Tally:
         """Return a new count by one label, shown on the page."""
-        words = name.replace('_', ' ')
-        return Tally.from_meter(
-            self.meter,
-            f'sycamore_{name}',
-            label,
-            f'Number of {words} by {label}',
-        )
+        tally = Tally(label)
+        self.show(name, tally)
+        return tally
 
     def _show(self, gauge: Gauge) -> None:
         self.meter.create_observable_gauge(
--- a/packages/sycamore-core/src/sycamore_core/telemetry/tallies.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/tallies.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 from enum import StrEnum
 
-from opentelemetry.metrics import CallbackOptions, Meter, Observation
+from opentelemetry.metrics import CallbackOptions, Observation
 
 
 class Tally:
@@ -32,23 +32,6 @@
         self.label = label
         self.counts: Counter[str] = Counter()
 
-    @classmethod
-    def from_meter(
-        cls,
-        meter: Meter,
-        name: str,
-        label: str,
-        description: str,
-    ) -> 'Tally':
-        """Return a tally that is shown on the page of `meter`."""
-        tally = cls(label)
-        meter.create_observable_counter(
-            name,
-            [tally.observe],
-            description=description,
-        )
-        return tally
-
     def add(self, label_value: StrEnum | str) -> None:
         """Count once."""
         self.counts[str(label_value)] += 1
