--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
@@ -54,6 +54,9 @@
 _TOKENS_OF_A_TURN = 7500.0
 #: Weight of the shortest prompt in such turns.
 _LEAST_WEIGHT = 0.5
+#: Cost of a first event at the end of its objective against one at once, as a
+#: part of what its lateness costs.
+_HURRY = 0.03
 _MS = 1000.0
 _NO_PRESSURE = Pressure()
 
@@ -237,10 +240,9 @@
 
     def _lateness(self, expected_ms: float) -> float:
         objective = max(1, self.request.objective_ms)
-        return self.request.weight * lateness(
-            expected_ms / objective,
-            SAFE_FIRST_EVENT,
-        )
+        part = expected_ms / objective
+        late = lateness(part, SAFE_FIRST_EVENT) + _HURRY * min(1, part)
+        return self.request.weight * late
 
     def _crowding(
         self,
