Replay loads on engines that work in passes, in virtual time

What it is: `sycamore_standins.passes`, a pure model of an engine in passes, loads whose mix flips every ten seconds, entries with their own load books and late updates, a naive policy beside the one in use.

Not covered: memory that runs out, failures, entries that are cut off.

--- a/benchmarks/forwarding_capacity.py
+++ b/benchmarks/forwarding_capacity.py
@@ -26,7 +26,12 @@
     ZoneId,
 )
 from sycamore_core.messages import LoadUpdate, PacketCodec, PeerKeys
-from sycamore_core.routing import EngineCosts, EngineLoad, EngineShare
+from sycamore_core.routing import (
+    EngineCosts,
+    EngineLoad,
+    EngineShare,
+    PausePromise,
+)
 
 COSTS = EngineCosts(
     slots=6,
@@ -50,6 +55,7 @@
     objective_ms=4000,
     pause_ms=1000,
 )
+PROMISE = PausePromise(pause_ms=250, weight=1)
 FLEETS = (20, 60, 200, 770)
 ROUNDS = 5
 CALLS = 40
@@ -86,7 +92,7 @@
 
 def update_of(shares: int) -> LoadUpdate:
     """Return an update that names the load at some engines."""
-    load = EngineLoad(requests=2, writers=1, pause_ms=250)
+    load = EngineLoad(requests=2, writers=1, promises=(PROMISE,))
     return LoadUpdate(
         entry=EntryId('entry-1'),
         zone=ZoneId('a'),
--- /dev/null
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/policies.py
@@ -0,0 +1,95 @@
+"""Policies that a replay compares."""
+
+import abc
+from collections.abc import Sequence
+
+import msgspec
+from sycamore_core.decisions.direct import (
+    Candidate,
+    LoadBook,
+    ReadPlan,
+    ReadRequest,
+    plan_read,
+)
+from sycamore_core.hashes import stable_part
+from sycamore_core.ids import EndpointId
+from sycamore_core.routing import EngineCosts
+
+#: Largest difference by which an entry tells equal engines apart.
+_TIE_COST = 0.004
+
+
+class Placed(msgspec.Struct, frozen=True):
+    """A request that is to be placed, and what its entry knows."""
+
+    entry: int
+    request: ReadRequest
+    book: LoadBook
+    now: float
+
+
+class Policy(abc.ABC):
+    """Chooses engines."""
+
+    name: str
+
+    @abc.abstractmethod
+    def place(
+        self,
+        placed: Placed,
+        engines: Sequence[EndpointId],
+        costs: EngineCosts,
+    ) -> ReadPlan | None:
+        """Return where a prompt is read; None if no engine has a slot."""
+
+
+class PlannedPolicy(Policy):
+    """The policy of the forwarding entry."""
+
+    name = 'planned'
+
+    def place(
+        self,
+        placed: Placed,
+        engines: Sequence[EndpointId],
+        costs: EngineCosts,
+    ) -> ReadPlan | None:
+        """Return the plan with the least harm."""
+        candidates = [
+            Candidate(
+                name,
+                placed.book.load(name, placed.now),
+                _tie(placed.entry, name),
+            )
+            for name in engines
+        ]
+        pressure = placed.book.pressure(placed.now)
+        return plan_read(placed.request, candidates, costs, pressure)
+
+
+class NaivePolicy(Policy):
+    """Each entry sends to its own fewest requests and splits nothing."""
+
+    name = 'naive'
+
+    def place(
+        self,
+        placed: Placed,
+        engines: Sequence[EndpointId],
+        costs: EngineCosts,
+    ) -> ReadPlan | None:
+        """Return the engine with the fewest requests of this entry."""
+        orders = [_order(placed, name) for name in engines]
+        home = engines[orders.index(min(orders))]
+        read_ms = costs.read_ms(placed.request.prompt_tokens)
+        return ReadPlan(home=home, part_ms=read_ms, expected_ms=read_ms)
+
+
+def _order(placed: Placed, name: EndpointId) -> float:
+    work = placed.book.own.get(name)
+    requests = 0 if work is None else len(work.assignments)
+    return requests + _tie(placed.entry, name)
+
+
+def _tie(entry: int, name: EndpointId) -> float:
+    return stable_part(f'entry-{entry} {name}') * _TIE_COST
--- /dev/null
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/replay.py
@@ -0,0 +1,195 @@
+"""Replays a load on engines, with entries that know a little less than all."""
+
+from sycamore_core.decisions.direct import (
+    Assignment,
+    LoadBook,
+    ReadPlan,
+    ReadRequest,
+    is_turn,
+)
+from sycamore_core.ids import EndpointId, RequestId
+
+from ..virtual.timeline import Timeline
+from .answers import Answer
+from .engine import Part, PassEngine, PassResult
+from .gossip import NETWORK_SECONDS, Gossip
+from .loads import COSTS, ReplayLoad, ReplayRequest
+from .policies import Placed, Policy
+
+#: How long a request waits for a slot, in parts of its objective, how often
+#: it looks, and when its caller comes back, in seconds.
+_WAIT_PART = 0.12
+_LOOK_SECONDS = 0.012
+_COME_BACK_SECONDS = 0.5
+#: How often a caller comes back.
+_RETURNS = 1
+#: Time after the last arrival at which a run ends, in seconds.
+_TAIL_SECONDS = 15.0
+_MS = 1000.0
+
+
+class Replay:
+    """One run of a load under a policy."""
+
+    def __init__(self, load: ReplayLoad, seed: int, policy: Policy) -> None:
+        self.load = load
+        self.policy = policy
+        self.timeline = Timeline()
+        self.names = [EndpointId(f'e{one}') for one in range(load.engines)]
+        self.engines = {name: PassEngine(COSTS) for name in self.names}
+        self.books = [LoadBook() for _ in range(load.entries)]
+        self.gossip = Gossip(self.books, self.timeline)
+        self.answers: dict[RequestId, Answer] = {
+            one.request_id: Answer(one, one.at) for one in load.requests(seed)
+        }
+        self._parts = 0
+
+    def run(self) -> list[Answer]:
+        """Play the load; return all answers by arrival."""
+        for answer in self.answers.values():
+            self.timeline.at(answer.tried_at, self._arrive, answer)
+        self.gossip.begin()
+        until = self.load.seconds + _TAIL_SECONDS
+        while self.timeline.now < until:
+            self.timeline.step()
+        return list(self.answers.values())
+
+    def _arrive(self, answer: Answer) -> None:
+        request = answer.request
+        if is_turn(COSTS, request.prompt_tokens):
+            self.books[request.entry].turns.arrived(self.timeline.now)
+        self._place(answer)
+
+    def _place(self, answer: Answer) -> None:
+        request = answer.request
+        book = self.books[request.entry]
+        now = self.timeline.now
+        wanted = _read_request(request, now)
+        placed = Placed(request.entry, wanted, book, now)
+        plan = self.policy.place(placed, self.names, COSTS)
+        if plan is None:
+            self._wait(answer)
+            return
+        answer.plan = plan
+        answer.unread_parts = len(plan.members)
+        book.begin(request.request_id, _assignments(request, plan), now)
+        self._soon(self._send, answer, plan)
+
+    def _wait(self, answer: Answer) -> None:
+        """Look for a slot again, or refuse the request."""
+        now = self.timeline.now
+        waited_ms = (now - answer.tried_at) * _MS
+        if waited_ms < answer.request.kind.objective_ms * _WAIT_PART:
+            self.timeline.at(now + _LOOK_SECONDS, self._place, answer)
+            return
+        answer.refusals += 1
+        if answer.refusals <= _RETURNS:
+            answer.tried_at = now + _COME_BACK_SECONDS
+            self.timeline.at(answer.tried_at, self._arrive, answer)
+
+    def _send(self, answer: Answer, plan: ReadPlan) -> None:
+        tokens = answer.request.prompt_tokens
+        for name in plan.members:
+            self._parts += 1
+            part = Part(
+                request=answer.request.request_id,
+                left=tokens / len(plan.members),
+                mean_context=tokens / 2,
+                is_ahead=bool(plan.helpers),
+                order=self._parts,
+            )
+            self.engines[name].waiting.append(part)
+            self._wake(name)
+
+    def _wake(self, name: EndpointId) -> None:
+        if not self.engines[name].is_busy:
+            self._begin_pass(name)
+
+    def _begin_pass(self, name: EndpointId) -> None:
+        result = self.engines[name].next_pass()
+        if result is not None:
+            ends = self.timeline.now + result.ms / _MS
+            self.timeline.at(ends, self._end_pass, name, result)
+
+    def _end_pass(self, name: EndpointId, result: PassResult) -> None:
+        for request_id in result.writers:
+            self._event(self.answers[request_id], name)
+        for part in result.read:
+            self._part_read(self.answers[part.request])
+        self._begin_pass(name)
+
+    def _part_read(self, answer: Answer) -> None:
+        answer.unread_parts -= 1
+        plan = answer.plan
+        if answer.unread_parts or plan is None:
+            return
+        request = answer.request
+        home = self.engines[plan.home]
+        home.contexts[request.request_id] = request.prompt_tokens
+        self._soon(
+            self.books[request.entry].first_token,
+            request.request_id,
+            plan.members,
+            self.timeline.now,
+        )
+        self._event(answer, plan.home)
+        self._wake(plan.home)
+
+    def _event(self, answer: Answer, name: EndpointId) -> None:
+        answer.event(self.timeline.now)
+        if answer.ended_at is None or answer.plan is None:
+            return
+        request = answer.request
+        self.engines[name].contexts.pop(request.request_id)
+        book = self.books[request.entry]
+        members = answer.plan.members
+        self._soon(book.end, request.request_id, members, answer.ended_at)
+        if is_turn(COSTS, request.prompt_tokens):
+            book.turns.ended(answer.ended_at - request.at)
+
+    def _soon(self, act: object, *args: object) -> None:
+        """Have something done when word of it has come over the network."""
+        when = self.timeline.now + NETWORK_SECONDS
+        self.timeline.at(when, act, *args)
+
+
+def _read_request(request: ReplayRequest, now: float) -> ReadRequest:
+    waited_ms = (now - request.at) * _MS
+    return ReadRequest(
+        prompt_tokens=request.prompt_tokens,
+        answer_tokens=request.answer_tokens,
+        objective_ms=request.kind.objective_ms - waited_ms,
+        pause_ms=request.kind.pause_ms,
+    )
+
+
+def _assignments(
+    request: ReplayRequest,
+    plan: ReadPlan,
+) -> dict[EndpointId, Assignment]:
+    """Return what each member of a plan is noted to have."""
+    promised_at = request.at + request.kind.objective_ms / _MS
+    weight = _read_request(request, request.at).weight
+    stored = dict(plan.stored)
+    found = {
+        name: Assignment(
+            read_ms=plan.part_ms,
+            weight=weight,
+            promised_at=promised_at,
+            memory_tokens=stored.get(name, 0),
+            is_home=False,
+            is_ahead=True,
+        )
+        for name in plan.helpers
+    }
+    tokens = request.prompt_tokens + request.answer_tokens
+    found[plan.home] = Assignment(
+        read_ms=plan.part_ms,
+        weight=weight,
+        promised_at=promised_at,
+        context_tokens=request.prompt_tokens,
+        memory_tokens=max(0, tokens - sum(stored.values())),
+        pause_ms=request.kind.pause_ms,
+        is_ahead=bool(plan.helpers),
+    )
+    return found
--- /dev/null
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/tests/test_replay.py
@@ -0,0 +1,73 @@
+"""What callers receive when loads swing between short and long prompts."""
+
+from statistics import fmean
+
+import msgspec
+import pytest
+
+from ..loads import LOADS
+from ..policies import NaivePolicy, PlannedPolicy, Policy
+from ..replay import Replay
+from ..results import ReplayReport, report_on
+
+SEED = 1
+#: Without the forecast of passes it is 0.56 in the mean of 16 seeds.
+LEAST_WORST_WINDOWS = 0.65
+
+
+def played(name: str, policy: Policy, seed: int = SEED) -> ReplayReport:
+    return report_on(Replay(LOADS[name], seed, policy).run())
+
+
+@pytest.mark.parametrize('name', list(LOADS))
+def test_planned_serves_every_kind_better_than_naive(name: str) -> None:
+    """Long prompts come at three times their rate, then turns at twice theirs.
+
+    By fewest requests alone, half of the long prompts miss their objective
+    and the turns beside them pause for a second and more.
+    """
+    planned = played(name, PlannedPolicy())
+    naive = played(name, NaivePolicy())
+    for ours, theirs in zip(planned.kinds, naive.kinds, strict=True):
+        assert ours.share > theirs.share
+    assert planned.share > naive.share + 0.08
+    assert planned.worst_windows > naive.worst_windows + 0.15
+
+
+def test_answers_of_long_prompts_do_not_pause_for_others() -> None:
+    """A long prompt is placed where the answer to another one is written.
+
+    Counted like a turn, 15 in 100 of these answers paused for longer than
+    promised while a third long prompt was read; by their worth 9 in 100 do.
+    """
+    reports = [played('long-first', PlannedPolicy(), seed) for seed in (1, 2)]
+    archives = [report.kinds[0] for report in reports]
+    late = sum(kind.pause_late for kind in archives)
+    assert late < 0.1 * sum(kind.requests for kind in archives)
+
+
+def test_worst_seconds_of_long_prompts() -> None:
+    """Prompts of several hundred thousand tokens come within a second.
+
+    Placed as if engines took in work at any time, each of them is spread
+    over all engines, and all of them are late together.
+    """
+    reports = [played('long-first', PlannedPolicy(), seed) for seed in (1, 2)]
+    worst = [report.worst_windows for report in reports]
+    assert fmean(worst) > LEAST_WORST_WINDOWS
+
+
+def test_one_seed_is_one_run() -> None:
+    load = msgspec.structs.replace(LOADS['calm'], seconds=6)
+    runs = [
+        report_on(Replay(load, SEED, PlannedPolicy()).run()) for _ in range(2)
+    ]
+    assert runs[0] == runs[1]
+
+
+def test_fleet_that_is_full_refuses_and_serves_who_comes_back() -> None:
+    """Two engines get the load of eighteen; callers come back once."""
+    load = msgspec.structs.replace(LOADS['calm'], seconds=4, engines=2)
+    answers = Replay(load, SEED, PlannedPolicy()).run()
+    assert any(one.refusals for one in answers)
+    assert any(one.refusals and one.is_whole for one in answers)
