--- a/packages/sycamore-standins/src/sycamore_standins/passes/tests/test_replay.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/tests/test_replay.py
@@ -11,8 +11,10 @@
 from ..results import ReplayReport, report_on
 
 SEED = 1
-#: Without the forecast of passes it is 0.56 in the mean of 16 seeds.
-LEAST_WORST_WINDOWS = 0.65
+#: Seeds 1 and 2: 0.71 if each part is taken as read at once, 0.80 now.
+LEAST_WORST_WINDOWS = 0.75
+#: Seeds 1 and 2: 8 of 97 if each stream counts like a turn, none now.
+MOST_PAUSES = 0.04
 
 
 def played(name: str, policy: Policy, seed: int = SEED) -> ReplayReport:
@@ -37,13 +39,13 @@
 def test_answers_of_long_prompts_do_not_pause_for_others() -> None:
     """A long prompt is placed where the answer to another one is written.
 
-    Counted like a turn, 15 in 100 of these answers paused for longer than
-    promised while a third long prompt was read; by their worth 9 in 100 do.
+    Counted like a turn, the answer pauses for longer than promised while
+    another long prompt is read there.
     """
     reports = [played('long-first', PlannedPolicy(), seed) for seed in (1, 2)]
     archives = [report.kinds[0] for report in reports]
     late = sum(kind.pause_late for kind in archives)
-    assert late < 0.1 * sum(kind.requests for kind in archives)
+    assert late < MOST_PAUSES * sum(kind.requests for kind in archives)
 
 
 def test_worst_seconds_of_long_prompts() -> None:
