--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SRC := packages platform tests benchmarks
 KNOWN_RED := $(shell grep -o '^tests[^ ]*\|^packages[^ ]*' KNOWN-RED.txt)
 
-.PHONY: setup demo test check-style unit docs chaos
+.PHONY: setup demo test check-style unit docs chaos soak workspace
 
 .venv/.ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv .venv
@@ -32,7 +32,17 @@
 docs: setup
 	$(BIN)/sphinx-build -q -E -W -b html docs docs/_build/html
 
-test: check-style unit docs
+# The packages install as a workspace with uv as well as with pip; without the
+# entries in `tool.uv.sources` uv looks for them in the registry.
+workspace: setup
+	$(BIN)/uv venv -q --clear --python $(PYTHON) target/workspace
+	VIRTUAL_ENV=target/workspace $(BIN)/uv pip install -q -c constraints.txt \
+	  -e packages/sycamore-core -e packages/sycamore-entry \
+	  -e packages/sycamore-endpoint -e packages/sycamore-standins
+	target/workspace/bin/sycamore-entry --help > /dev/null
+	target/workspace/bin/sycamore-endpoint --help > /dev/null
+
+test: check-style unit docs workspace
 
 demo: setup
 	$(BIN)/python -m sycamore_standins.demo
@@ -41,3 +51,9 @@
 ROUNDS ?= 20
 chaos: setup
 	$(BIN)/python -m sycamore_standins.chaos --seed $(SEED) --rounds $(ROUNDS)
+
+# The soak of the forwarding entries: SEEDS seeds from FIRST on.
+FIRST ?= 1
+SEEDS ?= 5
+soak: setup
+	PYTHONPATH=platform $(BIN)/python -m sycamore_adapter.tests.soak --first $(FIRST) --seeds $(SEEDS)
