--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_harm.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_harm.py
@@ -20,20 +20,18 @@
 #: forecast of a request's own reading is off by 4 ms in the median; what is
 #: left is for the entry and the network.
 SAFE_FIRST_EVENT = 0.85
-#: The same for a prompt that others have waiting. Later parts go ahead of it
-#: once more, so that a half is left for them.
+#: The same for a prompt that waits already. Later parts go ahead of it once
+#: more: with 0.9, replayed loads lose a hundredth of their worth.
 _SAFE_WAITING = 0.5
 #: The same for the pauses of a stream. The next pass reads what comes
 #: meanwhile as well.
 _SAFE_PAUSE = 0.8
 #: Extra of the ones that are late by much against those that just miss.
 _LATE_SLOPE = 0.2
-#: Backlog that counts as one broken promise, in ms: it only orders engines
-#: that are otherwise alike.
+#: Backlog that counts as one broken promise, in ms: whoever comes next to a
+#: busy engine waits, or has others wait. With 20 s, which only orders engines
+#: that are otherwise alike, replayed loads lose a hundredth of their worth.
 _BUSY_MS = 3000.0
-#: Part of an engine's slots that turns can use without being late for their
-#: number alone.
-_USABLE_SLOTS = 1.0
 #: Part of the memory that plans leave free, as answers vary in length.
 _MEMORY_RESERVE = 0.05
 #: Mean part of a pass that is still to run when a request comes.
@@ -93,7 +91,7 @@
         left that fits nowhere, no plan would store a prompt beyond one
         engine.
     free_slots
-        Slots that turns can use without being late.
+        Slots that turns can use.
     """
 
     def __init__(
@@ -113,7 +111,7 @@
         room = int(costs.memory_tokens * (1 - _MEMORY_RESERVE))
         self.free_tokens = room - load.memory_tokens
         self.has_slot = load.requests < costs.slots
-        self.free_slots = max(0, costs.slots * _USABLE_SLOTS - load.requests)
+        self.free_slots = max(0, costs.slots - load.requests)
         self._base = candidate.penalty + self.forecast.busy_ms / _BUSY_MS
 
     @property
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/pressure.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/pressure.py
@@ -14,7 +14,7 @@
 import msgspec
 
 #: Time over which arrivals are averaged, in seconds: the mix of traffic flips
-#: within a second or two, and a mean over less is mostly chance.
+#: within a second, and a mean over less is mostly chance.
 _MEAN_SECONDS = 0.8
 #: Time that a turn holds its slot where none has ended yet, in seconds: about
 #: 1,600 tokens at a millisecond each.
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
@@ -55,7 +55,8 @@
 #: Weight of the shortest prompt in such turns.
 _LEAST_WEIGHT = 0.5
 #: Cost of a first event at the end of its objective against one at once, as a
-#: part of what its lateness costs.
+#: part of what its lateness costs. What is read sooner is held up by fewer
+#: others: replayed loads gain up to a hundredth of their worth by it.
 _HURRY = 0.03
 _MS = 1000.0
 _NO_PRESSURE = Pressure()
