--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/pass_forecast.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/pass_forecast.py
@@ -79,6 +79,7 @@
 
 def _in_passes(unread: Sequence[Unread], pass_ms: float) -> PassForecast:
     """Return the forecast of an engine that writes."""
+    # Passes are followed from the first prompt on, on a clock that is 0 now.
     left = sorted(unread, key=_sent_ms)
     begins = -math.inf
     ends = -math.inf
@@ -91,6 +92,7 @@
         left = left[len(taken) :]
         ends = begins + pass_ms + _read_ms(taken)
     if ends <= 0:
+        # What the last pass took was read; none of it is still to begin.
         taken = []
     opens = begins if left else max(ends, pass_ms * _HALF)
     queued = _read_ms(left)
--- a/packages/sycamore-standins/src/sycamore_standins/passes/replay.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/replay.py
@@ -1,5 +1,7 @@
 """Replays a load on engines, with entries that know a little less than all."""
 
+from collections.abc import Callable
+
 from sycamore_core.decisions.direct import (
     Assignment,
     LoadBook,
@@ -147,7 +149,7 @@
         if is_turn(COSTS, request.prompt_tokens):
             book.turns.ended(answer.ended_at - request.at)
 
-    def _soon(self, act: object, *args: object) -> None:
+    def _soon(self, act: Callable[..., None], *args: object) -> None:
         """Have something done when word of it has come over the network."""
         when = self.timeline.now + NETWORK_SECONDS
         self.timeline.at(when, act, *args)
