Say once when an engine has read a prompt, and what lateness adds

Cause, seen on reading the change once more: the time behind all that an engine has was written out three times; that it writes was kept beside the pass time that says so; the loss by a delay and by a pause were the same difference written twice; a turn that was not well off alone had its plan for one engine worked out twice; `LoadBook.first_token` and `end` took a time that nothing used since passes are forecast, and `load` repeated `_own_load`; a constant for the mean pause bore the comment of another one.

Tests lose an argument; their assertions stay.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_harm.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_harm.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from ...ids import EndpointId
-from ...routing import EngineCosts, EngineLoad, Unread
+from ...routing import EngineCosts, EngineLoad
 from .pass_forecast import forecast
 
 #: Streams that are gathered on one engine before the next is taken into use.
@@ -34,8 +34,9 @@
 _BUSY_MS = 3000.0
 #: Part of the memory that plans leave free, as answers vary in length.
 _MEMORY_RESERVE = 0.05
-#: Mean part of a pass that is still to run when a request comes.
-_HALF = 0.5
+#: Part of what an engine has to do for which the first pause of a new stream
+#: lasts, in the mean: it begins at any moment of it.
+_MEAN_PAUSE_PART = 0.5
 
 
 class Candidate(msgspec.Struct, frozen=True):
@@ -128,23 +129,25 @@
             Whether the part is one of a split prompt.
         """
         known = self.forecast
-        if known.writes:
-            return known.opens_ms + known.pass_ms + known.queued_ms + part_ms
-        if is_ahead:
+        if is_ahead and not known.writes:
             return known.opens_ms + part_ms
-        return known.opens_ms + known.queued_ms + part_ms
+        return known.next_done_ms + part_ms
 
     def of_part(self, part_ms: float) -> float:
         """Return the harm of a part that goes ahead of what it has."""
-        return self.of_pauses(part_ms) + sum(
-            self.delays(part_ms).values(),
-        )
+        return self.of_pauses(part_ms) + sum(self.delays(part_ms).values())
 
     def delays(self, part_ms: float) -> dict[str, float]:
         """Return the harm to each prompt that is read later."""
         known = self.forecast
         return {
-            one.key: harm_of_delay(one, done_ms, part_ms)
+            one.key: one.weight
+            * _added_lateness(
+                max(1, one.slack_ms),
+                done_ms,
+                done_ms + part_ms,
+                _SAFE_WAITING,
+            )
             for one, done_ms in zip(known.waiting, known.done_ms, strict=True)
         }
 
@@ -154,7 +157,8 @@
         before = known.pass_ms + known.queued_ms
         after = before + part_ms
         return self._base + sum(
-            one.weight * _harm_of_pause(one.pause_ms, before, after)
+            one.weight
+            * _added_lateness(one.pause_ms, before, after, _SAFE_PAUSE)
             for one in (*self.load.promises, *known.starting)
         )
 
@@ -168,30 +172,17 @@
         """
         cost = abs(GATHERED_WRITERS - self.load.requests) * _GATHERING_COST
         if pause_ms:
-            pause = (self.pass_ms + self.forecast.busy_ms) * _HALF
+            pause = (self.pass_ms + self.forecast.busy_ms) * _MEAN_PAUSE_PART
             cost += lateness(pause / pause_ms, _SAFE_PAUSE)
         return cost
 
 
-def harm_of_delay(unread: Unread, done_ms: float, part_ms: float) -> float:
-    """Return the harm to a prompt that is read later by a part.
-
-    Parameters
-    ----------
-    done_ms
-        When it would be read without the part, in milliseconds from now.
-    """
-    slack = max(1, unread.slack_ms)
-    before = lateness(done_ms / slack, _SAFE_WAITING)
-    after = lateness((done_ms + part_ms) / slack, _SAFE_WAITING)
-    return unread.weight * (after - before)
-
-
-def _harm_of_pause(
+def _added_lateness(
     promised_ms: float,
     before_ms: float,
     after_ms: float,
+    safe_part: float,
 ) -> float:
-    """Return the harm to a stream that pauses for longer."""
-    before = lateness(before_ms / promised_ms, _SAFE_PAUSE)
-    return lateness(after_ms / promised_ms, _SAFE_PAUSE) - before
+    """Return the loss when something takes longer against its promise."""
+    before = lateness(before_ms / promised_ms, safe_part)
+    return lateness(after_ms / promised_ms, safe_part) - before
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
@@ -61,7 +61,6 @@
         self,
         request_id: RequestId,
         endpoints: Iterable[EndpointId],
-        now: float,
     ) -> None:
         """Note that a request's prompt has been read."""
         for endpoint in endpoints:
@@ -74,7 +73,6 @@
         self,
         request_id: RequestId,
         endpoints: Iterable[EndpointId],
-        now: float,
     ) -> None:
         """Note that a request is over."""
         for endpoint in endpoints:
@@ -88,8 +86,7 @@
 
     def load(self, endpoint: EndpointId, now: float) -> EngineLoad:
         """Return what an engine has to do."""
-        work = self.own.get(endpoint)
-        total = EngineLoad() if work is None else work.load(now)
+        total = self._own_load(endpoint, now)
         for known in self.peers.values():
             said = known.loads.get(endpoint)
             age = now - known.at
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/pass_forecast.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/pass_forecast.py
@@ -32,8 +32,6 @@
 
     Attributes
     ----------
-    writes
-        Whether it writes, so that it reads in long passes.
     pass_ms
         Time of a pass in which nothing is read; 0 if it does not write.
     opens_ms
@@ -49,7 +47,6 @@
         Prompts whose answers begin with the next pass.
     """
 
-    writes: bool
     pass_ms: float = 0
     opens_ms: float = 0
     queued_ms: float = 0
@@ -57,12 +54,20 @@
     done_ms: tuple[float, ...] = ()
     starting: tuple[Unread, ...] = ()
 
+    @property
+    def writes(self) -> bool:
+        """Whether it writes, so that it reads in long passes."""
+        return self.pass_ms > 0
+
+    @property
+    def next_done_ms(self) -> float:
+        """Return when a prompt that takes no time would be read behind all."""
+        return self.opens_ms + self.pass_ms + self.queued_ms
+
     @property
     def busy_ms(self) -> float:
         """Return the time until all that was sent to it is read."""
-        if not self.waiting:
-            return self.opens_ms
-        return self.opens_ms + self.pass_ms + self.queued_ms
+        return self.next_done_ms if self.waiting else self.opens_ms
 
 
 def forecast(load: EngineLoad, costs: EngineCosts) -> PassForecast:
@@ -94,18 +99,15 @@
     if ends <= 0:
         # What the last pass took was read; none of it is still to begin.
         taken = []
-    opens = begins if left else max(ends, pass_ms * _HALF)
-    queued = _read_ms(left)
-    done = opens + pass_ms + queued
-    return PassForecast(
-        writes=True,
+    found = PassForecast(
         pass_ms=pass_ms,
-        opens_ms=opens,
-        queued_ms=queued,
+        opens_ms=begins if left else max(ends, pass_ms * _HALF),
+        queued_ms=_read_ms(left),
         waiting=tuple(left),
-        done_ms=(done,) * len(left),
         starting=tuple(filter(_is_answered_here, taken)),
     )
+    found.done_ms = (found.next_done_ms,) * len(left)
+    return found
 
 
 class _Reading(msgspec.Struct):
@@ -124,7 +126,6 @@
         queued += reading.left_ms
         done.append(queued)
     return PassForecast(
-        writes=False,
         queued_ms=queued,
         waiting=tuple(one.unread for one in readings),
         done_ms=tuple(done),
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
@@ -145,11 +145,11 @@
     if not planner.homes:
         return None
     read_ms = costs.read_ms(request.prompt_tokens)
-    if is_turn(costs, request.prompt_tokens):
-        plan = planner.alone(read_ms)
-        if plan is not None and plan.cost < _GOOD_ENOUGH:
-            return plan
-    return planner.best_split(read_ms)
+    alone = planner.alone(read_ms)
+    is_good = alone is not None and alone.cost < _GOOD_ENOUGH
+    if is_good and is_turn(costs, request.prompt_tokens):
+        return alone
+    return planner.best(read_ms, alone)
 
 
 class _Planner:
@@ -186,13 +186,19 @@
             cost=cost,
         )
 
-    def best_split(self, read_ms: float) -> ReadPlan | None:
-        """Return the best plan of all numbers of parts."""
+    def best(self, read_ms: float, alone: ReadPlan | None) -> ReadPlan | None:
+        """Return the best plan of all numbers of parts.
+
+        Parameters
+        ----------
+        alone
+            The plan of one part, if there is one.
+        """
         most = min(MOST_HELPERS + 1, len(self.engines))
         plans = [
             self._split(read_ms / parts, parts) for parts in range(2, most + 1)
         ]
-        plans.append(self.alone(read_ms))
+        plans.append(alone)
         found = [plan for plan in plans if plan is not None]
         return min(found, key=_cost_of, default=None)
 
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_loads.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_loads.py
@@ -24,10 +24,10 @@
     book = LoadBook()
     book.begin(REQUEST, {ENGINE: Assignment(read_ms=800)}, now=10)
     assert busy(book, 10.3) == 500
-    book.first_token(REQUEST, [ENGINE], now=10.5)
+    book.first_token(REQUEST, [ENGINE])
     assert not book.load(ENGINE, 10.5).unread
     assert book.load(ENGINE, 10.5).writers == 1
-    book.end(REQUEST, [ENGINE], now=11)
+    book.end(REQUEST, [ENGINE])
     assert book.load(ENGINE, 11) == EngineLoad()
 
 
@@ -80,6 +80,6 @@
     book.begin(REQUEST, {ENGINE: Assignment(read_ms=100)}, now=10)
     assert book.take_changed() == {ENGINE}
     assert book.take_changed() == set()
-    book.end(REQUEST, [ENGINE], now=11)
+    book.end(REQUEST, [ENGINE])
     told = book.shares(book.take_changed(), now=11)
     assert told == (EngineShare(ENGINE, EngineLoad()),)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
@@ -154,12 +154,11 @@
 
     def first_event(self, request_id: RequestId, placed: Placement) -> None:
         """Note that a prompt has been read."""
-        now = self.clock.monotonic()
-        self.book.first_token(request_id, placed.members, now)
+        self.book.first_token(request_id, placed.members)
 
     def end(self, request_id: RequestId, placed: Placement) -> None:
         """Note that an attempt is over."""
-        self.book.end(request_id, placed.members, self.clock.monotonic())
+        self.book.end(request_id, placed.members)
 
     def sent_something(self, endpoint: EndpointId) -> None:
         """Note a sign of life of an endpoint."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
@@ -74,7 +74,7 @@
             await asyncio.sleep(0.01)
         name = EndpointId('e2')
         dispatcher = entry.context.dispatcher
-        dispatcher.book.end(RequestId('long at e2'), [name], now=0)
+        dispatcher.book.end(RequestId('long at e2'), [name])
         answer = await asking
     assert answer.endswith(LAST_CHUNK)
     assert len(idle.requests) == 1
@@ -100,6 +100,6 @@
         if is_alive:
             dispatcher.sent_something(EndpointId('e1'))
         name = EndpointId('e2')
-        dispatcher.book.end(RequestId('long at e2'), [name], now=0)
+        dispatcher.book.end(RequestId('long at e2'), [name])
         await asking
     assert (EndpointId('e1') in dispatcher.streaks) is not is_alive
--- a/packages/sycamore-standins/src/sycamore_standins/passes/replay.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/replay.py
@@ -132,7 +132,6 @@
             self.books[request.entry].first_token,
             request.request_id,
             plan.members,
-            self.timeline.now,
         )
         self._event(answer, plan.home)
         self._wake(plan.home)
@@ -145,7 +144,7 @@
         self.engines[name].contexts.pop(request.request_id)
         book = self.books[request.entry]
         members = answer.plan.members
-        self._soon(book.end, request.request_id, members, answer.ended_at)
+        self._soon(book.end, request.request_id, members)
         if is_turn(COSTS, request.prompt_tokens):
             book.turns.ended(answer.ended_at - request.at)
 
