Note a plan's work in one place, for the entry and the replay

Cause: `Attempt` and the replay each built the assignments of a plan, field by field; `Placement` was a copy of `ReadPlan` with records in place of names; reservations looked up the tokens and the record of each engine again by name for every order; the time of an endpoint's last sign of life was read in two places.

Change: `assignments_of` serves both; a placement holds its plan; reservations keep pairs of record and tokens.

One figure differs: what peers are told as the weight of a call to a plain service is now computed like any other (0.5 in place of 1); nothing reads it, plain replicas are chosen by the number of calls.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -6,6 +6,7 @@
 what its peers say that they have there.
 """
 
+from .assignments import assignments_of
 from .attempts import AttemptEnd, AttemptLog, NextStep, next_step
 from .engine_harm import Candidate
 from .engine_work import Assignment, EngineWork
@@ -35,6 +36,7 @@
     'RetryAllowance',
     'Assignment',
     'TurnMeter',
+    'assignments_of',
     'choose_plain',
     'is_isolated',
     'is_turn',
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
@@ -2,17 +2,21 @@
 
 import asyncio
 
-from sycamore_core.decisions.direct import Assignment, AttemptEnd
+from sycamore_core.decisions.direct import (
+    Assignment,
+    AttemptEnd,
+    assignments_of,
+)
 from sycamore_core.ids import EndpointId
 
 from .channel import EndpointChannel
 from .errors import AttemptError
+from .placing import read_request
 from .relay import AnswerRelay
 from .reservations import Reservations
 from .silence import SilenceWatch
 from .wire import AnswerHead, Helper, OutgoingTerms
 
-_MS = 1000.0
 #: Ranks that an endpoint's queue knows.
 _LAST_RANK = 9
 #: Rank of an ordinary short turn, which is read before longer prompts.
@@ -67,7 +71,7 @@
         return error.end in {AttemptEnd.BROKEN, AttemptEnd.NOT_SENT}
 
     async def _run_reserved(self, relay: AnswerRelay) -> None:
-        if not self.placement.stored:
+        if not self.placement.plan.stored:
             await self._run_on_channel(relay, ())
             return
         reservations = Reservations(self.context, self.placement)
@@ -177,31 +181,9 @@
         return _LONG_RANK
 
     def _assignments(self) -> dict[EndpointId, Assignment]:
-        placement = self.placement
-        terms = self.call.terms
-        stored = dict(placement.stored)
-        tokens = terms.prompt_tokens + terms.answer_tokens
-        assignments = {
-            helper.endpoint: Assignment(
-                read_ms=placement.part_ms,
-                weight=placement.weight,
-                promised_at=self.call.objective_at,
-                is_ahead=True,
-                memory_tokens=stored.get(helper.endpoint, 0),
-                is_home=False,
-            )
-            for helper in placement.helpers
-        }
-        assignments[placement.home.endpoint] = Assignment(
-            read_ms=placement.part_ms,
-            weight=placement.weight,
-            promised_at=self.call.objective_at,
-            is_ahead=bool(placement.helpers),
-            context_tokens=terms.prompt_tokens,
-            memory_tokens=max(0, tokens - sum(stored.values())),
-            pause_ms=self.call.route.pause_objective * _MS,
-        )
-        return assignments
+        request = read_request(self.call, self._now())
+        plan = self.placement.plan
+        return assignments_of(plan, request, self.call.objective_at)
 
     def _now(self) -> float:
         return self.context.clock.monotonic()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
@@ -8,6 +8,7 @@
     Assignment,
     Candidate,
     LoadBook,
+    ReadPlan,
     ReadRequest,
     choose_plain,
     is_turn,
@@ -42,31 +43,17 @@
 
     Attributes
     ----------
+    plan
+        What was planned; of a plain service, its home alone.
     home
         Endpoint that gets the request.
     helpers
         Engines that read parts of the prompt.
-    stored
-        Tokens that helpers store, by endpoint.
-    part_ms, expected_ms
-        Estimates of a part's reading and of the first event.
-    cost, weight
-        Expected harm, and how many short turns the request counts for.
     """
 
+    plan: ReadPlan
     home: EndpointRecord
     helpers: tuple[EndpointRecord, ...] = ()
-    stored: tuple[tuple[EndpointId, int], ...] = ()
-    part_ms: float = 0
-    expected_ms: float = 0
-    cost: float = 0
-    weight: float = 1
-
-    @property
-    def members(self) -> tuple[EndpointId, ...]:
-        """Return all endpoints that take part."""
-        names = [one.endpoint for one in self.helpers]
-        return (self.home.endpoint, *names)
 
 
 class FailureStreak(msgspec.Struct):
@@ -121,13 +108,9 @@
         if plan is None:
             return None
         return Placement(
+            plan=plan,
             home=records[plan.home],
             helpers=tuple(records[name] for name in plan.helpers),
-            stored=plan.stored,
-            part_ms=plan.part_ms,
-            expected_ms=plan.expected_ms,
-            cost=plan.cost,
-            weight=request.weight,
         )
 
     def place_plain(
@@ -142,7 +125,9 @@
             tuple(records.values()),
             lambda name: self._calls(name, now),
         )
-        return None if chosen is None else Placement(home=chosen)
+        if chosen is None:
+            return None
+        return Placement(plan=ReadPlan(home=chosen.endpoint), home=chosen)
 
     def begin(
         self,
@@ -154,11 +139,11 @@
 
     def first_event(self, request_id: RequestId, placed: Placement) -> None:
         """Note that a prompt has been read."""
-        self.book.first_token(request_id, placed.members)
+        self.book.first_token(request_id, placed.plan.members)
 
     def end(self, request_id: RequestId, placed: Placement) -> None:
         """Note that an attempt is over."""
-        self.book.end(request_id, placed.members)
+        self.book.end(request_id, placed.plan.members)
 
     def sent_something(self, endpoint: EndpointId) -> None:
         """Note a sign of life of an endpoint."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/reservations.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/reservations.py
@@ -10,7 +10,6 @@
 import secrets
 
 from sycamore_core.decisions.direct import AttemptEnd
-from sycamore_core.ids import EndpointId
 from sycamore_core.routing import EndpointRecord
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
@@ -50,7 +49,7 @@
         self.placement = placement
         self.made: tuple[Helper, ...] = ()
         self._name = secrets.token_hex(_NAME_BYTES)
-        self._asked: list[EndpointRecord] = []
+        self._asked: list[tuple[EndpointRecord, int]] = []
         self._renewing: asyncio.Task[None] | None = None
 
     async def make(self) -> None:
@@ -62,14 +61,14 @@
             If an engine does not do so.
         """
         by_name = {one.endpoint: one for one in self.placement.helpers}
-        self._asked = [by_name[name] for name, _ in self.placement.stored]
-        answers = await asyncio.gather(
-            *(self._reserve(name) for name, _ in self.placement.stored),
-        )
-        if not all(answers):
+        self._asked = [
+            (by_name[name], tokens)
+            for name, tokens in self.placement.plan.stored
+        ]
+        if not all(await self._reserve_all()):
             raise AttemptError(AttemptEnd.NOT_SENT, 'memory not set aside')
         self.made = tuple(
-            Helper(record.address, self._name) for record in self._asked
+            Helper(record.address, self._name) for record, _ in self._asked
         )
         self._renewing = asyncio.create_task(self._renew())
 
@@ -78,23 +77,24 @@
         if self._renewing is not None:
             self._renewing.cancel()
         order = self.context.wire.release(self._name)
-        for record in self._asked:
+        for record, _ in self._asked:
             task = asyncio.create_task(self._release(record, order))
             self.context.background.add(task)
             task.add_done_callback(self.context.background.discard)
 
-    async def _reserve(self, endpoint: EndpointId) -> bool:
-        tokens = dict(self.placement.stored)[endpoint]
-        record = next(one for one in self._asked if one.endpoint == endpoint)
+    async def _reserve_all(self) -> list[bool]:
+        return await asyncio.gather(
+            *(self._reserve(record, tokens) for record, tokens in self._asked),
+        )
+
+    async def _reserve(self, record: EndpointRecord, tokens: int) -> bool:
         order = self.context.wire.reserve(self._name, tokens, HOLD_SECONDS)
         return await self._send(record, order) == _HTTP_OK
 
     async def _renew(self) -> None:
         while True:
             await asyncio.sleep(RENEW_SECONDS)
-            await asyncio.gather(
-                *(self._reserve(name) for name, _ in self.placement.stored),
-            )
+            await self._reserve_all()
 
     async def _release(self, record: EndpointRecord, order: Order) -> None:
         for _ in range(_RELEASE_TRIES):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/silence.py
@@ -75,9 +75,7 @@
     @property
     def is_endpoint_alive(self) -> bool:
         """Whether the endpoint has sent this entry anything meanwhile."""
-        home = self.placement.home.endpoint
-        alive_at = self.context.dispatcher.alive_at.get(home, 0)
-        return alive_at >= self.last_event_at
+        return self._alive_at >= self.last_event_at
 
     def event(self) -> bool:
         """Note that something came; return whether it was the first."""
@@ -118,7 +116,13 @@
             {self.placement.home.endpoint},
         )
         promised_ms = self.call.route.objective * _MS
-        return other is not None and other.expected_ms < promised_ms
+        return other is not None and other.plan.expected_ms < promised_ms
+
+    @property
+    def _alive_at(self) -> float:
+        """Return when the endpoint last sent this entry anything."""
+        home = self.placement.home.endpoint
+        return self.context.dispatcher.alive_at.get(home, 0)
 
     def _heard_at(self) -> float:
         """Return the last sign that the answer is on its way.
@@ -130,9 +134,7 @@
         is_plain = not self.call.route.kind.is_stream
         if self.has_event or self.is_turn or is_plain:
             return self.last_event_at
-        home = self.placement.home.endpoint
-        alive_at = self.context.dispatcher.alive_at.get(home, 0)
-        return max(self.last_event_at, alive_at)
+        return max(self.last_event_at, self._alive_at)
 
     def _patience(self) -> float:
         """Return for how long nothing may come, in seconds."""
@@ -148,7 +150,7 @@
 
     def _first_patience(self) -> float:
         """Return for how long the first event of a stream may take."""
-        expected = self.placement.expected_ms / _MS
+        expected = self.placement.plan.expected_ms / _MS
         if self.is_turn:
             return max(_TURN_PATIENCE, expected + _TURN_PATIENCE / 2)
         patience = expected * _FIRST_FACTOR + _FIRST_EXTRA
--- a/packages/sycamore-standins/src/sycamore_standins/passes/replay.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/replay.py
@@ -3,10 +3,10 @@
 from collections.abc import Callable
 
 from sycamore_core.decisions.direct import (
-    Assignment,
     LoadBook,
     ReadPlan,
     ReadRequest,
+    assignments_of,
     is_turn,
 )
 from sycamore_core.ids import EndpointId, RequestId
@@ -74,7 +74,9 @@
             return
         answer.plan = plan
         answer.unread_parts = len(plan.members)
-        book.begin(request.request_id, _assignments(request, plan), now)
+        promised_at = request.at + request.kind.objective_ms / _MS
+        work = assignments_of(plan, wanted, promised_at)
+        book.begin(request.request_id, work, now)
         self._soon(self._send, answer, plan)
 
     def _wait(self, answer: Answer) -> None:
@@ -162,35 +164,3 @@
         objective_ms=request.kind.objective_ms - waited_ms,
         pause_ms=request.kind.pause_ms,
     )
-
-
-def _assignments(
-    request: ReplayRequest,
-    plan: ReadPlan,
-) -> dict[EndpointId, Assignment]:
-    """Return what each member of a plan is noted to have."""
-    promised_at = request.at + request.kind.objective_ms / _MS
-    weight = _read_request(request, request.at).weight
-    stored = dict(plan.stored)
-    found = {
-        name: Assignment(
-            read_ms=plan.part_ms,
-            weight=weight,
-            promised_at=promised_at,
-            memory_tokens=stored.get(name, 0),
-            is_home=False,
-            is_ahead=True,
-        )
-        for name in plan.helpers
-    }
-    tokens = request.prompt_tokens + request.answer_tokens
-    found[plan.home] = Assignment(
-        read_ms=plan.part_ms,
-        weight=weight,
-        promised_at=promised_at,
-        context_tokens=request.prompt_tokens,
-        memory_tokens=max(0, tokens - sum(stored.values())),
-        pause_ms=request.kind.pause_ms,
-        is_ahead=bool(plan.helpers),
-    )
-    return found
