Keep the pace of updates and the cost of a tie in one place

Cause: the pace at which entries tell one another stood in the mesh and in the replay, "the same as in the forwarding entry"; the cost that tells equal engines apart in the dispatcher and in the replay's policy; the age at which a peer counts as gone in the mesh and, under another name, in the load book. The keeper noted that the platform was away beside the count of failures, with which it always changed. The replay's engine divided a pass into steps and multiplied them again; its report counted both kinds of lateness in three lists where two tell.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -8,10 +8,15 @@
 
 from .assignments import assignments_of
 from .attempts import AttemptEnd, AttemptLog, NextStep, next_step
-from .engine_harm import Candidate
+from .engine_harm import TIE_COST, Candidate
 from .engine_work import Assignment, EngineWork
 from .isolation import is_isolated
-from .load_book import LoadBook
+from .load_book import (
+    STALE_SECONDS,
+    TELL_SECONDS,
+    WHOLE_SECONDS,
+    LoadBook,
+)
 from .plain_choice import choose_plain
 from .pressure import Pressure, TurnMeter
 from .read_plan import (
@@ -23,6 +28,10 @@
 from .retry_allowance import AllowanceBounds, RetryAllowance
 
 __all__ = (
+    'STALE_SECONDS',
+    'TELL_SECONDS',
+    'TIE_COST',
+    'WHOLE_SECONDS',
     'AllowanceBounds',
     'AttemptEnd',
     'AttemptLog',
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_harm.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_harm.py
@@ -32,6 +32,9 @@
 #: busy engine waits, or has others wait. With 20 s, which only orders engines
 #: that are otherwise alike, replayed loads lose a hundredth of their worth.
 _BUSY_MS = 3000.0
+#: Largest difference by which equal engines are told apart, in broken
+#: promises, so that two entries choose different ones at the same moment.
+TIE_COST = 0.004
 #: Part of the memory that plans leave free, as answers vary in length.
 _MEMORY_RESERVE = 0.05
 #: Part of what an engine has to do for which the first pause of a new stream
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
@@ -14,6 +14,11 @@
 from .engine_work import Assignment, EngineWork
 from .pressure import Pressure, TurnMeter
 
+#: Least time between two updates of an entry, in seconds. Two short turns come
+#: to it within that at most, so that engines are seldom chosen twice.
+TELL_SECONDS = 0.02
+#: Time between two updates that name all of its work, in seconds.
+WHOLE_SECONDS = 1.0
 #: Age from which on a peer's update is not used, in seconds. A peer repeats its
 #: whole update every second; three missed in a row mean that it is gone or cut
 #: off, and its requests with it or soon over.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
@@ -5,6 +5,7 @@
 import msgspec
 from sycamore_core.clock import Clock
 from sycamore_core.decisions.direct import (
+    TIE_COST,
     Assignment,
     Candidate,
     LoadBook,
@@ -27,9 +28,6 @@
 #: Cost of an endpoint that failed lately, in broken promises: others are
 #: taken as long as any of them keeps its promises.
 _FAILED_COST = 3.0
-#: Largest difference by which equal engines are told apart, in broken
-#: promises, so that two entries choose different ones at the same moment.
-_TIE_COST = 0.004
 #: Calls by which a replica that failed lately seems busier than it is.
 _FAILED_CALLS = 6.0
 #: How long a failure keeps work away from an endpoint, in seconds: the first
@@ -195,7 +193,7 @@
         }
 
     def _penalty(self, endpoint: EndpointId, now: float) -> float:
-        tie = self._tie(endpoint) * _TIE_COST
+        tie = self._tie(endpoint) * TIE_COST
         return tie + _FAILED_COST if self._is_resting(endpoint, now) else tie
 
     def _calls(self, endpoint: EndpointId, now: float) -> float:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet.py
@@ -72,7 +72,6 @@
         self._left: deque[tuple[float, EndpointLifetime]] = deque()
         self._revision = Revision(0)
         self._failures = 0
-        self._was_away = False
 
     @property
     def is_away(self) -> bool:
@@ -158,7 +157,6 @@
         self._failures += 1
         if self._failures == 1:
             self.log.warning('platform_lost', reason=str(error))
-        self._was_away = True
         pause = FIRST_PAUSE * 2 ** min(self._failures - 1, 4)
         await asyncio.sleep(min(pause, LONGEST_PAUSE))
         if self._failures > 1:
@@ -170,7 +168,6 @@
         if self._failures:
             self.log.info('platform_regained', failures=self._failures)
         self._failures = 0
-        self._was_away = False
 
     def _take_snapshot(self, snapshot: FleetSnapshot) -> None:
         if snapshot.published is not None:
@@ -178,14 +175,14 @@
         self.directory.replace(
             snapshot.endpoints,
             self.clock.monotonic(),
-            after_outage=self._was_away,
+            after_outage=self.is_away,
         )
         self._revision = snapshot.revision
         self.log.info(
             'endpoints_listed',
             endpoints=len(snapshot.endpoints),
             revision=snapshot.revision,
-            after_outage=self._was_away,
+            after_outage=self.is_away,
         )
 
     def _take(self, change: Change) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
@@ -11,7 +11,12 @@
 from typing import Self
 
 from sycamore_core.clock import Clock
-from sycamore_core.decisions.direct import LoadBook
+from sycamore_core.decisions.direct import (
+    STALE_SECONDS,
+    TELL_SECONDS,
+    WHOLE_SECONDS,
+    LoadBook,
+)
 from sycamore_core.errors import TransportError
 from sycamore_core.ids import EndpointId, Incarnation, PeerId
 from sycamore_core.messages import (
@@ -27,16 +32,9 @@
 
 from .context import ForwardingContext
 
-#: Least time between two messages, in seconds. Two short turns an entry come
-#: within it at most, so that engines are seldom chosen twice.
-TELL_SECONDS = 0.02
-#: Time between two messages that name everything, in seconds.
-WHOLE_SECONDS = 1.0
 #: How long a peer may have a newer configuration before it is asked for it,
 #: in seconds. The platform shows a change within some ten milliseconds.
 BEHIND_SECONDS = 0.15
-#: A peer that was not heard for this long counts as gone, in seconds.
-HEARD_SECONDS = 3.2
 
 
 class EntryMesh:
@@ -203,7 +201,7 @@
 
     def _check_lost(self, now: float) -> None:
         for address, at in tuple(self.heard.items()):
-            if now - at > HEARD_SECONDS and address not in self._lost:
+            if now - at > STALE_SECONDS and address not in self._lost:
                 self._lose(address)
         alive = self.heard.keys() - self._lost
         self.context.entries = len(alive) + 1
--- a/packages/sycamore-standins/src/sycamore_standins/passes/engine.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/engine.py
@@ -97,21 +97,19 @@
         self.is_busy = bool(self.reading or self.contexts)
         if not self.is_busy:
             return None
-        step_ms = self.costs.step_ms
-        steps = 1
-        if self.contexts:
-            steps = self.costs.pass_steps
-            step_ms = self._writing_ms()
+        steps = self.costs.pass_steps if self.contexts else 1
         read_ms = sum(self._read_chunk() for _ in range(steps))
         done = tuple(part for part in self.reading if not part.left)
         self.reading = [part for part in self.reading if part.left]
-        ms = steps * step_ms + read_ms
+        ms = self._steps_ms() + read_ms
         return PassResult(ms, tuple(self.contexts), done)
 
-    def _writing_ms(self) -> float:
+    def _steps_ms(self) -> float:
+        """Return the time of a pass, what is read in it left aside."""
+        if not self.contexts:
+            return self.costs.step_ms
         context = sum(self.contexts.values())
-        passed = self.costs.pass_ms(len(self.contexts), context)
-        return passed / self.costs.pass_steps
+        return self.costs.pass_ms(len(self.contexts), context)
 
     def _read_chunk(self) -> float:
         """Read what fits into a step; return the time for it, in ms."""
--- a/packages/sycamore-standins/src/sycamore_standins/passes/gossip.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/gossip.py
@@ -2,7 +2,11 @@
 
 from collections.abc import Sequence
 
-from sycamore_core.decisions.direct import LoadBook
+from sycamore_core.decisions.direct import (
+    TELL_SECONDS,
+    WHOLE_SECONDS,
+    LoadBook,
+)
 from sycamore_core.ids import PeerId
 from sycamore_core.routing import EngineShare
 
@@ -10,10 +14,6 @@
 
 #: One way between an entry and an engine, or between entries, in seconds.
 NETWORK_SECONDS = 0.0015
-#: How often entries tell what changed, and how often all, in seconds; the
-#: same as in the forwarding entry.
-TELL_SECONDS = 0.02
-WHOLE_SECONDS = 1.0
 
 
 class Gossip:
--- a/packages/sycamore-standins/src/sycamore_standins/passes/policies.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/policies.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from sycamore_core.decisions.direct import (
+    TIE_COST,
     Candidate,
     LoadBook,
     ReadPlan,
@@ -15,9 +16,6 @@
 from sycamore_core.ids import EndpointId
 from sycamore_core.routing import EngineCosts
 
-#: Largest difference by which an entry tells equal engines apart.
-_TIE_COST = 0.004
-
 
 class Placed(msgspec.Struct, frozen=True):
     """A request that is to be placed, and what its entry knows."""
@@ -92,4 +90,4 @@
 
 
 def _tie(entry: int, name: EndpointId) -> float:
-    return stable_part(f'entry-{entry} {name}') * _TIE_COST
+    return stable_part(f'entry-{entry} {name}') * TIE_COST
--- a/packages/sycamore-standins/src/sycamore_standins/passes/results.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/results.py
@@ -63,14 +63,14 @@
     found = [one for one in answers if one.request.kind.name == name]
     whole = [one for one in found if one.is_whole]
     first_late = [one for one in whole if one.is_first_late]
-    pause_late = [one for one in whole if one.is_pause_late]
-    both = [one for one in first_late if one.is_pause_late]
+    in_time = [one for one in whole if not one.is_first_late]
+    pause_late = [one for one in in_time if one.is_pause_late]
     return KindReport(
         name=name,
         requests=len(found),
         share=_share(found),
         first_late=len(first_late),
-        pause_late=len(pause_late) - len(both),
+        pause_late=len(pause_late),
         left=len([one for one in found if one.has_left]),
     )
 
