Serve the balancer's and the operators' page by one class

Each now says only what it shows.

The headers are the same; their order on the metrics page is not.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
@@ -6,13 +6,9 @@
 from sycamore_core.states import PromptBand
 from sycamore_core.telemetry import Metrics
 from sycamore_core.telemetry.tallies import Tally
-from tornado.httputil import (
-    HTTPConnection,
-    HTTPHeaders,
-    HTTPMessageDelegate,
-    HTTPServerConnectionDelegate,
-    ResponseStartLine,
-)
+from tornado.httputil import ResponseStartLine
+
+from .operator_pages import OperatorPage, PageAnswer
 
 #: Bounds of the bands of prompts, in tokens: a chat turn, a briefing, what one
 #: engine reads within a few seconds, and what needs several.
@@ -24,6 +20,7 @@
 #: Times that are kept until the page is made.
 MOST_EARLY = 4096
 _OK = ResponseStartLine('HTTP/1.1', HTTPStatus.OK, 'OK')
+_TEXT = 'text/plain; version=0.0.4'
 
 
 class ForwardingMetrics:
@@ -70,42 +67,15 @@
         return self.load().page()
 
 
-class MetricsPage(HTTPServerConnectionDelegate):
+class MetricsPage(OperatorPage):
     """Answers every request with the page."""
 
     def __init__(self, metrics: ForwardingMetrics) -> None:
         self.metrics = metrics
 
-    def start_request(
-        self,
-        server_conn: object,
-        request_conn: HTTPConnection,
-    ) -> HTTPMessageDelegate:
-        """Return what answers the next request of a connection."""
-        return _Answer(self.metrics, request_conn)
-
-    def on_close(self, server_conn: object) -> None:
-        """Nothing is kept for a connection."""
-
-
-class _Answer(HTTPMessageDelegate):
-    def __init__(
-        self,
-        metrics: ForwardingMetrics,
-        connection: HTTPConnection,
-    ) -> None:
-        self.metrics = metrics
-        self.connection = connection
-
-    def finish(self) -> None:
-        """Answer the request."""
-        page = self.metrics.page()
-        headers = {
-            'Content-Type': 'text/plain; version=0.0.4',
-            'Content-Length': str(len(page)),
-        }
-        self.connection.write_headers(_OK, HTTPHeaders(headers), page)
-        self.connection.finish()
+    def show(self) -> PageAnswer:
+        """Return the answer."""
+        return PageAnswer(_OK, self.metrics.page(), _TEXT)
 
 
 def band_of(prompt_tokens: int) -> PromptBand:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/readiness.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/readiness.py
@@ -3,13 +3,9 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
-from tornado.httputil import (
-    HTTPConnection,
-    HTTPHeaders,
-    HTTPMessageDelegate,
-    HTTPServerConnectionDelegate,
-    ResponseStartLine,
-)
+from tornado.httputil import ResponseStartLine
+
+from .operator_pages import OperatorPage, PageAnswer
 
 _READY = ResponseStartLine(
     'HTTP/1.1',
@@ -23,7 +19,7 @@
 )
 
 
-class Readiness(HTTPServerConnectionDelegate):
+class Readiness(OperatorPage):
     """Answers every request by whether the entry is ready.
 
     Parameters
@@ -35,32 +31,6 @@
     def __init__(self, is_ready: Callable[[], bool]) -> None:
         self.is_ready = is_ready
 
-    def start_request(
-        self,
-        server_conn: object,
-        request_conn: HTTPConnection,
-    ) -> HTTPMessageDelegate:
-        """Return what answers the next request of a connection."""
-        return _Answer(self.is_ready, request_conn)
-
-    def on_close(self, server_conn: object) -> None:
-        """Nothing is kept for a connection."""
-
-
-class _Answer(HTTPMessageDelegate):
-    def __init__(
-        self,
-        is_ready: Callable[[], bool],
-        connection: HTTPConnection,
-    ) -> None:
-        self.is_ready = is_ready
-        self.connection = connection
-
-    def finish(self) -> None:
-        """Answer the request."""
-        start = _READY if self.is_ready() else _NOT_READY
-        self.connection.write_headers(
-            start,
-            HTTPHeaders({'Content-Length': '0'}),
-        )
-        self.connection.finish()
+    def show(self) -> PageAnswer:
+        """Return the answer."""
+        return PageAnswer(_READY if self.is_ready() else _NOT_READY)
