Dial peers anew after 0.2 s; tell a newcomer at once what there is

Cause: entries that lost their power come back within half a second of one another and dial addresses that are still dark. An entry that starts alone heard the others' work only with their next whole update, up to 1 s later.

--- a/packages/sycamore-core/src/sycamore_core/transport/node.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/node.py
@@ -157,6 +157,8 @@
     def _hand_on(self, parcel: Parcel) -> None:
         now = self.clock.monotonic()
         peer = self.peer(parcel.reply_to)
+        if parcel.incarnation != peer.ages.incarnation:
+            peer.heard_anew()
         age = peer.ages.observe(parcel.incarnation, parcel.sent_at, now)
         if age > MAX_PACKET_AGE:
             self.counts.stale += 1
--- a/packages/sycamore-core/src/sycamore_core/transport/peer.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/peer.py
@@ -4,12 +4,12 @@
 from collections import deque
 
 import msgspec
-import pynng
 
 from ..clock import Clock
 from ..messages import Message, PacketCodec
 from .ages import PacketAges
 from .counts import TransportCounts
+from .dialled import SEND_TIMEOUT_MS, DialledSocket
 
 #: Messages that may wait for one peer. Frames are bounded by their windows;
 #: this bounds the rest when a peer does not take its messages.
@@ -22,8 +22,16 @@
 #: A packet costs about 0.13 ms of processor time at each end, so one a token
 #: would use up a core at 7,500 tokens a second.
 FLUSH_SECONDS = 0.004
-#: A send to a peer that is not there waits at most this long.
-SEND_TIMEOUT_MS = 500
+#: Time after which an address that does not answer is dialled anew, in
+#: seconds: the first time and, growing by `REDIAL_GROWTH`, at most. Between
+#: instances in one region a connection is made within some milliseconds.
+FIRST_REDIAL = 0.2
+LONGEST_REDIAL = 1.0
+REDIAL_GROWTH = 1.5
+#: Pause after a connection has ended, in seconds, so that a peer which drops
+#: each one at once is not dialled without end.
+ENDED_PAUSE = 0.05
+_MS = 1000
 
 
 class Received(msgspec.Struct, frozen=True):
@@ -62,6 +70,7 @@
         self._outbox: deque[Message] = deque()
         self._wake = asyncio.Event()
         self._urgent = asyncio.Event()
+        self._dialled: DialledSocket | None = None
 
     def post(self, message: Message, *, urgent: bool = True) -> bool:
         """Queue a message for the peer.
@@ -106,14 +115,53 @@
         else:
             self._sent_at.append(sent_at)
 
+    def heard_anew(self) -> None:
+        """Note the first packet of a new incarnation of the peer.
+
+        A connection that was made before is given up, and so is an attempt
+        that hangs. What goes wrong otherwise: an instance that lost its power
+        answers nothing on its old connections, and what is sent on them is
+        lost until the kernel gives up, seconds after it is back.
+        """
+        is_known = self.ages.incarnation != 0
+        dialled = self._dialled
+        if dialled is not None and (is_known or not dialled.is_connected):
+            dialled.end()
+
     async def run(self) -> None:
-        """Send what is posted until cancelled."""
-        with pynng.Push0(send_timeout=SEND_TIMEOUT_MS) as socket:
-            socket.dial(self.address, block=False)
-            while True:
-                await self._wake.wait()
+        """Send what is posted until cancelled.
+
+        An address that does not answer is dialled anew. What goes wrong
+        otherwise: the kernel repeats an opening packet that was lost after a
+        second and more, so that peers that come back at nearly the same time
+        do not find one another for that long.
+        """
+        patience = FIRST_REDIAL
+        unreached: float = 0
+        while True:
+            with DialledSocket(self.address, self._wake) as dialled:
+                self._dialled = dialled
+                if await dialled.is_reached(patience):
+                    patience = FIRST_REDIAL
+                    unreached = 0
+                    await self._send_until_ended(dialled)
+                    await asyncio.sleep(ENDED_PAUSE)
+                    continue
+            unreached += patience
+            patience = min(LONGEST_REDIAL, patience * REDIAL_GROWTH)
+            if unreached * _MS >= SEND_TIMEOUT_MS:
+                self._drop_waiting()
+
+    async def _send_until_ended(self, dialled: DialledSocket) -> None:
+        while True:
+            await self._wake.wait()
+            if dialled.has_ended:
+                return
+            if self._outbox:
                 await self._wait_for_more()
-                await self._send_packet(socket)
+                await self._send_packet(dialled)
+            else:
+                self._wake.clear()
 
     async def _wait_for_more(self) -> None:
         if self._urgent.is_set():
@@ -124,12 +172,10 @@
         except TimeoutError:
             return
 
-    async def _send_packet(self, socket: pynng.Push0) -> None:
+    async def _send_packet(self, dialled: DialledSocket) -> None:
         messages = self._take()
         packet = self.codec.encode(messages, self.clock.monotonic())
-        try:
-            await socket.asend(packet)
-        except pynng.NNGException:
+        if not await dialled.send(packet):
             # The peer is gone or cut off. Every exchange above tolerates a
             # lost message, so the packet is dropped rather than kept.
             self.counts.lost_packets += 1
@@ -137,6 +183,12 @@
         self.counts.sent_packets += 1
         self.counts.sent_bytes += len(packet)
 
+    def _drop_waiting(self) -> None:
+        """Drop what waits for a peer that is not there."""
+        while self._outbox:
+            self._take()
+            self.counts.lost_packets += 1
+
     def _take(self) -> list[Message]:
         taken: list[Message] = []
         size = 0
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
@@ -8,8 +8,10 @@
 
 import asyncio
 import time
+from collections.abc import Iterable
 from typing import Self
 
+import msgspec
 from sycamore_core.clock import Clock
 from sycamore_core.decisions.direct import (
     STALE_SECONDS,
@@ -56,6 +58,7 @@
         self.log = Log('mesh')
         self._names: dict[str, PeerId] = {}
         self._lost: set[str] = set()
+        self._incarnations: dict[str, Incarnation] = {}
         self._next_whole: float = 0
         self._asked_for = 0
         self._told: tuple[object, ...] = ()
@@ -102,9 +105,9 @@
             if now >= self._next_whole or self._has_news():
                 self._next_whole = now + WHOLE_SECONDS
                 self._check_lost(now)
-                self._tell(tuple(self.book.own), now, is_whole=True)
+                self._tell(self._whole_update(now))
             elif changed:
-                self._tell(tuple(changed), now, is_whole=False)
+                self._tell(self._update(changed, now))
 
     async def serve(self, peer: Peer) -> None:
         """Take what one peer says, until cancelled."""
@@ -126,6 +129,7 @@
 
     def _hear(self, peer: Peer, update: LoadUpdate) -> None:
         now = self.clock.monotonic()
+        self._greet_newcomer(peer, now)
         name = PeerId(update.entry)
         self.book.hear(
             name,
@@ -171,29 +175,52 @@
         peer.post(pack(settings))
 
     def _meet(self, address: str) -> None:
-        if address != self.node.address.advertise:
-            self.node.peer(address)
+        own = self.node.address.advertise
+        if address == own or address in self.node.peers:
+            return
+        now = self.clock.monotonic()
+        self.node.peer(address).post(self._whole_update(now))
 
-    def _tell(
+    def _greet_newcomer(self, peer: Peer, now: float) -> None:
+        """Tell a peer that has started anew all that this entry has.
+
+        What goes wrong otherwise: it places by its own work alone until the
+        next update that names everything, and fills engines that are full.
+        """
+        incarnation = peer.ages.incarnation
+        if self._incarnations.get(peer.address) == incarnation:
+            return
+        self._incarnations[peer.address] = incarnation
+        peer.post(self._whole_update(now))
+
+    def _tell(self, update: LoadUpdate) -> None:
+        for peer in tuple(self.node.peers.values()):
+            peer.post(update)
+
+    def _whole_update(self, now: float) -> LoadUpdate:
+        """Return an update with all that this entry has and knows."""
+        return msgspec.structs.replace(
+            self._update(self.book.own, now),
+            is_whole=True,
+            peers=self._addresses,
+            leaving=self.keeper.leaving,
+        )
+
+    def _update(
         self,
-        endpoints: tuple[EndpointId, ...],
+        endpoints: Iterable[EndpointId],
         now: float,
-        *,
-        is_whole: bool,
-    ) -> None:
+    ) -> LoadUpdate:
+        """Return an update with what this entry has at some engines."""
         context = self.context
-        update = LoadUpdate(
+        return LoadUpdate(
             entry=context.entry,
             zone=context.settings.zone,
             settings_version=context.keeper.version,
-            is_whole=is_whole,
+            is_whole=False,
             shares=self.book.shares(endpoints, now),
-            peers=self._addresses if is_whole else (),
-            leaving=self.keeper.leaving if is_whole else (),
             turns_per_s=self.book.turns.rate(now),
         )
-        for peer in tuple(self.node.peers.values()):
-            peer.post(update)
 
     @property
     def _addresses(self) -> tuple[str, ...]:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_mesh.py
@@ -84,13 +84,13 @@
     return f'{HOST}:{port}'
 
 
-@contextlib.asynccontextmanager
-async def two_entries() -> AsyncIterator[list[ForwardingProcess]]:
-    addresses = [free_address(), free_address()]
+def entries(number: int) -> list[ForwardingProcess]:
+    """Return entries that know the first of them, not yet started."""
+    addresses = [free_address() for _ in range(number)]
     made = []
-    for number, address in enumerate(addresses):
+    for place, address in enumerate(addresses):
         settings = ForwardingSettings(
-            name=EntryId(f'entry-{number}'),
+            name=EntryId(f'entry-{place}'),
             zone=ZoneId('a'),
             callers='',
             ready='',
@@ -105,6 +105,12 @@
                 KEYS,
             ),
         )
+    return made
+
+
+@contextlib.asynccontextmanager
+async def two_entries() -> AsyncIterator[list[ForwardingProcess]]:
+    made = entries(2)
     for started in made:
         started.start_tasks()
     while any(one.context.entries < 2 for one in made):
@@ -163,3 +169,28 @@
                 await asyncio.sleep(0.005)
         unread = book.load(name, now()).unread[0]
         assert unread.read_ms - unread.waited_ms > 4000
+
+
+async def test_newcomer_is_told_at_once_what_the_others_have() -> None:
+    """An entry starts anew while the others have filled some engines.
+
+    Until it is told, it fills the same engines once more, and the callers of
+    both wait. The next update of all work is put off here for ten minutes.
+    """
+    first, second = entries(2)
+    first.start_tasks()
+    work = {ENDPOINT.endpoint: Assignment(read_ms=5000)}
+    first.context.dispatcher.begin(RequestId('r1'), work)
+    await asyncio.sleep(0.1)
+    later = first.context.clock.monotonic() + 600
+    vars(first.mesh)['_next_whole'] = later
+    first.context.dispatcher.book.take_changed()
+    second.start_tasks()
+    book = second.context.dispatcher.book
+    try:
+        async with asyncio.timeout(5):
+            while not book.load(ENDPOINT.endpoint, later).requests:
+                await asyncio.sleep(0.01)
+                later = second.context.clock.monotonic()
+    finally:
+        await asyncio.gather(first.close(), second.close())
