--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -26,6 +26,7 @@
     plan_read,
 )
 from .retry_allowance import AllowanceBounds, RetryAllowance
+from .return_times import CallerTime, after_start, spread
 
 __all__ = (
     'STALE_SECONDS',
@@ -35,6 +36,7 @@
     'AllowanceBounds',
     'AttemptEnd',
     'AttemptLog',
+    'CallerTime',
     'Candidate',
     'EngineWork',
     'LoadBook',
@@ -45,10 +47,12 @@
     'RetryAllowance',
     'Assignment',
     'TurnMeter',
+    'after_start',
     'assignments_of',
     'choose_plain',
     'is_isolated',
     'is_turn',
     'next_step',
     'plan_read',
+    'spread',
 )
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/return_times.py
@@ -0,0 +1,75 @@
+"""When a caller that is refused is told to come back.
+
+Load pattern: all entries start anew while the platform is away, or a burst
+fills all engines. Every caller of that time is refused, and each comes back
+once only.
+
+Without it: callers are told a constant of half a second, return together into
+the same outage or the same burst, are refused once more and lost. What is
+known of the reason tells better: an outage that has lasted for two seconds is
+likely to last for about as long again.
+
+The times are spread by the request's own number, so that callers which were
+refused together do not return together.
+"""
+
+import msgspec
+
+#: Part of the time that a caller has left after which it comes back at the
+#: latest: callers do not honour longer times, and need the rest to be served.
+_LARGEST_PART = 0.33
+#: Part of a time over which callers are spread, up and down.
+_SPREAD = 0.35
+#: Least expected rest of an outage of the platform, in seconds. A short one is
+#: not noticed by callers; of those that are, most last for several seconds.
+_LEAST_OUTAGE = 1.6
+
+
+class CallerTime(msgspec.Struct, frozen=True):
+    """What decides how long a caller may be sent away.
+
+    Attributes
+    ----------
+    left
+        Time until its own limit, in seconds.
+    number
+        Between 0 and 1, different for each request.
+    """
+
+    left: float
+    number: float
+
+
+def spread(seconds: float, caller: CallerTime) -> float:
+    """Return when a caller is to come back that others come back with.
+
+    Examples
+    --------
+    >>> spread(1, CallerTime(left=10, number=0.5))
+    1.0
+    >>> round(spread(60, CallerTime(left=9, number=1)), 2)
+    2.97
+    """
+    largest = caller.left * _LARGEST_PART
+    middle = min(seconds, largest / (1 + _SPREAD))
+    return middle * (1 + _SPREAD * (2 * caller.number - 1))
+
+
+def after_start(away_seconds: float, caller: CallerTime) -> float:
+    """Return when a caller of an entry that is not ready is to come back.
+
+    Parameters
+    ----------
+    away_seconds
+        For how long the platform has not answered the entry, as far as it
+        knows.
+
+    Examples
+    --------
+    >>> caller = CallerTime(left=10, number=0.5)
+    >>> after_start(0, caller)
+    1.6
+    >>> round(after_start(2.2, caller), 2)
+    2.2
+    """
+    return spread(max(_LEAST_OUTAGE, away_seconds), caller)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/admission.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/admission.py
@@ -1,5 +1,6 @@
 """Whether a request can be forwarded at all, and to which service."""
 
+from sycamore_core.decisions.direct import CallerTime, after_start
 from sycamore_core.hashes import stable_part
 from sycamore_core.ids import RequestId, ServiceId, WorkspaceId
 from sycamore_core.routing import Route, RoutingTable
@@ -8,11 +9,25 @@
 from .calls import AttemptCall
 from .context import ForwardingContext
 from .errors import WireError
+from .fleet import FleetKeeper
 from .refusals import Refusal, RefusalCause
 from .wire import CallTerms
 
+#: Time that a caller which names none is taken to have, in seconds, while no
+#: route is known.
+_UNKNOWN_PATIENCE = 3.0
+#: Part of its time, and most seconds, for which a request waits for the first
+#: list of endpoints of a process that has just started. The platform answers
+#: within some milliseconds, or, if it was away, when it is back; callers that
+#: found no process before have no other try left.
+_START_PART = 0.1
+_LONGEST_START = 1.0
 
-def admit(context: ForwardingContext, request: CallerRequest) -> AttemptCall:
+
+async def admit(
+    context: ForwardingContext,
+    request: CallerRequest,
+) -> AttemptCall:
     """Return what is to be forwarded.
 
     Raises
@@ -21,9 +36,12 @@
         If the request cannot be forwarded.
     """
     keeper = context.keeper
-    if keeper.table is None or not keeper.is_ready:
-        raise Refusal(RefusalCause.NOT_READY)
     terms = _read_terms(context, request)
+    if not keeper.is_ready:
+        patience = _patience_of(terms) * _START_PART
+        await keeper.wait_listed(min(patience, _LONGEST_START))
+    if keeper.table is None or not keeper.is_ready:
+        raise _not_ready(keeper, terms)
     route = keeper.table.match(request.host, request.path)
     if route is None:
         raise Refusal(RefusalCause.NO_ROUTE)
@@ -52,6 +70,20 @@
         raise Refusal(RefusalCause.BAD_REQUEST, str(error)) from error
 
 
+def _not_ready(keeper: FleetKeeper, terms: CallTerms) -> Refusal:
+    caller = CallerTime(_patience_of(terms), stable_part(terms.request_id))
+    away_seconds = keeper.away_seconds or 0
+    return Refusal(
+        RefusalCause.NOT_READY,
+        f'no list of endpoints for {away_seconds:.1f} s',
+        retry_after=after_start(away_seconds, caller),
+    )
+
+
+def _patience_of(terms: CallTerms) -> float:
+    return _UNKNOWN_PATIENCE if terms.patience is None else terms.patience
+
+
 def _workspace_of(
     table: RoutingTable,
     route: Route,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
@@ -84,7 +84,7 @@
 
     async def _serve(self) -> None:
         try:
-            call = admit(self.context, self.request)
+            call = await admit(self.context, self.request)
         except Refusal as refusal:
             await self._refuse(refusal)
             return
