Let one engine at most help with a short turn

Cause: where all engines seemed busy, a turn was split over up to eight of them, as parts go ahead of other prompts.

Ruled out: never to split a turn.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
@@ -43,9 +43,9 @@
 #: Cost of each engine that takes part, in broken promises: it breaks ties
 #: towards fewer engines, which leaves more of them undisturbed.
 _PART_COST = 0.015
-#: Harm below which a short prompt is read alone, in broken promises. Above
-#: it, parts are weighed as well: these are read ahead of long prompts that
-#: would hold the turn up.
+#: Harm up to which a short turn is read alone, in broken promises. Above it,
+#: one engine may help: halves are read ahead of long prompts that would hold
+#: the turn up.
 _GOOD_ENOUGH = 0.15
 #: Time that the network and the entry add to the first event, in ms.
 OVERHEAD_MS = 15.0
@@ -146,9 +146,8 @@
         return None
     read_ms = costs.read_ms(request.prompt_tokens)
     alone = planner.alone(read_ms)
-    is_good = alone is not None and alone.cost < _GOOD_ENOUGH
-    if is_good and is_turn(costs, request.prompt_tokens):
-        return alone
+    if is_turn(costs, request.prompt_tokens):
+        return planner.turn(read_ms, alone)
     return planner.best(read_ms, alone)
 
 
@@ -202,6 +201,15 @@
         found = [plan for plan in plans if plan is not None]
         return min(found, key=_cost_of, default=None)
 
+    def turn(self, read_ms: float, alone: ReadPlan | None) -> ReadPlan | None:
+        """Return the plan for a short turn, with one helper at most."""
+        if alone is None or alone.cost < _GOOD_ENOUGH:
+            return alone
+        halves = self._split(read_ms / 2, 2)
+        if halves is None:
+            return alone
+        return min(alone, halves, key=_cost_of)
+
     def _cost_alone(self, home: EngineHarm, read_ms: float) -> float:
         """Return the harm of a prompt that waits behind what there is."""
         cost = self._lateness(_expected((home,), read_ms))
