Send away prompts whose reading harms others more than it is worth

Change: a plan names the harm that others bear. A prompt whose harm exceeds its own weight, or a quarter of it if it would be late, is refused with a third of its caller's time as the time to come back.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -26,7 +26,8 @@
     plan_read,
 )
 from .retry_allowance import AllowanceBounds, RetryAllowance
-from .return_times import CallerTime, after_start, spread
+from .return_times import CallerTime, after_load, after_start, spread
+from .worth import is_worth_reading
 
 __all__ = (
     'STALE_SECONDS',
@@ -47,11 +48,13 @@
     'RetryAllowance',
     'Assignment',
     'TurnMeter',
+    'after_load',
     'after_start',
     'assignments_of',
     'choose_plain',
     'is_isolated',
     'is_turn',
+    'is_worth_reading',
     'next_step',
     'plan_read',
     'spread',
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
@@ -104,6 +104,8 @@
         the home engine's memory does not hold it.
     cost
         Expected harm, in broken promises of short turns.
+    harm
+        The part of it that others bear.
     """
 
     home: EndpointId
@@ -112,6 +114,7 @@
     expected_ms: float = 0
     stored: tuple[tuple[EndpointId, int], ...] = ()
     cost: float = 0
+    harm: float = 0
 
     @property
     def members(self) -> tuple[EndpointId, ...]:
@@ -178,11 +181,13 @@
         costs = [self._cost_alone(home, read_ms) for home in roomy]
         cost = min(costs)
         home = roomy[costs.index(cost)]
+        expected = _expected((home,), read_ms)
         return ReadPlan(
             home=home.endpoint,
             part_ms=read_ms,
-            expected_ms=_expected((home,), read_ms),
+            expected_ms=expected,
             cost=cost,
+            harm=cost - self._lateness(expected),
         )
 
     def best(self, read_ms: float, alone: ReadPlan | None) -> ReadPlan | None:
@@ -232,23 +237,23 @@
             return None
         members = (home, *helpers)
         expected = _expected(members, part_ms)
+        harm = self._harm_of_split(members, part_ms)
         return ReadPlan(
             home=home.endpoint,
             helpers=tuple(one.endpoint for one in helpers),
             part_ms=part_ms,
             expected_ms=expected,
             stored=stored,
-            cost=self._cost_split(members, part_ms, expected),
+            cost=self._lateness(expected) + harm,
+            harm=harm,
         )
 
-    def _cost_split(
+    def _harm_of_split(
         self,
         members: Sequence[EngineHarm],
         part_ms: float,
-        expected_ms: float,
     ) -> float:
-        cost = self._lateness(expected_ms)
-        cost += members[0].as_home(self.request.pause_ms)
+        cost = members[0].as_home(self.request.pause_ms)
         cost += sum(one.of_pauses(part_ms) for one in members)
         cost += _delay(members, part_ms) + self._crowding(members, part_ms)
         return cost + _PART_COST * (len(members) - 1)
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/return_times.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/return_times.py
@@ -73,3 +73,17 @@
     2.2
     """
     return spread(max(_LEAST_OUTAGE, away_seconds), caller)
+
+
+def after_load(caller: CallerTime) -> float:
+    """Return when the caller of a prompt that would harm others comes back.
+
+    Nothing tells when a burst ends; the longest time that callers honour
+    gives it most room.
+
+    Examples
+    --------
+    >>> round(after_load(CallerTime(left=15, number=1)), 2)
+    4.95
+    """
+    return spread(caller.left, caller)
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/worth.py
@@ -0,0 +1,39 @@
+"""Whether a long prompt is read now, or its caller comes back later.
+
+Load pattern: a prompt of several hundred thousand tokens comes while short
+turns fill most engines. Reading it takes a minute of engine time, however it
+is divided; wherever it is read, streams pause and turns find no slot.
+
+Without it: the prompt is spread over all engines at once, as this breaks the
+fewest promises of all ways to read it. It is late all the same, every answer
+beside it pauses for seconds, their callers leave and ask again, and the fleet
+needs ten seconds to recover.
+
+A prompt is read if that is worth more to its caller than what it takes from
+the others; both are counted in promises to short turns, as plans count them.
+A caller that is sent away comes back once the load may have changed.
+"""
+
+from .read_plan import ReadPlan, ReadRequest
+
+#: Worth of an answer whose first event is late against one in time. Operators
+#: give a quarter to a third of the worth for late answers.
+_LATE_PART = 0.25
+
+
+def is_worth_reading(plan: ReadPlan, request: ReadRequest) -> bool:
+    """Return whether a prompt is worth what its reading does to others.
+
+    Examples
+    --------
+    >>> request = ReadRequest(
+    ...     prompt_tokens=900_000, answer_tokens=900, objective_ms=3000,
+    ... )
+    >>> is_worth_reading(ReadPlan(home='e1', expected_ms=2000, harm=20), request)
+    True
+    >>> is_worth_reading(ReadPlan(home='e1', expected_ms=6000, harm=90), request)
+    False
+    """
+    is_late = plan.expected_ms > request.objective_ms
+    worth = request.weight * _LATE_PART if is_late else request.weight
+    return plan.harm <= worth
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/calls.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/calls.py
@@ -1,6 +1,8 @@
 """What is forwarded, whichever endpoint gets it."""
 
 import msgspec
+from sycamore_core.decisions.direct import CallerTime
+from sycamore_core.hashes import stable_part
 from sycamore_core.ids import RequestId, WorkspaceId
 from sycamore_core.routing import Route, ServiceRecord
 
@@ -27,6 +29,10 @@
     workspace: WorkspaceId | None
     limit: float
 
+    def caller_time(self, now: float) -> CallerTime:
+        """Return what decides how long its caller may be sent away."""
+        return CallerTime(self.limit - now, stable_part(self.request_id))
+
     @property
     def objective_at(self) -> float:
         """Return by when the answer, or its first event, was promised."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
@@ -3,7 +3,12 @@
 import asyncio
 from collections.abc import Iterable
 
-from sycamore_core.decisions.direct import ReadRequest
+from sycamore_core.decisions.direct import (
+    ReadRequest,
+    after_load,
+    is_turn,
+    is_worth_reading,
+)
 from sycamore_core.ids import EndpointId
 
 from .calls import AttemptCall
@@ -51,6 +56,7 @@
         while True:
             placement = self._place(excluded)
             if placement is not None:
+                self._check_worth(placement, excluded)
                 return placement
             if self._now() >= until or not self._others(excluded):
                 raise self._refusal(excluded)
@@ -69,6 +75,31 @@
             excluded,
         )
 
+    def _check_worth(
+        self,
+        placement: Placement,
+        excluded: Iterable[EndpointId],
+    ) -> None:
+        """Send away a prompt that takes more from others than it is worth.
+
+        One that was sent somewhere already goes on: what was read is lost
+        otherwise.
+        """
+        now = self._now()
+        request = read_request(self.call, now)
+        plan = placement.plan
+        costs = self.call.service.engine
+        if costs is None or is_turn(costs, request.prompt_tokens):
+            return
+        if any(excluded) or is_worth_reading(plan, request):
+            return
+        raise Refusal(
+            RefusalCause.HARMFUL,
+            f'harm {plan.harm:.1f}, weight {request.weight:.1f},'
+            f' expected {plan.expected_ms:.0f} ms',
+            retry_after=after_load(self.call.caller_time(now)),
+        )
+
     def _others(self, excluded: Iterable[EndpointId]) -> bool:
         """Return whether there are endpoints that were not tried."""
         directory = self.context.keeper.directory
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/refusals.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/refusals.py
@@ -18,6 +18,8 @@
     NO_ENDPOINT = 'no_endpoint'
     ENDPOINT_REFUSED = 'endpoint_refused'
     OVERLOADED = 'overloaded'
+    #: Reading the prompt now would take more from others than it is worth.
+    HARMFUL = 'harmful'
     TIME_LIMIT = 'time_limit'
 
 
