Always read prompts of up to half a second; give replayed engines slots

Besides, replayed engines took in any number of answers, so that a replay could not show what a slot that is taken twice costs.

Ruled out: to weigh returned callers in full (huge prompts would come back into the burst).

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/worth.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/worth.py
@@ -19,21 +19,38 @@
 #: Worth of an answer whose first event is late against one in time. Operators
 #: give a quarter to a third of the worth for late answers.
 _LATE_PART = 0.25
+#: Reading time up to which a prompt is always read, in milliseconds. Shorter
+#: ones harm about as many as they serve, and to weigh them against callers who
+#: are late already sends away whoever comes back after an outage.
+_ALWAYS_READ_MS = 500.0
 
 
-def is_worth_reading(plan: ReadPlan, request: ReadRequest) -> bool:
+def is_worth_reading(
+    plan: ReadPlan,
+    request: ReadRequest,
+    read_ms: float,
+) -> bool:
     """Return whether a prompt is worth what its reading does to others.
 
+    Parameters
+    ----------
+    read_ms
+        Time that one engine would need to read it alone.
+
     Examples
     --------
     >>> request = ReadRequest(
     ...     prompt_tokens=900_000, answer_tokens=900, objective_ms=3000,
     ... )
-    >>> is_worth_reading(ReadPlan(home='e1', expected_ms=2000, harm=20), request)
+    >>> soon = ReadPlan(home='e1', expected_ms=2000, harm=20)
+    >>> late = ReadPlan(home='e1', expected_ms=6000, harm=90)
+    >>> is_worth_reading(soon, request, read_ms=70_000)
     True
-    >>> is_worth_reading(ReadPlan(home='e1', expected_ms=6000, harm=90), request)
+    >>> is_worth_reading(late, request, read_ms=70_000)
     False
     """
+    if read_ms <= _ALWAYS_READ_MS:
+        return True
     is_late = plan.expected_ms > request.objective_ms
     worth = request.weight * _LATE_PART if is_late else request.weight
     return plan.harm <= worth
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
@@ -6,7 +6,6 @@
 from sycamore_core.decisions.direct import (
     ReadRequest,
     after_load,
-    is_turn,
     is_worth_reading,
 )
 from sycamore_core.ids import EndpointId
@@ -89,9 +88,10 @@
         request = read_request(self.call, now)
         plan = placement.plan
         costs = self.call.service.engine
-        if costs is None or is_turn(costs, request.prompt_tokens):
+        if costs is None or any(excluded):
             return
-        if any(excluded) or is_worth_reading(plan, request):
+        read_ms = costs.read_ms(request.prompt_tokens)
+        if is_worth_reading(plan, request, read_ms):
             return
         raise Refusal(
             RefusalCause.HARMFUL,
--- a/packages/sycamore-standins/src/sycamore_standins/passes/engine.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/engine.py
@@ -35,6 +35,8 @@
         Whether it is a part of a split prompt.
     order
         Grows with the order of arrival.
+    is_home
+        Whether the answer is written here; it then holds a slot.
     """
 
     request: RequestId
@@ -42,6 +44,7 @@
     mean_context: float
     is_ahead: bool
     order: int
+    is_home: bool = True
 
     @property
     def rank(self) -> tuple[bool, int]:
@@ -73,7 +76,7 @@
     Attributes
     ----------
     waiting
-        Parts that came during the pass that runs.
+        Parts that came during the pass that runs, or that find no slot.
     reading
         Parts that it has taken in.
     contexts
@@ -91,8 +94,7 @@
 
     def next_pass(self) -> PassResult | None:
         """Take in what waits and compute a pass; None if there is nothing."""
-        self.reading.extend(self.waiting)
-        self.waiting.clear()
+        self._take_in()
         self.reading.sort(key=_rank)
         self.is_busy = bool(self.reading or self.contexts)
         if not self.is_busy:
@@ -104,6 +106,19 @@
         ms = self._steps_ms() + read_ms
         return PassResult(ms, tuple(self.contexts), done)
 
+    def _take_in(self) -> None:
+        """Begin what waits; answers beyond the slots wait for an end."""
+        room = self.costs.slots - len(self.contexts)
+        room -= sum(part.is_home for part in self.reading)
+        left: list[Part] = []
+        for part in self.waiting:
+            if part.is_home and room <= 0:
+                left.append(part)
+                continue
+            room -= int(part.is_home)
+            self.reading.append(part)
+        self.waiting = left
+
     def _steps_ms(self) -> float:
         """Return the time of a pass, what is read in it left aside."""
         if not self.contexts:
--- a/packages/sycamore-standins/src/sycamore_standins/passes/replay.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/replay.py
@@ -101,6 +101,7 @@
                 mean_context=tokens / 2,
                 is_ahead=bool(plan.helpers),
                 order=self._parts,
+                is_home=name == plan.home,
             )
             self.engines[name].waiting.append(part)
             self._wake(name)
