Ask the only replica that is left once more; hand on its own failure

Ruled out: a repeat for what may run once only; a third run (the route's number of attempts holds); a repeat after a refusal, which the same endpoint would give once more.

Conclusion: kept: a look-up is asked for again where nobody else can answer, and a failure is told as the endpoint said it.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
@@ -41,6 +41,11 @@
         What became of the attempts so far.
     call
         What is forwarded; None if nothing can be.
+    excluded
+        Endpoints that are not tried again.
+    failed_at
+        Those of them that answered with a failure of their own: they are
+        tried again where there is no other.
     """
 
     def __init__(
@@ -54,6 +59,7 @@
         self.answer = answer
         self.attempts = AttemptLog()
         self.excluded: set[EndpointId] = set()
+        self.failed_at: set[EndpointId] = set()
         self.call: AttemptCall | None = None
         self.request_id = context.wire.request_id(request.headers)
         self.end = 'none'
@@ -109,7 +115,13 @@
             )
         is_over = False
         while not is_over:
-            placement = await placing.place(self.excluded)
+            try:
+                placement = await placing.place(self.excluded, self.failed_at)
+            except Refusal:
+                if relay.failure is None:
+                    raise
+                await self._hand_on_failure(relay)
+                return
             self.last_endpoint = placement.home.endpoint
             self._log_placement(call, placement)
             watch = SilenceWatch(
@@ -183,12 +195,15 @@
         if step == NextStep.REFUSE:
             raise Refusal(RefusalCause.ENDPOINT_REFUSED, error.detail)
         if step == NextStep.HAND_ON:
-            self.end = 'endpoint_failed'
-            await relay.hand_on_failure()
+            await self._hand_on_failure(relay)
             return True
         await self._fail()
         return True
 
+    async def _hand_on_failure(self, relay: AnswerRelay) -> None:
+        self.end = 'endpoint_failed'
+        await relay.hand_on_failure()
+
     def _exclude(self, attempt: Attempt, error: AttemptError) -> EndpointId:
         """Leave the endpoint at fault out of the next attempt; return it."""
         dispatcher = self.context.dispatcher
@@ -197,6 +212,8 @@
             named = dispatcher.endpoint_at(error.faulty_address)
             at_fault = named or at_fault
         self.excluded.add(at_fault)
+        if error.end == AttemptEnd.FAILED:
+            self.failed_at.add(at_fault)
         if error.faulty_address or attempt.shows_fault(error):
             dispatcher.failed(at_fault)
         return at_fault
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
@@ -1,7 +1,7 @@
 """Waits for a place for one request, for a moment, or refuses it."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 
 from sycamore_core.decisions.direct import (
     ReadRequest,
@@ -41,10 +41,20 @@
 
     async def place(
         self,
-        excluded: Iterable[EndpointId],
+        excluded: Set[EndpointId],
+        failed_at: Set[EndpointId] = frozenset(),
     ) -> Placement:
         """Return where to send the request.
 
+        Parameters
+        ----------
+        excluded
+            Endpoints that are left out.
+        failed_at
+            Those of them that are tried again where there is no other. What
+            goes wrong otherwise: one replica is left of three, it fails one
+            look-up in seven, and each of these is lost.
+
         Raises
         ------
         Refusal
@@ -52,6 +62,8 @@
         """
         until = self._now() + self.call.route.objective * _WAIT_PART
         until = min(until, self.call.limit)
+        if not self._others(excluded):
+            excluded = excluded - failed_at
         while True:
             placement = self._place(excluded)
             if placement is not None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_runs.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_runs.py
@@ -117,6 +117,37 @@
     assert answer.endswith(b'no such guest')
 
 
+async def test_failure_of_the_only_replica_that_is_left() -> None:
+    """Two of three replicas have left, and the third fails now and then.
+
+    A guest's look-up that it failed is asked for again there; given up, one
+    look-up in seven would be lost for as long as the others are away.
+    """
+    answers = iter((whole('busy', 500), whole('found')))
+
+    async def talk(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(next(answers))
+
+    async with entry_before(SAFE, RawEndpoint('e1', talk)) as entry:
+        answer = await entry.ask()
+    assert answer.endswith(b'found')
+
+
+async def test_failure_is_handed_on_where_nothing_else_can_be_tried() -> None:
+    """The only replica fails a look-up each time.
+
+    The guest is told what the replica said, not that nothing could be done.
+    """
+    endpoint = RawEndpoint('e1', saying(whole('no such guest', 500)))
+    async with entry_before(SAFE, endpoint) as entry:
+        answer = await entry.ask()
+    assert answer.startswith(b'HTTP/1.1 500')
+    assert runs(endpoint) == 2
+
+
 async def test_promise_of_an_endpoint_that_may_have_run_it() -> None:
     """A replica sheds a deposit without saying that it has not run it.
 
