Try: returned prompts wait for a moment in which they harm less

Hypothesis: a prompt that was sent away comes back with ten seconds left and is refused once more; if it waits in the entry for a moment in which its harm is below its worth, it is read as soon as the burst ends.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
@@ -25,6 +25,14 @@
 #: When callers come back to engines that are full, in seconds: about a third
 #: of the slots are free again after the third of an answer.
 _FULL_SECONDS = 0.5
+#: Part of the time limit below which a caller is taken to have come back, so
+#: that it will not come back again: its prompt waits for a moment in which it
+#: harms less, as long as more than the second part is left to read it.
+_LAST_CHANCE = 0.8
+_TOO_LATE = 0.3
+#: Time between two looks for such a moment, in seconds: a plan of 16 parts
+#: takes milliseconds of processor time, and streams end some times a second.
+_LOOK_AT_LOAD_SECONDS = 0.1
 _MS = 1000.0
 
 
@@ -60,18 +68,15 @@
         Refusal
             If there is no place, and none is expected in time.
         """
-        until = self._now() + self.call.route.objective * _WAIT_PART
-        until = min(until, self.call.limit)
         if not self._others(excluded):
-            excluded = excluded - failed_at
+            excluded = excluded.difference(failed_at)
+        began = self._now()
         while True:
             placement = self._place(excluded)
-            if placement is not None:
-                self._check_worth(placement, excluded)
+            refusal = self._why_not(placement, excluded)
+            if placement is not None and refusal is None:
                 return placement
-            if self._now() >= until or not self._others(excluded):
-                raise self._refusal(excluded)
-            await asyncio.sleep(_LOOK_SECONDS)
+            await self._wait_or_raise(refusal, began)
 
     def _place(self, excluded: Iterable[EndpointId]) -> Placement | None:
         dispatcher = self.context.dispatcher
@@ -86,39 +91,61 @@
             excluded,
         )
 
-    def _check_worth(
+    def _why_not(
         self,
-        placement: Placement,
-        excluded: Iterable[EndpointId],
-    ) -> None:
-        """Send away a prompt that takes more from others than it is worth.
+        placement: Placement | None,
+        excluded: Set[EndpointId],
+    ) -> Refusal | None:
+        """Return why a request is not sent where it was placed, if so.
 
-        One that was sent somewhere already goes on: what was read is lost
-        otherwise.
+        A prompt that was sent somewhere already goes on whatever it harms:
+        what was read is lost otherwise.
         """
+        if placement is None:
+            return self._no_place(excluded)
+        costs = self.call.service.engine
+        if costs is None or excluded:
+            return None
         now = self._now()
         request = read_request(self.call, now)
         plan = placement.plan
-        costs = self.call.service.engine
-        if costs is None or any(excluded):
-            return
         read_ms = costs.read_ms(request.prompt_tokens)
         if is_worth_reading(plan, request, read_ms):
-            return
-        raise Refusal(
+            return None
+        return Refusal(
             RefusalCause.HARMFUL,
             f'harm {plan.harm:.1f}, weight {request.weight:.1f},'
             f' expected {plan.expected_ms:.0f} ms',
             retry_after=after_load(self.call.caller_time(now)),
         )
 
+    async def _wait_or_raise(
+        self,
+        refusal: Refusal | None,
+        began: float,
+    ) -> None:
+        """Wait until it is looked for a place again, or refuse the request."""
+        assert refusal is not None
+        now = self._now()
+        if refusal.cause == RefusalCause.OVERLOADED:
+            until = began + self.call.route.objective * _WAIT_PART
+            if now < min(until, self.call.limit):
+                await asyncio.sleep(_LOOK_SECONDS)
+                return
+        if refusal.cause == RefusalCause.HARMFUL:
+            left = (self.call.limit - now) / self.call.route.time_limit
+            if _LAST_CHANCE > left > _TOO_LATE:
+                await asyncio.sleep(_LOOK_AT_LOAD_SECONDS)
+                return
+        raise refusal
+
     def _others(self, excluded: Iterable[EndpointId]) -> bool:
         """Return whether there are endpoints that were not tried."""
         directory = self.context.keeper.directory
         usable = directory.usable(self.call.service.service)
         return bool({one.endpoint for one in usable}.difference(excluded))
 
-    def _refusal(self, excluded: Iterable[EndpointId]) -> Refusal:
+    def _no_place(self, excluded: Set[EndpointId]) -> Refusal:
         directory = self.context.keeper.directory
         if not self._others(()):
             return Refusal(RefusalCause.NO_ENDPOINT)
