Tell refused callers a time that fits the reason

Cause: callers come back once, and were told 0.4 or 0.5 s whatever the reason. Those that found no slot came back before the answers of that moment had ended, those of a service without endpoints before registrations return (within two seconds), and all of them together.

Change: no slot: as long as a turn holds its slot (measured); no endpoint: as for an entry without a list; an endpoint's refusal: 0.4 s. All are spread by the request's id and stay within a third of the caller's time.

Ruled out: random spreads (decisions draw no random numbers).

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -26,7 +26,13 @@
     plan_read,
 )
 from .retry_allowance import AllowanceBounds, RetryAllowance
-from .return_times import CallerTime, after_load, after_start, spread
+from .return_times import (
+    CallerTime,
+    after_full,
+    after_load,
+    after_start,
+    spread,
+)
 from .worth import is_worth_reading
 
 __all__ = (
@@ -48,6 +54,7 @@
     'RetryAllowance',
     'Assignment',
     'TurnMeter',
+    'after_full',
     'after_load',
     'after_start',
     'assignments_of',
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/return_times.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/return_times.py
@@ -87,3 +87,20 @@
     4.95
     """
     return spread(caller.left, caller)
+
+
+def after_full(stay_seconds: float, caller: CallerTime) -> float:
+    """Return when a caller comes back to a fleet without a free slot.
+
+    Parameters
+    ----------
+    stay_seconds
+        For how long an answer keeps its slot: all that are kept now are free
+        again after it.
+
+    Examples
+    --------
+    >>> after_full(1.7, CallerTime(left=10, number=0.5))
+    1.7
+    """
+    return spread(stay_seconds, caller)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/admission.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/admission.py
@@ -39,7 +39,7 @@
     terms = _read_terms(context, request)
     if not keeper.is_ready:
         patience = _patience_of(terms) * _START_PART
-        await keeper.wait_listed(min(patience, _LONGEST_START))
+        await keeper.first_list.wait(min(patience, _LONGEST_START))
     if keeper.table is None or not keeper.is_ready:
         raise _not_ready(keeper, terms)
     route = keeper.table.match(request.host, request.path)
@@ -72,7 +72,7 @@
 
 def _not_ready(keeper: FleetKeeper, terms: CallTerms) -> Refusal:
     caller = CallerTime(_patience_of(terms), stable_part(terms.request_id))
-    away_seconds = keeper.away_seconds or 0
+    away_seconds = keeper.first_list.silent_seconds
     return Refusal(
         RefusalCause.NOT_READY,
         f'no list of endpoints for {away_seconds:.1f} s',
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
@@ -7,6 +7,7 @@
     AttemptLog,
     NextStep,
     next_step,
+    spread,
 )
 from sycamore_core.ids import EndpointId
 from tornado.httputil import HTTPHeaders
@@ -21,6 +22,7 @@
 from .placing import Placing
 from .refusals import (
     BAD_GATEWAY,
+    COME_BACK_SECONDS,
     GATEWAY_TIMEOUT,
     Refusal,
     RefusalCause,
@@ -115,12 +117,8 @@
             )
         is_over = False
         while not is_over:
-            try:
-                placement = await placing.place(self.excluded, self.failed_at)
-            except Refusal:
-                if relay.failure is None:
-                    raise
-                await self._hand_on_failure(relay)
+            placement = await self._place(placing, relay)
+            if placement is None:
                 return
             self.last_endpoint = placement.home.endpoint
             self._log_placement(call, placement)
@@ -141,6 +139,26 @@
                 self.end = 'answered'
                 is_over = True
 
+    async def _place(
+        self,
+        placing: Placing,
+        relay: AnswerRelay,
+    ) -> Placement | None:
+        """Return where to send the request; None if it is over.
+
+        Raises
+        ------
+        Refusal
+            If there is no place, and nobody has answered before.
+        """
+        try:
+            return await placing.place(self.excluded, self.failed_at)
+        except Refusal:
+            if relay.failure is None:
+                raise
+        await self._hand_on_failure(relay)
+        return None
+
     def _log_placement(
         self,
         call: AttemptCall,
@@ -193,7 +211,14 @@
             self.context.metrics.retries.add(error.end)
             return False
         if step == NextStep.REFUSE:
-            raise Refusal(RefusalCause.ENDPOINT_REFUSED, error.detail)
+            raise Refusal(
+                RefusalCause.ENDPOINT_REFUSED,
+                error.detail,
+                retry_after=spread(
+                    COME_BACK_SECONDS,
+                    call.caller_time(self._now()),
+                ),
+            )
         if step == NextStep.HAND_ON:
             await self._hand_on_failure(relay)
             return True
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet.py
@@ -32,6 +32,7 @@
     Revision,
     TableChanged,
 )
+from .first_list import FirstList
 
 #: How long a watch waits for a change, in seconds. A connection may fall
 #: silent for good, which only the end of this time shows; a change that was
@@ -42,12 +43,7 @@
 #: platform takes 2,000 reads a second from all entries together.
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 0.6
-#: Time after which an entry that has no list of endpoints asks once more,
-#: beside what it has asked already, in seconds. A platform that is slow
-#: answers within a quarter of a second; one that was silent and is back
-#: answers the next question, not the ones before.
-ASK_AGAIN_SECONDS = 0.25
-#: Pause of such an entry after a failed read, in seconds: all of its callers
+#: Pause of an entry without a list after a failed read, in seconds: its callers
 #: are refused meanwhile, and there are a few dozen entries at most.
 UNLISTED_PAUSE = 0.15
 #: How long peers are told of an endpoint that leaves, in seconds: three of
@@ -67,8 +63,8 @@
     confirmed_at
         When the platform was last known to have nothing newer, on the
         monotonic clock; None if it never was.
-    listed
-        Set once there are a configuration and endpoints.
+    first_list
+        Asks for the first list of endpoints.
     """
 
     def __init__(self, feed: FleetFeed, clock: Clock) -> None:
@@ -77,26 +73,18 @@
         self.table: RoutingTable | None = None
         self.directory = EndpointDirectory()
         self.confirmed_at: float | None = None
+        self.first_list = FirstList(feed, clock)
         self.log = Log('fleet')
         self.published: PublishedTable | None = None
         self._left: deque[tuple[float, EndpointLifetime]] = deque()
         self._revision = Revision(0)
         self._failures = 0
-        self._away_since: float | None = None
-        self.listed = asyncio.Event()
 
     @property
     def is_away(self) -> bool:
         """Whether the platform does not answer."""
         return self._failures > 0
 
-    @property
-    def away_seconds(self) -> float | None:
-        """Return for how long the platform has not answered, if it does not."""
-        if self._away_since is None:
-            return None
-        return self.clock.monotonic() - self._away_since
-
     @property
     def version(self) -> SettingsVersion:
         """Return the version in force, 0 before the first."""
@@ -122,15 +110,6 @@
             self._left.popleft()
         return tuple(lifetime for _, lifetime in self._left)
 
-    async def wait_listed(self, seconds: float) -> None:
-        """Wait until endpoints were listed, or the time has passed."""
-        try:
-            async with asyncio.timeout(seconds):
-                await self.listed.wait()
-        except TimeoutError:
-            # The caller finds out by `is_ready`.
-            return
-
     def offer_table(self, body: SettingsBody) -> None:
         """Take a peer's configuration if it is newer."""
         try:
@@ -173,53 +152,21 @@
     async def _read(self) -> None:
         started = self.clock.monotonic()
         if self._revision == 0:
-            read = self.feed.snapshot if self.is_ready else self._ask_first
+            read = self.feed.snapshot if self.is_ready else self.first_list.ask
             self._take_snapshot(await read())
         else:
             batch = await self.feed.changes(self._revision, WATCH_SECONDS)
             for change in batch.changes:
                 self._take(change)
             self._revision = max(self._revision, batch.revision)
-        if self.is_ready:
-            self.listed.set()
+        self.first_list.note_answer(is_ready=self.is_ready)
         self.confirmed_at = started
 
-    async def _ask_first(self) -> FleetSnapshot:
-        """Return what the platform has; ask again while it is silent.
-
-        What goes wrong otherwise: the platform is back, and an entry that
-        serves nobody still waits for the answer to what it asked before; its
-        callers are refused for up to a second more.
-        """
-        asked: set[asyncio.Task[FleetSnapshot]] = set()
-        answered: set[asyncio.Task[FleetSnapshot]] = set()
-        try:
-            while not answered:
-                asked.add(asyncio.create_task(self.feed.snapshot()))
-                answered, _ = await asyncio.wait(
-                    asked,
-                    timeout=ASK_AGAIN_SECONDS,
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-                if not answered:
-                    self._note_silence()
-            return answered.pop().result()
-        finally:
-            for task in asked:
-                task.cancel()
-            await asyncio.gather(*asked, return_exceptions=True)
-
-    def _note_silence(self) -> None:
-        """Note since when the platform has been silent."""
-        if self._away_since is None:
-            self._away_since = self.clock.monotonic() - ASK_AGAIN_SECONDS
-
     async def _pause(self, error: PlatformError) -> None:
         self._failures += 1
         if self._failures == 1:
             self.log.warning('platform_lost', reason=str(error))
-        if self._away_since is None:
-            self._away_since = self.clock.monotonic()
+        self.first_list.note_silence()
         if self.is_ready:
             pause = FIRST_PAUSE * 2 ** min(self._failures - 1, 4)
             await asyncio.sleep(min(pause, LONGEST_PAUSE))
@@ -234,7 +181,6 @@
         if self._failures:
             self.log.info('platform_regained', failures=self._failures)
         self._failures = 0
-        self._away_since = None
 
     def _take_snapshot(self, snapshot: FleetSnapshot) -> None:
         if snapshot.published is not None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
@@ -202,7 +202,7 @@
         return msgspec.structs.replace(
             self._update(self.book.own, now),
             is_whole=True,
-            peers=self._addresses,
+            peers=tuple(self.heard),
             leaving=self.keeper.leaving,
         )
 
@@ -222,10 +222,6 @@
             turns_per_s=self.book.turns.rate(now),
         )
 
-    @property
-    def _addresses(self) -> tuple[str, ...]:
-        return tuple(self.heard)
-
     def _check_lost(self, now: float) -> None:
         for address, at in tuple(self.heard.items()):
             if now - at > STALE_SECONDS and address not in self._lost:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
@@ -5,15 +5,18 @@
 
 from sycamore_core.decisions.direct import (
     ReadRequest,
+    after_full,
     after_load,
+    after_start,
     is_worth_reading,
+    spread,
 )
 from sycamore_core.ids import EndpointId
 
 from .calls import AttemptCall
 from .context import ForwardingContext
 from .dispatcher import Placement
-from .refusals import Refusal, RefusalCause
+from .refusals import COME_BACK_SECONDS, Refusal, RefusalCause
 
 #: Part of its objective for which a request waits for a free slot. A slot
 #: that frees within it still serves the request in time; beyond it, the
@@ -22,9 +25,6 @@
 #: Time between two looks for a slot, in seconds; slots free a few times a
 #: second on each engine.
 _LOOK_SECONDS = 0.012
-#: When callers come back to engines that are full, in seconds: about a third
-#: of the slots are free again after the third of an answer.
-_FULL_SECONDS = 0.5
 #: Part of the time limit below which a caller is taken to have come back, so
 #: that it will not come back again: its prompt waits for a moment in which it
 #: harms less, as long as more than the second part is left to read it.
@@ -50,7 +50,7 @@
     async def place(
         self,
         excluded: Set[EndpointId],
-        failed_at: Set[EndpointId] = frozenset(),
+        failed_at: Set[EndpointId],
     ) -> Placement:
         """Return where to send the request.
 
@@ -134,7 +134,7 @@
                 return
         if refusal.cause == RefusalCause.HARMFUL:
             left = (self.call.limit - now) / self.call.route.time_limit
-            if _LAST_CHANCE > left > _TOO_LATE:
+            if _TOO_LATE < left < _LAST_CHANCE:
                 await asyncio.sleep(_LOOK_AT_LOAD_SECONDS)
                 return
         raise refusal
@@ -146,16 +146,24 @@
         return bool({one.endpoint for one in usable}.difference(excluded))
 
     def _no_place(self, excluded: Set[EndpointId]) -> Refusal:
-        directory = self.context.keeper.directory
-        if not self._others(()):
-            return Refusal(RefusalCause.NO_ENDPOINT)
+        caller = self.call.caller_time(self._now())
+        if not self._others(frozenset()):
+            return Refusal(
+                RefusalCause.NO_ENDPOINT,
+                retry_after=after_start(0, caller),
+            )
         if not self._others(excluded):
-            return Refusal(RefusalCause.ENDPOINT_REFUSED)
+            return Refusal(
+                RefusalCause.ENDPOINT_REFUSED,
+                retry_after=spread(COME_BACK_SECONDS, caller),
+            )
+        directory = self.context.keeper.directory
         usable = directory.usable(self.call.service.service)
+        turns = self.context.dispatcher.book.turns
         return Refusal(
             RefusalCause.OVERLOADED,
-            f'no slot at {len(usable)} endpoints',
-            retry_after=_FULL_SECONDS,
+            f'no slot at {len(usable)} endpoints, kept for {turns.stay_seconds:.1f} s',
+            retry_after=after_full(turns.stay_seconds, caller),
         )
 
     def _now(self) -> float:
