--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
@@ -25,14 +25,6 @@
 #: Time between two looks for a slot, in seconds; slots free a few times a
 #: second on each engine.
 _LOOK_SECONDS = 0.012
-#: Part of the time limit below which a caller is taken to have come back, so
-#: that it will not come back again: its prompt waits for a moment in which it
-#: harms less, as long as more than the second part is left to read it.
-_LAST_CHANCE = 0.8
-_TOO_LATE = 0.3
-#: Time between two looks for such a moment, in seconds: a plan of 16 parts
-#: takes milliseconds of processor time, and streams end some times a second.
-_LOOK_AT_LOAD_SECONDS = 0.1
 _MS = 1000.0
 
 
@@ -132,11 +124,6 @@
             if now < min(until, self.call.limit):
                 await asyncio.sleep(_LOOK_SECONDS)
                 return
-        if refusal.cause == RefusalCause.HARMFUL:
-            left = (self.call.limit - now) / self.call.route.time_limit
-            if _TOO_LATE < left < _LAST_CHANCE:
-                await asyncio.sleep(_LOOK_AT_LOAD_SECONDS)
-                return
         raise refusal
 
     def _others(self, excluded: Iterable[EndpointId]) -> bool:
@@ -162,7 +149,7 @@
         turns = self.context.dispatcher.book.turns
         return Refusal(
             RefusalCause.OVERLOADED,
-            f'no slot at {len(usable)} endpoints, kept for {turns.stay_seconds:.1f} s',
+            f'no slot at {len(usable)} endpoints',
             retry_after=after_full(turns.stay_seconds, caller),
         )
 
