Tell waiting for a slot from weighing harm; share what tests build

Ruled out: any change of behaviour; the order of the looks is the same.

Conclusion: placing reads as place, else wait for a slot; the replay's policies inherit the plan.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
@@ -65,10 +65,10 @@
         began = self._now()
         while True:
             placement = self._place(excluded)
-            refusal = self._why_not(placement, excluded)
-            if placement is not None and refusal is None:
+            if placement is not None:
+                self._check_worth(placement, excluded)
                 return placement
-            await self._wait_or_raise(refusal, began)
+            await self._wait_for_slot(excluded, began)
 
     def _place(self, excluded: Iterable[EndpointId]) -> Placement | None:
         dispatcher = self.context.dispatcher
@@ -83,48 +83,44 @@
             excluded,
         )
 
-    def _why_not(
+    def _check_worth(
         self,
-        placement: Placement | None,
+        placement: Placement,
         excluded: Set[EndpointId],
-    ) -> Refusal | None:
-        """Return why a request is not sent where it was placed, if so.
+    ) -> None:
+        """Refuse a prompt that takes more from others than it is worth.
 
-        A prompt that was sent somewhere already goes on whatever it harms:
-        what was read is lost otherwise.
+        One that was sent somewhere already goes on whatever it harms: what
+        was read is lost otherwise.
         """
-        if placement is None:
-            return self._no_place(excluded)
         costs = self.call.service.engine
         if costs is None or excluded:
-            return None
+            return
         now = self._now()
         request = read_request(self.call, now)
         plan = placement.plan
         read_ms = costs.read_ms(request.prompt_tokens)
         if is_worth_reading(plan, request, read_ms):
-            return None
-        return Refusal(
+            return
+        raise Refusal(
             RefusalCause.HARMFUL,
             f'harm {plan.harm:.1f}, weight {request.weight:.1f},'
             f' expected {plan.expected_ms:.0f} ms',
             retry_after=after_load(self.call.caller_time(now)),
         )
 
-    async def _wait_or_raise(
+    async def _wait_for_slot(
         self,
-        refusal: Refusal | None,
+        excluded: Set[EndpointId],
         began: float,
     ) -> None:
-        """Wait until it is looked for a place again, or refuse the request."""
-        assert refusal is not None
-        now = self._now()
-        if refusal.cause == RefusalCause.OVERLOADED:
-            until = began + self.call.route.objective * _WAIT_PART
-            if now < min(until, self.call.limit):
-                await asyncio.sleep(_LOOK_SECONDS)
-                return
-        raise refusal
+        """Wait until it is looked for a slot again, or refuse the request."""
+        refusal = self._no_place(excluded)
+        until = began + self.call.route.objective * _WAIT_PART
+        is_over = self._now() >= min(until, self.call.limit)
+        if is_over or refusal.cause != RefusalCause.OVERLOADED:
+            raise refusal
+        await asyncio.sleep(_LOOK_SECONDS)
 
     def _others(self, excluded: Iterable[EndpointId]) -> bool:
         """Return whether there are endpoints that were not tried."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
@@ -299,6 +299,21 @@
     )
 
 
+ENDPOINT = EndpointRecord(
+    endpoint=EndpointId('e1'),
+    service=SERVICE,
+    host=HOST,
+    port=1,
+    zone=ZoneId('a'),
+    started_ms=5,
+)
+SNAPSHOT = FleetSnapshot(
+    Revision(1),
+    PublishedTable(table_of(route(RouteKind.SAFE)), b'3'),
+    (ENDPOINT,),
+)
+
+
 class TestEntry(RequestServer):
     """The caller's side of an entry."""
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_mesh.py
@@ -18,7 +18,7 @@
     ZoneId,
 )
 from sycamore_core.messages import PeerKeys
-from sycamore_core.routing import EndpointRecord, PublishedTable, RouteKind
+from sycamore_core.routing import PublishedTable, RouteKind
 
 from .. import mesh
 from ..feed import (
@@ -31,22 +31,17 @@
 )
 from ..process import ForwardingProcess
 from ..settings import ForwardingSettings
-from .builders import HOST, FixedFeed, SimpleWire, route, table_of
+from .builders import (
+    ENDPOINT,
+    HOST,
+    SNAPSHOT,
+    FixedFeed,
+    SimpleWire,
+    route,
+    table_of,
+)
 
 KEYS = PeerKeys({KeyId('k'): b'0123456789abcdef'}, KeyId('k'))
-ENDPOINT = EndpointRecord(
-    endpoint=EndpointId('e1'),
-    service=ServiceId('booking'),
-    host=HOST,
-    port=1,
-    zone=ZoneId('a'),
-    started_ms=5,
-)
-SNAPSHOT = FleetSnapshot(
-    Revision(1),
-    PublishedTable(table_of(route(RouteKind.SAFE)), b'3'),
-    (ENDPOINT,),
-)
 
 
 class MovingFeed(FixedFeed):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_start.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_start.py
@@ -4,26 +4,21 @@
 import re
 
 from sycamore_core.clock import SystemClock
-from sycamore_core.routing import PublishedTable, RouteKind
+from sycamore_core.routing import RouteKind
 
 from ..feed import ChangeBatch, EndpointChanged, FleetSnapshot, Revision
 from ..fleet import FleetKeeper
 from .builders import (
+    ENDPOINT,
+    SNAPSHOT,
     FixedFeed,
     RawEndpoint,
     entry_before,
     route,
     saying,
-    table_of,
     whole,
 )
-from .test_mesh import ENDPOINT
 
-SNAPSHOT = FleetSnapshot(
-    Revision(1),
-    PublishedTable(table_of(route(RouteKind.SAFE)), b'3'),
-    (ENDPOINT,),
-)
 CALLERS = 20
 
 
--- a/packages/sycamore-standins/src/sycamore_standins/passes/policies.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/policies.py
@@ -51,10 +51,10 @@
         return True
 
 
-class PlannedPolicy(Policy):
-    """The policy of the forwarding entry."""
+class AlwaysReadPolicy(Policy):
+    """Plans as the forwarding entry does; every prompt is read now."""
 
-    name = 'planned'
+    name = 'always'
 
     def place(
         self,
@@ -74,21 +74,11 @@
         pressure = placed.book.pressure(placed.now)
         return plan_read(placed.request, candidates, costs, pressure)
 
-    def admits(
-        self,
-        plan: ReadPlan,
-        request: ReadRequest,
-        costs: EngineCosts,
-    ) -> bool:
-        """Return whether it is worth what its reading does to others."""
-        read_ms = costs.read_ms(request.prompt_tokens)
-        return is_worth_reading(plan, request, read_ms)
-
 
-class AlwaysReadPolicy(PlannedPolicy):
-    """The same, but every prompt is read now, whatever it harms."""
+class PlannedPolicy(AlwaysReadPolicy):
+    """The policy of the forwarding entry."""
 
-    name = 'always'
+    name = 'planned'
 
     def admits(
         self,
@@ -96,8 +86,9 @@
         request: ReadRequest,
         costs: EngineCosts,
     ) -> bool:
-        """Return that it is read."""
-        return True
+        """Return whether it is worth what its reading does to others."""
+        read_ms = costs.read_ms(request.prompt_tokens)
+        return is_worth_reading(plan, request, read_ms)
 
 
 class NaivePolicy(Policy):
