Give the refusals of the forwarding entry an event of their own

Cause: request_refused is already the event of the entry with endpoint processes, with other fields; explain-request would have told it with question marks.

Ruled out: one event for both (they decide on different things).

--- a/packages/sycamore-core/src/sycamore_core/cli/request_log.py
+++ b/packages/sycamore-core/src/sycamore_core/cli/request_log.py
@@ -149,7 +149,7 @@
 _TEXTS: Mapping[str, Callable[[dict[str, str]], str]] = MappingProxyType(
     {
         'attempt_failed': _failure_text,
-        'request_refused': _refusal_text,
+        'forwarding_refused': _refusal_text,
         _END: _end_text,
     },
 )
--- a/packages/sycamore-core/src/sycamore_core/cli/tests/test_request_log.py
+++ b/packages/sycamore-core/src/sycamore_core/cli/tests/test_request_log.py
@@ -43,7 +43,7 @@
     it was refused.
     """
     refused = (
-        '{"time": "1", "event": "request_refused", "request_id": "q7",'
+        '{"time": "1", "event": "forwarding_refused", "request_id": "q7",'
         ' "cause": "harmful", "detail": "harm 90.0, weight 60.5",'
         ' "retry_after": 4.2, "settings_version": 9, "settings_age": 0.4,'
         ' "endpoints": 16, "entries": 5}'
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/decision_log.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/decision_log.py
@@ -41,7 +41,7 @@
         """Log why a request is refused, and what was known then."""
         keeper = self.context.keeper
         self.context.log.info(
-            'request_refused',
+            'forwarding_refused',
             request_id=request_id,
             cause=refusal.cause.value,
             detail=refusal.detail,
