Build an endpoint's refusal in one place; close dialled sockets by library

Cause: read once more as a whole: the refusal by endpoints with its spread time was built in two places, the dialled socket carried a context manager of its own, and a set typed as the abstract Set was asked for a method that only real sets have.

Ruled out: any change of behaviour; every time, order and text is the same.

Conclusion: one piece each.

--- a/packages/sycamore-core/src/sycamore_core/transport/dialled.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/dialled.py
@@ -2,8 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from types import TracebackType
-from typing import Self
 
 import pynng
 
@@ -38,16 +36,7 @@
         self._socket.add_post_pipe_remove_cb(self._on_remove)
         self._socket.dial(address, block=False)
 
-    def __enter__(self) -> Self:
-        """Return this socket."""
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
+    def close(self) -> None:
         """Close the socket."""
         self._socket.close()
 
--- a/packages/sycamore-core/src/sycamore_core/transport/peer.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/peer.py
@@ -1,6 +1,7 @@
 """One peer: what is waiting to be sent to it and what came from it."""
 
 import asyncio
+import contextlib
 from collections import deque
 
 import msgspec
@@ -139,8 +140,9 @@
         patience = FIRST_REDIAL
         unreached: float = 0
         while True:
-            with DialledSocket(self.address, self._wake) as dialled:
-                self._dialled = dialled
+            dialled = DialledSocket(self.address, self._wake)
+            self._dialled = dialled
+            with contextlib.closing(dialled):
                 if await dialled.is_reached(patience):
                     patience = FIRST_REDIAL
                     unreached = 0
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
@@ -7,7 +7,6 @@
     AttemptLog,
     NextStep,
     next_step,
-    spread,
 )
 from sycamore_core.ids import EndpointId
 from tornado.httputil import HTTPHeaders
@@ -23,7 +22,6 @@
 from .placing import Placing
 from .refusals import (
     BAD_GATEWAY,
-    COME_BACK_SECONDS,
     GATEWAY_TIMEOUT,
     Refusal,
     RefusalCause,
@@ -189,14 +187,8 @@
             self.context.metrics.retries.add(error.end)
             return False
         if step == NextStep.REFUSE:
-            raise Refusal(
-                RefusalCause.ENDPOINT_REFUSED,
-                error.detail,
-                retry_after=spread(
-                    COME_BACK_SECONDS,
-                    call.caller_time(self._now()),
-                ),
-            )
+            caller = call.caller_time(self._now())
+            raise Refusal.by_endpoint(caller, error.detail)
         if step == NextStep.HAND_ON:
             await self._hand_on_failure(relay)
             return True
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
@@ -9,14 +9,13 @@
     after_load,
     after_start,
     is_worth_reading,
-    spread,
 )
 from sycamore_core.ids import EndpointId
 
 from .calls import AttemptCall
 from .context import ForwardingContext
 from .dispatcher import Placement
-from .refusals import COME_BACK_SECONDS, Refusal, RefusalCause
+from .refusals import Refusal, RefusalCause
 
 #: Part of its objective for which a request waits for a free slot. A slot
 #: that frees within it still serves the request in time; beyond it, the
@@ -60,15 +59,15 @@
         Refusal
             If there is no place, and none is expected in time.
         """
-        if not self._others(excluded):
-            excluded = excluded.difference(failed_at)
+        has_others = self._others(excluded)
+        left_out = excluded if has_others else excluded - failed_at
         began = self._now()
         while True:
-            placement = self._place(excluded)
+            placement = self._place(left_out)
             if placement is not None:
-                self._check_worth(placement, excluded)
+                self._check_worth(placement, left_out)
                 return placement
-            await self._wait_for_slot(excluded, began)
+            await self._wait_for_slot(left_out, began)
 
     def _place(self, excluded: Iterable[EndpointId]) -> Placement | None:
         dispatcher = self.context.dispatcher
@@ -136,10 +135,7 @@
                 retry_after=after_start(0, caller),
             )
         if not self._others(excluded):
-            return Refusal(
-                RefusalCause.ENDPOINT_REFUSED,
-                retry_after=spread(COME_BACK_SECONDS, caller),
-            )
+            return Refusal.by_endpoint(caller)
         directory = self.context.keeper.directory
         usable = directory.usable(self.call.service.service)
         turns = self.context.dispatcher.book.turns
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/refusals.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/refusals.py
@@ -2,7 +2,9 @@
 
 import enum
 from types import MappingProxyType
+from typing import Self
 
+from sycamore_core.decisions.direct import CallerTime, spread
 from tornado.httputil import HTTPHeaders
 
 from .caller import CallerAnswer
@@ -61,6 +63,15 @@
         self.detail = detail
         self.retry_after = retry_after
 
+    @classmethod
+    def by_endpoint(cls, caller: CallerTime, detail: str = '') -> Self:
+        """Return the refusal that endpoints gave, or all that are left."""
+        return cls(
+            RefusalCause.ENDPOINT_REFUSED,
+            detail,
+            retry_after=spread(COME_BACK_SECONDS, caller),
+        )
+
 
 async def refuse(
     answer: CallerAnswer,
