Gather changes before the platform is asked again

A watch lasts as long as that time (4 s there, 2 s as before where the operator gives 2 s).

Ruled out: a second watch for the configuration alone (doubles the idle calls); reads that may be stale (their age is not told).

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
@@ -70,6 +70,7 @@
     def take_settings(self, settings: ForwardingSettings) -> None:
         """Take changed settings; addresses stay those of the start."""
         self.settings = settings
+        self.keeper.pace.change_seconds = settings.change_seconds
         for allowance in self.allowances.values():
             allowance.bounds = settings.allowance
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet.py
@@ -33,12 +33,8 @@
     TableChanged,
 )
 from .first_list import FirstList
+from .read_pace import ReadPace
 
-#: How long a watch waits for a change, in seconds. A connection may fall
-#: silent for good, which only the end of this time shows; a change that was
-#: missed must still be in force within two seconds of the next read. Each
-#: watch counts as a call, so that it is not shorter.
-WATCH_SECONDS = 2.0
 #: Pauses after failed reads, in seconds: the first and the longest. The
 #: platform takes 2,000 reads a second from all entries together.
 FIRST_PAUSE = 0.1
@@ -65,11 +61,19 @@
         monotonic clock; None if it never was.
     first_list
         Asks for the first list of endpoints.
+    pace
+        When the platform is asked again.
     """
 
-    def __init__(self, feed: FleetFeed, clock: Clock) -> None:
+    def __init__(
+        self,
+        feed: FleetFeed,
+        clock: Clock,
+        pace: ReadPace | None = None,
+    ) -> None:
         self.feed = feed
         self.clock = clock
+        self.pace = pace or ReadPace()
         self.table: RoutingTable | None = None
         self.directory = EndpointDirectory()
         self.confirmed_at: float | None = None
@@ -132,8 +136,9 @@
     async def run(self) -> None:
         """Read and watch the platform until cancelled."""
         while True:
+            has_changed = False
             try:
-                await self._read()
+                has_changed = await self._read()
             except HistoryLostError as error:
                 self.log.warning('history_lost', reason=str(error))
                 self._revision = Revision(0)
@@ -141,6 +146,8 @@
                 await self._pause(error)
             else:
                 self._recovered()
+            if has_changed:
+                await self.pace.gather()
 
     async def expire(self) -> None:
         """Drop registrations that did not come back, until cancelled."""
@@ -149,18 +156,27 @@
             for endpoint in self.directory.expire(self.clock.monotonic()):
                 self.log.info('endpoint_expired', endpoint=endpoint)
 
-    async def _read(self) -> None:
+    async def _read(self) -> bool:
+        """Read what there is, or what changes next; return whether it did."""
         started = self.clock.monotonic()
+        has_changed = False
         if self._revision == 0:
             read = self.feed.snapshot if self.is_ready else self.first_list.ask
             self._take_snapshot(await read())
         else:
-            batch = await self.feed.changes(self._revision, WATCH_SECONDS)
-            for change in batch.changes:
-                self._take(change)
-            self._revision = max(self._revision, batch.revision)
+            has_changed = await self._watch()
         self.first_list.note_answer(is_ready=self.is_ready)
         self.confirmed_at = started
+        return has_changed
+
+    async def _watch(self) -> bool:
+        """Wait for a first change; return whether one came."""
+        seconds = self.pace.change_seconds
+        batch = await self.feed.changes(self._revision, seconds)
+        for change in batch.changes:
+            self._take(change)
+        self._revision = max(self._revision, batch.revision)
+        return bool(batch.changes)
 
     async def _pause(self, error: PlatformError) -> None:
         self._failures += 1
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -27,6 +27,7 @@
 from .mesh import EntryMesh
 from .metrics import ForwardingMetrics, MetricsPage
 from .pool import ChannelPool
+from .read_pace import ReadPace
 from .readiness import Readiness
 from .settings import ForwardingSettings
 from .wire import WireFormat
@@ -93,7 +94,7 @@
         """
         settings = read_settings()
         clock = SystemClock()
-        keeper = FleetKeeper(feed, clock)
+        keeper = FleetKeeper(feed, clock, ReadPace(settings.change_seconds))
         context = ForwardingContext(
             settings=settings,
             clock=clock,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/settings.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/settings.py
@@ -4,6 +4,10 @@
 from sycamore_core.decisions.direct import AllowanceBounds
 from sycamore_core.ids import EntryId, ZoneId
 
+#: Time within which a change is in force where the operator names none, in
+#: seconds: callers who have lost a key or a route notice no less.
+CHANGE_SECONDS = 2.0
+
 
 class ForwardingSettings(msgspec.Struct, frozen=True, kw_only=True):
     """Addresses and bounds of one forwarding entry.
@@ -26,6 +30,9 @@
         The operator's bound on repeats.
     stop_seconds
         Time from the signal to stop until the process is killed.
+    change_seconds
+        Time within which a changed configuration, or an endpoint's leaving,
+        is to be in force.
     """
 
     name: EntryId
@@ -37,3 +44,4 @@
     seeds: tuple[str, ...] = ()
     allowance: AllowanceBounds = AllowanceBounds()
     stop_seconds: float = 8
+    change_seconds: float = CHANGE_SECONDS
