Leave long prompts in their cell unless their own promise is broken

What is known of those engines is a second old, and parts go ahead of what they read.

Change: turns look elsewhere at 0.15 as before, long prompts at 0.6.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/cells.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/cells.py
@@ -22,11 +22,17 @@
 from ...routing import EngineCosts
 from .engine_harm import Candidate
 from .load_book import LoadBook
-from .read_plan import ReadPlan, ReadRequest, plan_read
+from .read_plan import ReadPlan, ReadRequest, is_turn, plan_read
 
 #: Cost from which on the other cells are looked at, in parts of what the
-#: request's own promise is worth: below it nobody's promise is broken.
-_SPILL_PART = 0.15
+#: request's own promise is worth: for a short turn, below it nobody's promise
+#: is broken.
+_TURN_SPILL = 0.15
+#: The same for a long prompt: unless its own promise is as good as broken. Its
+#: parts go ahead of what engines read, so that what is not yet known of them
+#: breaks promises there. With the part of a turn, replayed loads of three
+#: cells lose a hundredth of their worth.
+_LONG_SPILL = 0.6
 #: Added to the cost of each engine of another cell, in broken promises: what
 #: is known of it is a second old, and turns by the dozen have come meanwhile.
 _FAR_COST = 0.05
@@ -94,7 +100,10 @@
         _candidate(one, book, now) for one in engines if view.owns(one.zone)
     ]
     plan = plan_read(request, near, costs, book.pressure(now))
-    if len(near) == len(engines) or _is_good(plan, request):
+    is_short = is_turn(costs, request.prompt_tokens)
+    spill = request.weight * (_TURN_SPILL if is_short else _LONG_SPILL)
+    is_good = plan is not None and plan.cost < spill
+    if is_good or len(near) == len(engines):
         return plan
     far = [
         _candidate(one, book, now, _FAR_COST)
@@ -120,7 +129,3 @@
         engine.penalty + distance_cost,
         engine.tie,
     )
-
-
-def _is_good(plan: ReadPlan | None, request: ReadRequest) -> bool:
-    return plan is not None and plan.cost < _SPILL_PART * request.weight
