--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/cells.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/cells.py
@@ -100,8 +100,7 @@
         _candidate(one, book, now) for one in engines if view.owns(one.zone)
     ]
     plan = plan_read(request, near, costs, book.pressure(now))
-    is_short = is_turn(costs, request.prompt_tokens)
-    spill = request.weight * (_TURN_SPILL if is_short else _LONG_SPILL)
+    spill = request.weight * _spill_part(request, costs)
     is_good = plan is not None and plan.cost < spill
     if is_good or len(near) == len(engines):
         return plan
@@ -129,3 +128,9 @@
         engine.penalty + distance_cost,
         engine.tie,
     )
+
+
+def _spill_part(request: ReadRequest, costs: EngineCosts) -> float:
+    if is_turn(costs, request.prompt_tokens):
+        return _TURN_SPILL
+    return _LONG_SPILL
