--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
@@ -132,6 +132,18 @@
             return found
         return self._near_load(endpoint, now)
 
+    def news_age(self, endpoint: EndpointId, now: float) -> float | None:
+        """Return the age of the oldest word that `load` rests on, in seconds.
+
+        None if nobody else has said anything of the engine.
+        """
+        total = self.totals.get(endpoint)
+        if total is not None and now - total.at < STALE_SECONDS:
+            return now - total.at
+        heard = self.heard.get(endpoint, _NOBODY).values()
+        ages = [now - one.at for one in heard]
+        return max(ages, default=None)
+
     def hear(
         self,
         peer: PeerId,
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_loads.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_loads.py
@@ -139,3 +139,13 @@
     assert load.requests == 6
     weights = {one.pause_ms: one.weight for one in load.promises}
     assert weights == {250: 4, 800: 2}
+
+
+def test_age_of_what_is_known_is_that_of_the_oldest_word() -> None:
+    book = LoadBook()
+    assert book.news_age(ENGINE, 10) is None
+    book.hear(PEER, [share(requests=1)], now=10, is_whole=False)
+    book.hear(PeerId('entry-3'), [share(requests=1)], now=11, is_whole=False)
+    assert book.news_age(ENGINE, 12) == 2
+    book.hear_cell(FAR, [share(requests=3)], now=11)
+    assert book.news_age(ENGINE, 12) == 1
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/decision_log.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/decision_log.py
@@ -18,13 +18,17 @@
         """Log where a request is sent."""
         keeper = self.context.keeper
         plan = placement.plan
-        left = call.objective_at - self.context.clock.monotonic()
+        now = self.context.clock.monotonic()
+        left = call.objective_at - now
+        age = self.context.dispatcher.book.news_age(plan.home, now)
         self.context.log.info(
             'request_placed',
             request_id=call.request_id,
             workspace=call.workspace,
             prompt_length=call.terms.prompt_tokens,
             endpoint=placement.home.endpoint,
+            zone=placement.home.zone,
+            news_age=None if age is None else round(age, 3),
             helpers=[one.endpoint for one in placement.helpers],
             stored=len(plan.stored),
             part_ms=round(plan.part_ms, 1),
