--- a/packages/sycamore-core/src/sycamore_core/messages/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/__init__.py
@@ -1,7 +1,7 @@
 """Messages between the processes, their codec and their signatures."""
 
 from .codec import PROTOCOL_VERSION, Packet, PacketCodec, Parcel
-from .entries import CellDigest, CellMembers, LoadUpdate
+from .entries import CellMembers, CellSummary, LoadUpdate
 from .frames import Ack, Close, Frame
 from .groups import (
     GroupAnswer,
@@ -34,7 +34,7 @@
     'Ack',
     'Attach',
     'Cancel',
-    'CellDigest',
+    'CellSummary',
     'CellMembers',
     'Close',
     'Declined',
--- a/packages/sycamore-core/src/sycamore_core/messages/entries.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/entries.py
@@ -47,7 +47,7 @@
     is_greeting: bool = False
 
 
-class CellDigest(BaseMessage, frozen=True):
+class CellSummary(BaseMessage, frozen=True):
     """What an entry knows of its cell, for an entry of another cell.
 
     Attributes
--- a/packages/sycamore-core/src/sycamore_core/messages/union.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/union.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from ..errors import CodecError
-from .entries import CellDigest, LoadUpdate
+from .entries import CellSummary, LoadUpdate
 from .frames import Ack, Frame
 from .groups import (
     GroupAnswer,
@@ -30,7 +30,7 @@
     Accepted | Attach | Cancel | Declined | Offer | RunReport | Withdraw
 )
 AnswerMessage = Ack | Frame | Reserve | Reserved
-EntryMessage = CellDigest | LoadUpdate
+EntryMessage = CellSummary | LoadUpdate
 PeerMessage = (
     EntryMessage | Heartbeat | LoadReport | SettingsBody | SettingsWanted
 )
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
@@ -21,8 +21,8 @@
 from sycamore_core.ids import Incarnation, PeerId
 from sycamore_core.membership import Membership
 from sycamore_core.messages import (
-    CellDigest,
     CellMembers,
+    CellSummary,
     LoadUpdate,
     Message,
     PacketCodec,
@@ -131,7 +131,7 @@
     def _take(self, peer: Peer, message: Message) -> None:
         if isinstance(message, LoadUpdate):
             self._hear(peer, message)
-        elif isinstance(message, CellDigest):
+        elif isinstance(message, CellSummary):
             self._hear_cell(peer, message)
         elif isinstance(message, SettingsWanted):
             self.settings.answer(peer, message)
@@ -169,24 +169,24 @@
         for cell in update.members:
             self._learn(cell, now)
 
-    def _hear_cell(self, peer: Peer, digest: CellDigest) -> None:
+    def _hear_cell(self, peer: Peer, summary: CellSummary) -> None:
         now = self.clock.monotonic()
-        self._note(peer, digest, now)
-        self.membership.vouch(digest.zone, digest.members, now)
-        if not self.membership.is_near(digest.zone):
+        self._note(peer, summary, now)
+        self.membership.vouch(summary.zone, summary.members, now)
+        if not self.membership.is_near(summary.zone):
             self.book.hear_cell(
-                digest.zone,
-                digest.shares,
+                summary.zone,
+                summary.shares,
                 now,
-                digest.turns_per_s,
+                summary.turns_per_s,
             )
-        for contact in digest.contacts:
+        for contact in summary.contacts:
             self._learn(contact, now)
 
     def _note(
         self,
         peer: Peer,
-        message: LoadUpdate | CellDigest,
+        message: LoadUpdate | CellSummary,
         now: float,
     ) -> None:
         """Note that a peer lives, and its news."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/news.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/news.py
@@ -6,7 +6,7 @@
 from sycamore_core.decisions.direct import LoadBook
 from sycamore_core.ids import EndpointId, ZoneId
 from sycamore_core.membership import Membership
-from sycamore_core.messages import CellDigest, CellMembers, LoadUpdate
+from sycamore_core.messages import CellMembers, CellSummary, LoadUpdate
 
 from .context import ForwardingContext
 
@@ -60,12 +60,12 @@
             members=cells,
         )
 
-    def digest(self, now: float) -> CellDigest:
+    def summary(self, now: float) -> CellSummary:
         """Return what the cell has, for an entry of another cell."""
         context = self.context
         zone = self.membership.zone
         own = self._living(zone)
-        return CellDigest(
+        return CellSummary(
             entry=context.entry,
             zone=zone,
             settings_version=context.keeper.version,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/telling.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/telling.py
@@ -39,7 +39,7 @@
         self._tell_owners(changed, now, is_whole=False)
 
     def everything(self, now: float) -> None:
-        """Tell the own cell what there is, and each other cell a digest."""
+        """Tell the own cell what there is, and each other cell a summary."""
         self._tell(self.news.whole(now), self.membership.near())
         self._tell_owners(self.news.book.own, now, is_whole=True)
         self._tell_cells(now)
@@ -53,11 +53,11 @@
         others = self.membership.other_zones
         if not others:
             return
-        digest = self.news.digest(now)
+        summary = self.news.summary(now)
         for zone in others:
             partner = self.membership.partner(zone, self._beat)
             if partner is not None:
-                self.node.peer(partner).post(digest)
+                self.node.peer(partner).post(summary)
 
     def _tell_owners(
         self,
@@ -70,7 +70,7 @@
 
         What goes wrong otherwise: an entry that finds its own cell full sends
         work to another cell, whose entries go on filling the same engines
-        until a digest has come round.
+        until a summary has come round.
         """
         for zone, abroad in self.news.by_owner(endpoints).items():
             told = msgspec.structs.replace(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_cells.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_cells.py
@@ -103,7 +103,7 @@
 async def test_work_sent_to_another_cell_is_known_there_at_once() -> None:
     """An entry finds its own cell full and sends turns to another one.
 
-    If the entries there learned of it from a digest only, they would fill
+    If the entries there learned of it from a summary only, they would fill
     the same engine for a second, and its turns would be late.
     """
     async with running(cells()) as (first, second, *_):
