--- a/benchmarks/forwarding_capacity.py
+++ b/benchmarks/forwarding_capacity.py
@@ -6,15 +6,16 @@
 
 import statistics
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import typer
 from sycamore_core.decisions.direct import (
     Assignment,
-    Candidate,
+    CellView,
+    KnownEngine,
     LoadBook,
     ReadRequest,
-    plan_read,
+    plan_in_cells,
 )
 from sycamore_core.ids import (
     EndpointId,
@@ -56,7 +57,10 @@
     pause_ms=1000,
 )
 PROMISE = PausePromise(pause_ms=250, weight=1)
-FLEETS = (20, 60, 200, 770)
+#: Engines of fleets that are one cell, and of those with several zones.
+ONE_CELL = (20, 60, 200, 770)
+IN_CELLS = (200, 770)
+ZONES = (5, 8)
 ROUNDS = 5
 CALLS = 40
 _MICRO = 1_000_000
@@ -83,11 +87,17 @@
     return book
 
 
-def place(book: LoadBook, engines: int, request: ReadRequest) -> None:
+def place(
+    book: LoadBook,
+    engines: Sequence[KnownEngine],
+    zones: int,
+    request: ReadRequest,
+) -> None:
     """Decide on one request as the dispatcher does."""
-    names = [EndpointId(f'e{number}') for number in range(engines)]
-    candidates = [Candidate(name, book.load(name, 1)) for name in names]
-    plan_read(request, candidates, COSTS, book.pressure(1))
+    names = [ZoneId(f'z{number}') for number in range(zones)]
+    cells = frozenset(names) if zones > 1 else frozenset()
+    view = CellView(zone=names[0], zones=cells)
+    plan_in_cells(request, engines, view, book, COSTS, 1)
 
 
 def update_of(shares: int) -> LoadUpdate:
@@ -108,9 +118,11 @@
 def main() -> None:
     """Print the table."""
     typer.echo('one decision, microseconds')
-    typer.echo('engines      turn      long')
-    for engines in FLEETS:
-        show_decision(engines)
+    typer.echo('engines  zones      turn      long')
+    for engines in ONE_CELL:
+        show_decision(engines, 1)
+    for engines, zones in zip(IN_CELLS, ZONES, strict=True):
+        show_decision(engines, zones)
     secret = PeerKeys({KeyId('k'): b'0123456789abcdef'}, KeyId('k'))
     codec = PacketCodec(secret, PeerId('entry-1'), Incarnation(1), 'tcp://a')
     typer.echo('one update: bytes, microseconds to write, to read and take')
@@ -118,12 +130,22 @@
         show_update(codec, shares)
 
 
-def show_decision(engines: int) -> None:
+def known_engine(number: int, zones: int) -> KnownEngine:
+    """Return one of the engines, which are dealt out to the zones."""
+    zone = number % zones
+    return KnownEngine(
+        endpoint=EndpointId(f'e{number}'),
+        zone=ZoneId(f'z{zone}'),
+    )
+
+
+def show_decision(engines: int, zones: int) -> None:
     """Print the row of one size of fleet."""
     book = book_of(engines)
-    turn = microseconds(lambda: place(book, engines, TURN))
-    long = microseconds(lambda: place(book, engines, LONG))
-    typer.echo(f'{engines:7} {turn:9.0f} {long:9.0f}')
+    known = [known_engine(number, zones) for number in range(engines)]
+    turn = microseconds(lambda: place(book, known, zones, TURN))
+    long = microseconds(lambda: place(book, known, zones, LONG))
+    typer.echo(f'{engines:7} {zones:6} {turn:9.0f} {long:9.0f}')
 
 
 def show_update(codec: PacketCodec, shares: int) -> None:
