--- a/benchmarks/forwarding_capacity.py
+++ b/benchmarks/forwarding_capacity.py
@@ -7,6 +7,7 @@
 import statistics
 import time
 from collections.abc import Callable, Sequence
+from functools import partial
 
 import typer
 from sycamore_core.decisions.direct import (
@@ -143,9 +144,12 @@
     """Print the row of one size of fleet."""
     book = book_of(engines)
     known = [known_engine(number, zones) for number in range(engines)]
-    turn = microseconds(lambda: place(book, known, zones, TURN))
-    long = microseconds(lambda: place(book, known, zones, LONG))
-    typer.echo(f'{engines:7} {zones:6} {turn:9.0f} {long:9.0f}')
+    times = [
+        microseconds(partial(place, book, known, zones, request))
+        for request in (TURN, LONG)
+    ]
+    shown = ' '.join(f'{one:9.0f}' for one in times)
+    typer.echo(f'{engines:7} {zones:6} {shown}')
 
 
 def show_update(codec: PacketCodec, shares: int) -> None:
