Keep a late prompt where it is when no repeat is left

Cause: each entry keeps to its part of the operator's bound on repeats, which at 68 entries is three and a fifth of its requests in ten seconds.

Ruled out: a larger part of the bound (it is the operator's); the same for plain calls and for streams that stop midway, where the endpoint is most likely dead and the caller may ask again.

Test: test_turn_is_not_taken_away_where_no_repeat_is_left fails before (the caller got a failure) and passes now.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/retry_allowance.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/retry_allowance.py
@@ -67,14 +67,18 @@
             Number of entries that share the bound. The most that were ever
             seen counts: those that cannot be seen now may still repeat.
         """
+        has_room = self.has_room(now, entries)
+        if has_room:
+            self.repeats.append(now)
+        return has_room
+
+    def has_room(self, now: float, entries: int) -> bool:
+        """Return whether a repeat would be allowed; see `take`."""
         self._forget(now)
         self.most_entries = max(self.most_entries, entries)
         slack = self.bounds.slack / self.most_entries
         most = slack + self.bounds.ratio * len(self.first_tries)
-        if len(self.repeats) + 1 > most * _USED_PART:
-            return False
-        self.repeats.append(now)
-        return True
+        return len(self.repeats) + 1 <= most * _USED_PART
 
     def _forget(self, now: float) -> None:
         begin = now - self.bounds.window
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/silence.py
@@ -93,11 +93,30 @@
         """
         while True:
             left = self._heard_at() + self._patience() - self._now()
-            if left <= 0 and self._is_better_elsewhere():
+            if left <= 0 and self._is_to_move():
                 channel.close()
                 return
             await asyncio.sleep(max(left, _LOOK_AGAIN))
 
+    def _is_to_move(self) -> bool:
+        return self._can_go_elsewhere() and self._is_better_elsewhere()
+
+    def _can_go_elsewhere(self) -> bool:
+        """Return whether the operator's bound leaves a repeat, if it matters.
+
+        What goes wrong otherwise: in a large fleet an entry's part of the
+        bound is three repeats and a fifth of its requests in ten seconds.
+        Once they are used up, a prompt that is taken from a late engine has
+        nowhere to go, and its caller loses an answer that was to come. Plain
+        calls, and streams that stop midway, are ended all the same: their
+        endpoints are most likely dead, and the caller may ask again.
+        """
+        service = self.call.service
+        if self.has_event or service.engine is None:
+            return True
+        allowance = self.context.allowance(service.service)
+        return allowance.has_room(self._now(), self.context.entries)
+
     def _is_better_elsewhere(self) -> bool:
         """Return whether another endpoint would answer sooner.
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from sycamore_core.decisions.direct import Assignment
+from sycamore_core.decisions.direct import AllowanceBounds, Assignment
 from sycamore_core.ids import EndpointId, RequestId
 from sycamore_core.routing import RouteKind
 
@@ -103,3 +103,25 @@
         dispatcher.book.end(RequestId('long at e2'), [name])
         await asking
     assert (EndpointId('e1') in dispatcher.streaks) is not is_alive
+
+
+async def test_turn_is_not_taken_away_where_no_repeat_is_left() -> None:
+    """An engine is late, and the entry has used up its part of the repeats.
+
+    Taken away all the same, the turn has nowhere to go: its caller is told
+    that it failed, while the answer was about to come.
+    """
+    late = RawEndpoint('e1', answer_late)
+    idle = RawEndpoint('e2', answer_at_once)
+    async with entry_before(STREAM, late, idle) as entry:
+        allowance = entry.context.allowance(MODEL)
+        allowance.bounds = AllowanceBounds(ratio=0, slack=0)
+        occupy(entry, 'e2')
+        asking = asyncio.create_task(entry.ask(Prompt='4000'))
+        while not late.requests:
+            await asyncio.sleep(0.01)
+        name = EndpointId('e2')
+        entry.context.dispatcher.book.end(RequestId('long at e2'), [name])
+        answer = await asking
+    assert answer.endswith(LAST_CHUNK)
+    assert not idle.requests
