Leave an endpoint alone when a peer has just lost a request there

Change: an update names up to six endpoints that rest after a failure; peers leave them alone for the shortest rest, unless they have heard them within a second. An entry for which more fail says nothing: it is most likely cut off itself. What is believed of failures moves from the dispatcher into a module without a clock.

Ruled out: the same rest for all (an entry with a bad link would keep all away from endpoints that are well).

Tests: test_failures.py, and test_mesh.py on loopback, which fails without the word.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -11,6 +11,7 @@
 from .cells import CellView, KnownEngine, plan_in_cells
 from .engine_harm import Candidate
 from .engine_work import Assignment, EngineWork
+from .failures import FailureBook
 from .isolation import is_isolated
 from .load_book import (
     STALE_SECONDS,
@@ -47,6 +48,7 @@
     'Candidate',
     'CellView',
     'EngineWork',
+    'FailureBook',
     'KnownEngine',
     'LoadBook',
     'NextStep',
--- a/packages/sycamore-core/src/sycamore_core/messages/entries.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/entries.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ..ids import EntryId, ZoneId
+from ..ids import EndpointId, EntryId, ZoneId
 from ..routing import EndpointLifetime, EngineShare
 from .base import BaseMessage
 
@@ -33,6 +33,8 @@
         Entries that it hears, by which a newcomer finds them all.
     is_greeting
         Whether the receiver is asked to say whom it knows.
+    failing
+        Endpoints at which attempts of this entry have just failed.
     """
 
     entry: EntryId
@@ -45,6 +47,7 @@
     turns_per_s: float = 0
     members: tuple[CellMembers, ...] = ()
     is_greeting: bool = False
+    failing: tuple[EndpointId, ...] = ()
 
 
 class CellSummary(BaseMessage, frozen=True):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
@@ -57,7 +57,7 @@
             await self._run_reserved(relay)
         finally:
             dispatcher.end(self.call.request_id, self.placement)
-        dispatcher.answered(self.placement.home.endpoint)
+        dispatcher.failures.answered(self.placement.home.endpoint)
         if self.watch.is_turn:
             dispatcher.turn_ended(self._now() - began)
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
@@ -7,6 +7,7 @@
 from sycamore_core.decisions.direct import (
     Assignment,
     CellView,
+    FailureBook,
     KnownEngine,
     LoadBook,
     ReadPlan,
@@ -30,10 +31,6 @@
 _FAILED_COST = 3.0
 #: Calls by which a replica that failed lately seems busier than it is.
 _FAILED_CALLS = 6.0
-#: How long a failure keeps work away from an endpoint, in seconds: the first
-#: time and, doubled each time in a row, at most.
-FIRST_REST = 0.4
-LONGEST_REST = 4.0
 
 
 class Placement(msgspec.Struct, frozen=True, kw_only=True):
@@ -54,13 +51,6 @@
     helpers: tuple[EndpointRecord, ...] = ()
 
 
-class FailureStreak(msgspec.Struct):
-    """Failures in a row of one endpoint."""
-
-    failures: int = 0
-    rests_until: float = 0
-
-
 class DirectDispatcher:
     """Places requests on endpoints.
 
@@ -70,9 +60,8 @@
         What is in progress where.
     cells
         Which engines are weighed first.
-    alive_at
-        When each endpoint last sent anything to this entry, on the monotonic
-        clock, in seconds.
+    failures
+        Which endpoints fail.
     """
 
     def __init__(
@@ -87,8 +76,7 @@
         self.clock = clock
         self.book = LoadBook()
         self.cells = CellView(zone=zone)
-        self.streaks: dict[EndpointId, FailureStreak] = {}
-        self.alive_at: dict[EndpointId, float] = {}
+        self.failures = FailureBook()
         self._ties: dict[EndpointId, float] = {}
 
     def place_model(
@@ -151,7 +139,7 @@
 
     def sent_something(self, endpoint: EndpointId) -> None:
         """Note a sign of life of an endpoint."""
-        self.alive_at[endpoint] = self.clock.monotonic()
+        self.failures.sent_something(endpoint, self.clock.monotonic())
 
     def turn_came(self, costs: EngineCosts, prompt_tokens: int) -> None:
         """Note the arrival of a request, which may be a short turn."""
@@ -162,21 +150,11 @@
         """Note for how long a short turn held its slot."""
         self.book.turns.ended(seconds)
 
-    def answered(self, endpoint: EndpointId) -> None:
-        """Note that an endpoint works."""
-        self.streaks.pop(endpoint, None)
-
     def failed(self, endpoint: EndpointId) -> None:
         """Note that an attempt at an endpoint broke."""
-        streak = self.streaks.setdefault(endpoint, FailureStreak())
-        rest = min(LONGEST_REST, FIRST_REST * 2**streak.failures)
-        streak.failures += 1
-        streak.rests_until = self.clock.monotonic() + rest
-
-    def is_doubtful(self, endpoint: EndpointId) -> bool:
-        """Return whether attempts at an endpoint failed one after another."""
-        streak = self.streaks.get(endpoint)
-        return streak is not None and streak.failures > 1
+        self.failures.failed(endpoint, self.clock.monotonic())
+        # Peers are told with what has changed there.
+        self.book.changed.add(endpoint)
 
     def endpoint_at(self, address: str) -> EndpointId | None:
         """Return the endpoint that has an address, if one is registered."""
@@ -200,7 +178,7 @@
 
     def _known(self, record: EndpointRecord, now: float) -> KnownEngine:
         endpoint = record.endpoint
-        is_resting = self._is_resting(endpoint, now)
+        is_resting = self.failures.is_resting(endpoint, now)
         return KnownEngine(
             endpoint=endpoint,
             zone=record.zone,
@@ -211,13 +189,11 @@
     def _calls(self, endpoint: EndpointId, now: float) -> float:
         calls = self.book.load(endpoint, now).requests + self._tie(endpoint)
         return (
-            calls + _FAILED_CALLS if self._is_resting(endpoint, now) else calls
+            calls + _FAILED_CALLS
+            if self.failures.is_resting(endpoint, now)
+            else calls
         )
 
-    def _is_resting(self, endpoint: EndpointId, now: float) -> bool:
-        streak = self.streaks.get(endpoint)
-        return streak is not None and now < streak.rests_until
-
     def _tie(self, endpoint: EndpointId) -> float:
         known = self._ties.get(endpoint)
         if known is None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
@@ -166,9 +166,19 @@
             is_whole=update.is_whole,
             turns_per_s=update.turns_per_s,
         )
+        self._hear_failing(update, now)
         for cell in update.members:
             self._learn(cell, now)
 
+    def _hear_failing(self, update: LoadUpdate, now: float) -> None:
+        failures = self.context.dispatcher.failures
+        for endpoint in failures.hear(update.failing, now):
+            self.log.info(
+                'endpoint_failing_by_peer',
+                endpoint=endpoint,
+                peer=update.entry,
+            )
+
     def _hear_cell(self, peer: Peer, summary: CellSummary) -> None:
         now = self.clock.monotonic()
         self._note(peer, summary, now)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/news.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/news.py
@@ -37,6 +37,7 @@
             is_whole=False,
             shares=self.book.shares(endpoints, now),
             turns_per_s=self.book.turns.rate(now),
+            failing=context.dispatcher.failures.to_tell(now),
         )
 
     def whole(self, now: float) -> LoadUpdate:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/silence.py
@@ -141,7 +141,8 @@
     def _alive_at(self) -> float:
         """Return when the endpoint last sent this entry anything."""
         home = self.placement.home.endpoint
-        return self.context.dispatcher.alive_at.get(home, 0)
+        failures = self.context.dispatcher.failures
+        return failures.alive_at.get(home, 0)
 
     def _heard_at(self) -> float:
         """Return the last sign that the answer is on its way.
@@ -174,7 +175,7 @@
             return max(_TURN_PATIENCE, expected + _TURN_PATIENCE / 2)
         patience = expected * _FIRST_FACTOR + _FIRST_EXTRA
         home = self.placement.home.endpoint
-        if self.context.dispatcher.is_doubtful(home):
+        if self.context.dispatcher.failures.is_doubtful(home):
             return patience
         return max(patience, self.call.route.time_limit * _LONG_PART)
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_mesh.py
@@ -88,3 +88,17 @@
                 await asyncio.sleep(0.01)
     finally:
         await asyncio.gather(first.close(), second.close())
+
+
+async def test_silent_endpoint_is_left_alone_by_word_of_a_peer() -> None:
+    """An endpoint falls silent, and one entry has lost a request there.
+
+    Without its word, each other entry would lose one there as well.
+    """
+    async with running(entries(2)) as (first, second):
+        first.context.dispatcher.failed(ENDPOINT.endpoint)
+        failures = second.context.dispatcher.failures
+        now = second.context.clock.monotonic
+        async with asyncio.timeout(5):
+            while not failures.is_resting(ENDPOINT.endpoint, now()):
+                await asyncio.sleep(0.01)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
@@ -102,7 +102,7 @@
         name = EndpointId('e2')
         dispatcher.book.end(RequestId('long at e2'), [name])
         await asking
-    assert (EndpointId('e1') in dispatcher.streaks) is not is_alive
+    assert (EndpointId('e1') in dispatcher.failures.streaks) is not is_alive
 
 
 async def test_turn_is_not_taken_away_where_no_repeat_is_left() -> None:
