Name all entries of a small fleet once a second, as before

A fleet that is one cell named only the entries of a zone in its repeated updates; whoever missed an introduction found the others later than before.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/news.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/news.py
@@ -45,20 +45,16 @@
         return msgspec.structs.replace(
             self.changes(self.book.own, now),
             is_whole=True,
-            members=(self._living(self.membership.zone),),
+            members=self._all_living(own_cell=True),
             leaving=self.context.keeper.leaving,
         )
 
     def introduction(self, now: float) -> LoadUpdate:
         """Return an update that names all entries, for a newcomer."""
-        zones = {one.zone for one in self.membership.members.values()}
-        zones.add(self.membership.zone)
-        cells = tuple(self._living(zone) for zone in sorted(zones))
-        addresses = tuple(self.membership.members)
         return msgspec.structs.replace(
             self.whole(now),
-            peers=addresses,
-            members=cells,
+            peers=tuple(self.membership.members),
+            members=self._all_living(own_cell=False),
         )
 
     def summary(self, now: float) -> CellSummary:
@@ -98,6 +94,14 @@
         record = self.context.keeper.directory.find(endpoint)
         return None if record is None else record.zone
 
+    def _all_living(self, *, own_cell: bool) -> tuple[CellMembers, ...]:
+        """Return the living entries by zone, of the own cell or of all."""
+        known = self.membership
+        zones = {one.zone for one in known.members.values()}
+        if own_cell:
+            zones = {zone for zone in zones if known.is_near(zone)}
+        return tuple(self._living(zone) for zone in sorted(zones))
+
     def _living(self, zone: ZoneId) -> CellMembers:
         return CellMembers(zone, tuple(self.membership.living_in(zone)))
 
