--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
@@ -40,7 +40,7 @@
     at: float
 
 
-class PeerNews(msgspec.Struct):
+class PeerRecord(msgspec.Struct):
     """When a peer was heard last, and at which engines it has work."""
 
     at: float
@@ -48,7 +48,7 @@
     engines: set[EndpointId] = msgspec.field(default_factory=set)
 
 
-class CellNews(msgspec.Struct, frozen=True):
+class CellRecord(msgspec.Struct, frozen=True):
     """When another cell was heard last, its turns and its busy engines."""
 
     at: float
@@ -76,10 +76,10 @@
 
     def __init__(self) -> None:
         self.own: dict[EndpointId, EngineWork] = {}
-        self.peers: dict[PeerId, PeerNews] = {}
+        self.peers: dict[PeerId, PeerRecord] = {}
         self.heard: dict[EndpointId, dict[PeerId, HeardLoad]] = {}
         self.totals: dict[EndpointId, HeardLoad] = {}
-        self.cells: dict[ZoneId, CellNews] = {}
+        self.cells: dict[ZoneId, CellRecord] = {}
         self.changed: set[EndpointId] = set()
         self.turns = TurnMeter()
 
@@ -164,7 +164,7 @@
         """
         if is_whole:
             self.forget(peer)
-        news = self.peers.setdefault(peer, PeerNews(now))
+        news = self.peers.setdefault(peer, PeerRecord(now))
         news.at = now
         news.turns_per_s = turns_per_s
         for share in shares:
@@ -186,12 +186,12 @@
         turns_per_s
             Short turns that arrive in that cell.
         """
-        known = self.cells.get(zone, CellNews(now))
+        known = self.cells.get(zone, CellRecord(now))
         busy = {share.endpoint: HeardLoad(share.load, now) for share in shares}
         for endpoint in known.engines:
             self.totals.pop(endpoint, None)
         self.totals.update(busy)
-        self.cells[zone] = CellNews(now, turns_per_s, frozenset(busy))
+        self.cells[zone] = CellRecord(now, turns_per_s, frozenset(busy))
 
     def pressure(self, now: float, *, everywhere: bool = False) -> Pressure:
         """Return the short turns that are to be expected.
@@ -201,7 +201,7 @@
         everywhere
             Whether to count those of other cells as well.
         """
-        sources: list[PeerNews | CellNews] = list(self.peers.values())
+        sources: list[PeerRecord | CellRecord] = list(self.peers.values())
         if everywhere:
             sources.extend(self.cells.values())
         heard = [
@@ -269,7 +269,7 @@
     def _put(
         self,
         peer: PeerId,
-        news: PeerNews,
+        news: PeerRecord,
         share: EngineShare,
         now: float,
     ) -> None:
--- a/packages/sycamore-core/src/sycamore_core/membership/members.py
+++ b/packages/sycamore-core/src/sycamore_core/membership/members.py
@@ -101,11 +101,7 @@
 
     def living_in(self, zone: ZoneId) -> list[str]:
         """Return the living members of a zone, this entry left out."""
-        return sorted(
-            one.address
-            for one in self.members.values()
-            if one.zone == zone and one.is_living
-        )
+        return self._addresses(zone, MemberState.LIVING)
 
     def partner(self, zone: ZoneId, beat: int) -> str | None:
         """Return whom of another cell to tell on a beat.
@@ -117,7 +113,11 @@
         the word of a third would never meet; so have those of a cell that is
         lost as a whole, or two halves of a fleet would stay apart.
         """
-        addresses = self._expected_in(zone) or self._lost_in(zone)
+        addresses = self._addresses(
+            zone,
+            MemberState.NAMED,
+            MemberState.LIVING,
+        ) or self._addresses(zone, MemberState.LOST)
         if not addresses:
             return None
         own = sorted((*self.living_in(self.zone), self.address))
@@ -181,19 +181,12 @@
                 lost.append(member)
         return lost
 
-    def _expected_in(self, zone: ZoneId) -> list[str]:
-        """Return the members of a zone that live or were named."""
-        return sorted(
-            one.address
-            for one in self.members.values()
-            if one.zone == zone and not one.is_lost
-        )
-
-    def _lost_in(self, zone: ZoneId) -> list[str]:
+    def _addresses(self, zone: ZoneId, *states: MemberState) -> list[str]:
+        """Return the members of a zone that are in one of some states."""
         return sorted(
             one.address
             for one in self.members.values()
-            if one.zone == zone and one.is_lost
+            if one.zone == zone and one.state in states
         )
 
     def _patience(self, member: Member) -> float:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
@@ -35,8 +35,8 @@
 
 from .context import ForwardingContext
 from .newer_settings import NewerSettings
-from .news import EntryNews
-from .telling import Telling
+from .update_sender import UpdateSender
+from .updates import UpdateWriter
 
 #: Updates that an entry sends in a second at most: 22 peers are told at every
 #: chance, more of them less often. It bounds the processor time for control,
@@ -51,11 +51,11 @@
     ----------
     membership
         The other entries.
-    news
+    writer
         Writes what is told.
-    telling
+    sender
         Sends it.
-    settings
+    newer_settings
         Exchanges configurations.
     """
 
@@ -69,9 +69,9 @@
             node.address.advertise,
             context.settings.zone,
         )
-        self.news = EntryNews(context, self.membership)
-        self.telling = Telling(node, self.membership, self.news)
-        self.settings = NewerSettings(context.keeper)
+        self.writer = UpdateWriter(context, self.membership)
+        self.sender = UpdateSender(node, self.membership, self.writer)
+        self.newer_settings = NewerSettings(context.keeper)
         self.log = Log('mesh')
         self._incarnations: dict[str, Incarnation] = {}
         self._next_whole: float = 0
@@ -106,8 +106,14 @@
         self.meet_seeds()
 
     def meet_seeds(self) -> None:
-        """Greet the entries that the settings name."""
-        self._greet_seeds(self.clock.monotonic())
+        """Greet the entries that the settings name and that do not live.
+
+        They may still be down, or have been when this entry started.
+        """
+        now = self.clock.monotonic()
+        seeds = self.context.settings.seeds
+        for seed in self.membership.missing(seeds):
+            self.sender.greet(seed, now)
 
     async def run(self) -> None:
         """Tell the peers what changes, until cancelled."""
@@ -118,10 +124,10 @@
             if now >= self._next_whole or self._has_news():
                 self._next_whole = now + WHOLE_SECONDS
                 self._look_around(now)
-                self._greet_seeds(now)
-                self.telling.everything(now)
+                self.meet_seeds()
+                self.sender.everything(now)
             elif changed:
-                self.telling.changes(changed, now)
+                self.sender.changes(changed, now)
 
     async def serve(self, peer: Peer) -> None:
         """Take what one peer says, until cancelled."""
@@ -134,14 +140,9 @@
         elif isinstance(message, CellSummary):
             self._hear_cell(peer, message)
         elif isinstance(message, SettingsWanted):
-            self.settings.answer(peer, message)
+            self.newer_settings.answer(peer, message)
         elif isinstance(message, SettingsBody):
-            self.settings.take(message)
-
-    def _greet_seeds(self, now: float) -> None:
-        seeds = self.context.settings.seeds
-        for seed in self.membership.missing(seeds):
-            self.telling.greet(seed, now)
+            self.newer_settings.take(message)
 
     def _pause_seconds(self) -> float:
         """Return the time between two updates, in seconds."""
@@ -205,7 +206,7 @@
             self.log.info('peer_found', peer=name, address=peer.address)
         self.context.peer_heard_at = now
         self.keeper.hear_leaving(message.leaving)
-        self.settings.compare(peer, message.settings_version)
+        self.newer_settings.compare(peer, message.settings_version)
 
     def _learn(self, cell: CellMembers, now: float) -> None:
         """Take in whom a peer knows, and greet those of the own cell."""
@@ -215,7 +216,7 @@
         self.membership.learn(cell.zone, found, now)
         if self.membership.is_near(cell.zone):
             for address in sorted(found):
-                self.telling.greet(address, now)
+                self.sender.greet(address, now)
 
     def _answer_newcomer(
         self,
@@ -233,7 +234,7 @@
         self._incarnations[peer.address] = incarnation
         is_near = self.membership.is_near(update.zone)
         if update.is_greeting or (is_new and is_near):
-            peer.post(self.news.introduction(now))
+            peer.post(self.writer.introduction(now))
 
     def _look_around(self, now: float) -> None:
         """Bring up to date who lives, and which cells there are."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/telling.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/update_sender.py
@@ -8,40 +8,40 @@
 from sycamore_core.messages import LoadUpdate
 from sycamore_core.transport import Node
 
-from .news import EntryNews
+from .updates import UpdateWriter
 
 
-class Telling:
-    """Sends the news of one entry to the others."""
+class UpdateSender:
+    """Sends the updates of one entry to those whom they concern."""
 
     def __init__(
         self,
         node: Node,
         membership: Membership,
-        news: EntryNews,
+        writer: UpdateWriter,
     ) -> None:
         self.node = node
         self.membership = membership
-        self.news = news
+        self.writer = writer
         self._beat = 0
 
     def greet(self, address: str, now: float) -> None:
         """Introduce this entry, and ask whom the other knows."""
         greeting = msgspec.structs.replace(
-            self.news.whole(now),
+            self.writer.whole(now),
             is_greeting=True,
         )
         self.node.peer(address).post(greeting)
 
     def changes(self, changed: set[EndpointId], now: float) -> None:
         """Tell the own cell, and the cells whose engines it is about."""
-        self._tell(self.news.changes(changed, now), self.membership.near())
+        self._tell(self.writer.changes(changed, now), self.membership.near())
         self._tell_owners(changed, now, is_whole=False)
 
     def everything(self, now: float) -> None:
         """Tell the own cell what there is, and each other cell a summary."""
-        self._tell(self.news.whole(now), self.membership.near())
-        self._tell_owners(self.news.book.own, now, is_whole=True)
+        self._tell(self.writer.whole(now), self.membership.near())
+        self._tell_owners(self.writer.book.own, now, is_whole=True)
         self._tell_cells(now)
 
     def _tell(self, message: LoadUpdate, addresses: Iterable[str]) -> None:
@@ -53,7 +53,7 @@
         others = self.membership.other_zones
         if not others:
             return
-        summary = self.news.summary(now)
+        summary = self.writer.summary(now)
         for zone in others:
             partner = self.membership.partner(zone, self._beat)
             if partner is not None:
@@ -72,9 +72,9 @@
         work to another cell, whose entries go on filling the same engines
         until a summary has come round.
         """
-        for zone, abroad in self.news.by_owner(endpoints).items():
+        for zone, abroad in self.writer.by_owner(endpoints).items():
             told = msgspec.structs.replace(
-                self.news.changes(abroad, now),
+                self.writer.changes(abroad, now),
                 is_whole=is_whole,
                 turns_per_s=0,
             )
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/news.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/updates.py
@@ -11,8 +11,8 @@
 from .context import ForwardingContext
 
 
-class EntryNews:
-    """Writes the messages of one entry."""
+class UpdateWriter:
+    """Writes the messages of one entry to others."""
 
     def __init__(
         self,
