Count entries that were only named for what all of them share

Cause, found by reading: after a start of all, entries of other cells are named by a seed at once and heard of a second later. The part of the operator's bound on repeats was divided by those that were heard, so that each of 68 entries took a fourteenth in that second.

Test: test_entries_that_were_only_named_count_for_what_all_share.

--- a/packages/sycamore-core/src/sycamore_core/membership/members.py
+++ b/packages/sycamore-core/src/sycamore_core/membership/members.py
@@ -71,6 +71,17 @@
         others = [one for one in self.members.values() if one.is_living]
         return len(others) + 1
 
+    @property
+    def expected(self) -> int:
+        """Return the number of entries that may be at work, this one included.
+
+        What goes wrong with those that were heard: all entries start anew,
+        those of other cells are only named for a second, and each takes a
+        part of what is allowed for all that is five times too large.
+        """
+        others = [one for one in self.members.values() if not one.is_lost]
+        return len(others) + 1
+
     @property
     def cells(self) -> frozenset[ZoneId]:
         """Return the zones that are cells; none if there is only one cell."""
--- a/packages/sycamore-core/src/sycamore_core/membership/tests/test_membership.py
+++ b/packages/sycamore-core/src/sycamore_core/membership/tests/test_membership.py
@@ -127,3 +127,17 @@
         assert entry.membership.living > members.LARGEST_CELL
         own = entry.membership.living_in(entry.zone)
         assert len(own) == 11
+
+
+def test_entries_that_were_only_named_count_for_what_all_share() -> None:
+    """All entries start anew, and a seed names those of other cells.
+
+    Until they are heard of, an entry that counted itself alone would repeat
+    as many requests as the whole fleet may.
+    """
+    known = Membership('a', OWN)
+    known.learn(OTHER, [f'b{number}' for number in range(40)], now=0)
+    assert known.living == 1
+    assert known.expected == 41
+    known.expire(now=members.FAR_SILENCE + 0.1)
+    assert known.expected == 1
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
@@ -23,7 +23,8 @@
     Attributes
     ----------
     entries
-        Number of entries that are heard, this one included.
+        Number of entries that are heard or named by others, this one
+        included.
     peer_heard_at
         When another entry was last heard, on the monotonic clock.
     background
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
@@ -246,8 +246,8 @@
                 address=lost.address,
                 zone=lost.zone,
             )
-        self.context.entries = self.membership.living
-        self.keeper.pace.entries = self.membership.living
+        self.context.entries = self.membership.expected
+        self.keeper.pace.entries = self.membership.expected
         cells = self.membership.cells
         if cells != self.context.dispatcher.cells.zones:
             self.log.info('cells_changed', zones=sorted(cells))
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_mesh.py
@@ -95,7 +95,7 @@
     """Run entries that have found one another."""
     for started in made:
         started.start_tasks()
-    while any(one.context.entries < len(made) for one in made):
+    while any(one.mesh.membership.living < len(made) for one in made):
         await asyncio.sleep(0.02)
     try:
         yield made
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_cells.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_cells.py
@@ -186,7 +186,7 @@
         anew.start_tasks()
         try:
             async with asyncio.timeout(15):
-                while anew.context.entries < 3:
+                while anew.mesh.membership.living < 3:
                     await asyncio.sleep(0.02)
         finally:
             await anew.close()
