Have the tests of cells wait until entries act on what they heard

An entry takes a new view of the cells with its next beat; a test that looked sooner placed by the old one. It failed once right after the count was split into heard and expected.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_mesh.py
@@ -95,9 +95,15 @@
     """Run entries that have found one another."""
     for started in made:
         started.start_tasks()
-    while any(one.mesh.membership.living < len(made) for one in made):
+    while not all(_has_found(one, len(made)) for one in made):
         await asyncio.sleep(0.02)
     try:
         yield made
     finally:
         await asyncio.gather(*(one.close() for one in made))
+
+
+def _has_found(process: ForwardingProcess, entries: int) -> bool:
+    """Return whether an entry has heard of all, and acts on it."""
+    heard = process.mesh.membership.living
+    return min(heard, process.context.entries) == entries
