Leave the receiver's own work out of a cell's summary

A time cannot tell which it is; it counted double for up to a second.

Change: the sender leaves out what the receiver has there, which it knows from the receiver's own word; the receiver adds all of its own work. The guess by time is gone.

Ruled out: a longer or shorter time, which misses on the other side.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_work.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_work.py
@@ -83,20 +83,12 @@
         """Note that a request is over."""
         self.assignments.pop(request_id, None)
 
-    def load(self, now: float, since: float = 0) -> EngineLoad:
-        """Return what these requests have the engine do.
-
-        Parameters
-        ----------
-        since
-            Those that were sent before this are left out.
-        """
+    def load(self, now: float) -> EngineLoad:
+        """Return what these requests have the engine do."""
         load = EngineLoad()
         unread: list[Unread] = []
         promised: dict[float, float] = {}
         for request_id, assignment in self.assignments.items():
-            if assignment.sent_at < since:
-                continue
             load.memory_tokens += assignment.memory_tokens
             if assignment.is_home:
                 _count_home(load, assignment, promised)
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
@@ -24,10 +24,6 @@
 #: whole update every second; three missed in a row mean that it is gone or cut
 #: off, and its requests with it or soon over.
 STALE_SECONDS = 3.2
-#: Time for which a request is on its way to the entries of another cell and
-#: back in their word of it, in seconds: what was sent less than this before
-#: their word came is not in it yet.
-UNSEEN_SECONDS = 0.05
 _NOBODY: Mapping[PeerId, 'HeardLoad'] = MappingProxyType({})
 
 
@@ -69,7 +65,8 @@
     heard
         What each peer has at an engine.
     totals
-        What all have at an engine, by the word of the cell it belongs to.
+        What all others have at an engine, by the word of the cell it belongs
+        to.
     """
 
     def __init__(self) -> None:
@@ -124,8 +121,7 @@
         """Return what an engine has to do."""
         total = self.totals.get(endpoint)
         if total is not None and now - total.at < STALE_SECONDS:
-            # Own work that is older than the total is part of it.
-            found = self._own_load(endpoint, now, total.at - UNSEEN_SECONDS)
+            found = self._own_load(endpoint, now)
             found.add(total.load, now - total.at)
             return found
         return self._near_load(endpoint, now)
@@ -180,7 +176,8 @@
         Parameters
         ----------
         shares
-            What all entries have there; engines that are idle are left out.
+            What all entries but this one have there; engines that are idle
+            are left out.
         turns_per_s
             Short turns that arrive in that cell.
         """
@@ -241,14 +238,19 @@
         self,
         endpoints: Iterable[EndpointId],
         now: float,
+        receiver: PeerId,
     ) -> tuple[EngineShare, ...]:
         """Return what this entry and its peers have at some engines.
 
+        What the receiver has there itself is left out: it knows better, and
+        would count twice what it has just sent.
+
         Those that have nothing to do are left out: a peer that has fallen
         silent is still noted there, and its word does not count any more.
         """
         loads = {
-            endpoint: self._near_load(endpoint, now) for endpoint in endpoints
+            endpoint: self._near_load(endpoint, now, receiver)
+            for endpoint in endpoints
         }
         return tuple(
             EngineShare(endpoint, load.merged())
@@ -256,21 +258,22 @@
             if not load.is_idle
         )
 
-    def _near_load(self, endpoint: EndpointId, now: float) -> EngineLoad:
+    def _near_load(
+        self,
+        endpoint: EndpointId,
+        now: float,
+        left_out: PeerId | None = None,
+    ) -> EngineLoad:
         found = self._own_load(endpoint, now)
         for peer, heard in self.heard.get(endpoint, _NOBODY).items():
-            if now - self.peers[peer].at < STALE_SECONDS:
+            is_fresh = now - self.peers[peer].at < STALE_SECONDS
+            if is_fresh and peer != left_out:
                 found.add(heard.load, now - heard.at)
         return found
 
-    def _own_load(
-        self,
-        endpoint: EndpointId,
-        now: float,
-        since: float = 0,
-    ) -> EngineLoad:
+    def _own_load(self, endpoint: EndpointId, now: float) -> EngineLoad:
         work = self.own.get(endpoint)
-        return EngineLoad() if work is None else work.load(now, since)
+        return EngineLoad() if work is None else work.load(now)
 
     def _put(
         self,
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_loads.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_loads.py
@@ -86,17 +86,26 @@
 
 
 FAR = ZoneId('z2')
+OTHER = PeerId('entry-9')
 
 
 def test_word_of_another_cell_holds_all_that_is_there() -> None:
     book = LoadBook()
     book.begin(REQUEST, {ENGINE: Assignment(read_ms=100)}, now=10)
     book.hear_cell(FAR, [share(requests=3)], now=10.5)
-    # Its own request is one of the three; a later one is not.
-    assert book.load(ENGINE, 10.5).requests == 3
-    later = {ENGINE: Assignment(read_ms=100)}
-    book.begin(RequestId('r2'), later, now=10.6)
-    assert book.load(ENGINE, 10.6).requests == 4
+    assert book.load(ENGINE, 10.5).requests == 4
+
+
+def test_entry_is_not_told_of_its_own_work() -> None:
+    """An entry sends turns to another cell, whose summary comes right after.
+
+    Told of them once more, it would count them twice for a second.
+    """
+    book = LoadBook()
+    book.hear(PEER, [share(requests=2)], now=10, is_whole=False)
+    book.hear(PeerId('entry-3'), [share(requests=1)], now=10, is_whole=False)
+    told = book.near_shares([ENGINE], 10, PEER)
+    assert told[0].load.requests == 1
 
 
 def test_engine_that_another_cell_leaves_out_is_idle() -> None:
@@ -135,7 +144,7 @@
         book.begin(request, work, now=10)
         book.first_token(request, [ENGINE])
     book.hear(PEER, book.shares([ENGINE], 10), now=10, is_whole=True)
-    load = book.near_shares([ENGINE], 10)[0].load
+    load = book.near_shares([ENGINE], 10, OTHER)[0].load
     assert load.requests == 6
     weights = {one.pause_ms: one.weight for one in load.promises}
     assert weights == {250: 4, 800: 2}
@@ -158,5 +167,5 @@
     """
     book = LoadBook()
     book.hear(PEER, [share(requests=3)], now=10, is_whole=False)
-    assert book.near_shares([ENGINE], 11)
-    assert not book.near_shares([ENGINE], 10.1 + STALE_SECONDS)
+    assert book.near_shares([ENGINE], 11, OTHER)
+    assert not book.near_shares([ENGINE], 10.1 + STALE_SECONDS, OTHER)
--- a/packages/sycamore-core/src/sycamore_core/messages/entries.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/entries.py
@@ -56,8 +56,8 @@
     Attributes
     ----------
     shares
-        What all entries have at the engines of the cell; engines without
-        work are left out.
+        What all entries but the receiver have at the engines of the cell;
+        engines without work are left out.
     members
         Living entries of the cell.
     contacts
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_cells.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_cells.py
@@ -112,14 +112,20 @@
 
 
 async def test_own_work_elsewhere_is_not_counted_twice() -> None:
+    """An entry has sent two turns to another cell when its summary comes.
+
+    Counted once more with what the summary says, they would keep it away from
+    an engine that has room.
+    """
     async with running(cells()) as (first, second, *_):
         begin(first, 'e-b', 2)
+        begin(second, 'e-b', 1)
         book = first.context.dispatcher.book
         async with asyncio.timeout(5):
             while EndpointId('e-b') not in book.totals:
                 await asyncio.sleep(0.01)
-        assert known(first, 'e-b') == 2
-        assert known(second, 'e-b') == 2
+        assert known(first, 'e-b') == 3
+        await until_known(second, 'e-b', 3)
 
 
 async def test_turns_stay_in_their_cell_until_it_is_full() -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/update_sender.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/update_sender.py
@@ -50,13 +50,10 @@
 
     def _tell_cells(self, now: float) -> None:
         self._beat += 1
-        others = self.membership.other_zones
-        if not others:
-            return
-        summary = self.writer.summary(now)
-        for zone in others:
+        for zone in self.membership.other_zones:
             partner = self.membership.partner(zone, self._beat)
             if partner is not None:
+                summary = self.writer.summary(partner, now)
                 self.node.peer(partner).post(summary)
 
     def _tell_owners(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/updates.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/updates.py
@@ -57,8 +57,16 @@
             members=self._all_living(own_cell=False),
         )
 
-    def summary(self, now: float) -> CellSummary:
-        """Return what the cell has, for an entry of another cell."""
+    def summary(self, receiver: str, now: float) -> CellSummary:
+        """Return what the cell has, for an entry of another cell.
+
+        Parameters
+        ----------
+        receiver
+            Address of that entry. One that has work here has told so, and is
+            known by its name.
+        """
+        name = self.membership.members[receiver].name
         context = self.context
         zone = self.membership.zone
         own = self._living(zone)
@@ -66,7 +74,7 @@
             entry=context.entry,
             zone=zone,
             settings_version=context.keeper.version,
-            shares=self.book.near_shares(self._busy_in(zone), now),
+            shares=self.book.near_shares(self._busy_in(zone), now, name),
             members=(*own.addresses, self.membership.address),
             contacts=tuple(self._contacts()),
             leaving=context.keeper.leaving,
--- a/packages/sycamore-standins/src/sycamore_standins/passes/gossip.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/gossip.py
@@ -107,11 +107,13 @@
         now = self.timeline.now
         book = self.books[teller]
         own = self.load.zone(teller)
-        shares = book.near_shares(self._busy(book, own), now)
+        busy = self._busy(book, own)
         rate = book.pressure(now).turns_per_s
         self._beats += 1
         others = self.views[teller].zones - {own}
         for told in map(self._partner, sorted(others)):
+            name = PeerId(f'entry-{told}')
+            shares = book.near_shares(busy, now, name)
             self._soon(self.hear_cell, told, own, shares, rate)
 
     def _others(self, teller: int) -> list[tuple[int, LoadBook]]:
