Replay a mix of prompts with its own kinds and engines

Cause: the replay knew one set of kinds and sizes; the work of one deployment has other sizes, objectives, pauses and engines with six slots.

--- a/packages/sycamore-standins/src/sycamore_standins/passes/loads.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/loads.py
@@ -73,6 +73,7 @@
     at: float
     prompt_tokens: int
     passes: int
+    answer_tokens: int
     entry: int
 
     @property
@@ -81,11 +82,6 @@
         part = self.prompt_tokens / self.kind.prompt.mean
         return min(_MOST_WORTH, _FIXED_WORTH + _SIZED_WORTH * part)
 
-    @property
-    def answer_tokens(self) -> int:
-        """Return the length of its answer."""
-        return self.passes * COSTS.pass_steps
-
 
 class Swing(msgspec.Struct, frozen=True):
     """Factors on the rates of the kinds, from a second on."""
@@ -115,6 +111,8 @@
         turn; each zone is a cell.
     costs
         Cost figures of its engines; the common ones if there are none.
+    kinds
+        Its kinds of prompts; the common ones if there are none.
     """
 
     name: str
@@ -125,6 +123,7 @@
     zones: int = 1
     seconds: float = 34
     costs: EngineCosts | None = None
+    kinds: tuple[PromptKind, ...] = ()
     set_prompts: tuple[SetPrompt, ...] = ()
 
     @property
@@ -132,6 +131,11 @@
         """Return the cost figures of its engines."""
         return self.costs or COSTS
 
+    @property
+    def prompt_kinds(self) -> tuple[PromptKind, ...]:
+        """Return its kinds of prompts."""
+        return self.kinds or KINDS
+
     def zone(self, number: int) -> ZoneId:
         """Return the zone of an entry or engine."""
         zone = number % self.zones
@@ -141,10 +145,10 @@
         """Return the requests of a run, by time."""
         rng = random.Random(f'{self.name} {seed}')
         found: list[ReplayRequest] = []
-        for number, kind in enumerate(KINDS):
+        for number, kind in enumerate(self.prompt_kinds):
             found.extend(self._of_kind(rng, number, kind))
         for one in self.set_prompts:
-            drawn = self._request(rng, KINDS[-1], one.at)
+            drawn = self._request(rng, self.prompt_kinds[-1], one.at)
             found.append(
                 msgspec.structs.replace(drawn, prompt_tokens=one.tokens),
             )
@@ -178,12 +182,14 @@
     ) -> ReplayRequest:
         tokens = max(_FEWEST_TOKENS, int(kind.prompt.draw(rng)))
         drawn = rng.getrandbits(_ID_BITS)
+        passes = max(1, int(kind.passes.draw(rng)))
         return ReplayRequest(
             request_id=RequestId(format(drawn, '016x')),
             kind=kind,
             at=at,
             prompt_tokens=tokens,
-            passes=max(1, int(kind.passes.draw(rng))),
+            passes=passes,
+            answer_tokens=passes * self.engine_costs.pass_steps,
             entry=rng.randrange(self.entries),
         )
 
