--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -15,7 +15,6 @@
 from .isolation import is_isolated
 from .load_book import (
     STALE_SECONDS,
-    TELL_SECONDS,
     WHOLE_SECONDS,
     LoadBook,
 )
@@ -35,6 +34,7 @@
     after_start,
     spread,
 )
+from .update_pace import TELL_SECONDS, UpdatePace
 from .worth import is_worth_reading
 
 __all__ = (
@@ -58,6 +58,7 @@
     'RetryAllowance',
     'Assignment',
     'TurnMeter',
+    'UpdatePace',
     'after_full',
     'after_load',
     'after_start',
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/load_book.py
@@ -15,9 +15,6 @@
 from .engine_work import Assignment, EngineWork
 from .pressure import Pressure, TurnMeter
 
-#: Least time between two updates of an entry, in seconds. Two short turns come
-#: to it within that at most, so that engines are seldom chosen twice.
-TELL_SECONDS = 0.02
 #: Time between two updates that name all of its work, in seconds.
 WHOLE_SECONDS = 1.0
 #: Age from which on a peer's update is not used, in seconds. A peer repeats its
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
@@ -1,5 +1,6 @@
 """Chooses endpoints for requests and keeps count of what is where."""
 
+import asyncio
 from collections.abc import Iterable
 
 import msgspec
@@ -62,6 +63,8 @@
         Which engines are weighed first.
     failures
         Which endpoints fail.
+    has_sent
+        Set when a request has been sent; whoever tells others of it clears it.
     """
 
     def __init__(
@@ -77,6 +80,7 @@
         self.book = LoadBook()
         self.cells = CellView(zone=zone)
         self.failures = FailureBook()
+        self.has_sent = asyncio.Event()
         self._ties: dict[EndpointId, float] = {}
 
     def place_model(
@@ -128,6 +132,7 @@
     ) -> None:
         """Note that a request was sent."""
         self.book.begin(request_id, assignments, self.clock.monotonic())
+        self.has_sent.set()
 
     def first_event(self, request_id: RequestId, placed: Placement) -> None:
         """Note that a prompt has been read."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
@@ -1,12 +1,14 @@
 """Entries tell one another what they have at which engines.
 
-Each tells its own cell what has changed, at most every `TELL_SECONDS`, and
-all that it has once a second, so that a lost message is made good by then.
+Each tells its own cell at once where it has sent a request, on a beat what
+else has changed there, and all that it has once a second, so that a lost
+message is made good by then.
 Once a second it tells one entry of each other cell what its cell has. A
 newcomer finds the others through a few seeds and the entries that these name.
 """
 
 import asyncio
+import contextlib
 import time
 from typing import Self
 
@@ -16,6 +18,7 @@
     WHOLE_SECONDS,
     CellView,
     LoadBook,
+    UpdatePace,
 )
 from sycamore_core.errors import TransportError
 from sycamore_core.ids import Incarnation, PeerId
@@ -38,11 +41,6 @@
 from .update_sender import UpdateSender
 from .updates import UpdateWriter
 
-#: Updates that an entry sends in a second at most: 22 peers are told at every
-#: chance, more of them less often. It bounds the processor time for control,
-#: which would otherwise grow with the entries of a cell.
-MOST_UPDATES_PER_S = 1100.0
-
 
 class EntryMesh:
     """One entry among the others.
@@ -57,6 +55,8 @@
         Sends it.
     newer_settings
         Exchanges configurations.
+    pace
+        When the others are told what has changed.
     """
 
     def __init__(self, node: Node, context: ForwardingContext) -> None:
@@ -72,6 +72,7 @@
         self.writer = UpdateWriter(context, self.membership)
         self.sender = UpdateSender(node, self.membership, self.writer)
         self.newer_settings = NewerSettings(context.keeper)
+        self.pace = UpdatePace()
         self.log = Log('mesh')
         self._incarnations: dict[str, Incarnation] = {}
         self._next_whole: float = 0
@@ -118,7 +119,7 @@
     async def run(self) -> None:
         """Tell the peers what changes, until cancelled."""
         while True:
-            await asyncio.sleep(self._pause_seconds())
+            await self._until_due()
             now = self.clock.monotonic()
             changed = self.book.take_changed()
             if now >= self._next_whole or self._has_news():
@@ -126,8 +127,10 @@
                 self._look_around(now)
                 self.meet_seeds()
                 self.sender.everything(now)
+                self._note_told(now)
             elif changed:
                 self.sender.changes(changed, now)
+                self._note_told(now)
 
     async def serve(self, peer: Peer) -> None:
         """Take what one peer says, until cancelled."""
@@ -144,10 +147,22 @@
         elif isinstance(message, SettingsBody):
             self.newer_settings.take(message)
 
-    def _pause_seconds(self) -> float:
-        """Return the time between two updates, in seconds."""
+    async def _until_due(self) -> None:
+        """Wait until a request is sent, or else until the next beat."""
+        has_sent = self.context.dispatcher.has_sent
+        pause = self.pace.beat_seconds(self.clock.monotonic())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause or TELL_SECONDS):
+                await has_sent.wait()
+                await asyncio.sleep(self._urgent_seconds())
+        has_sent.clear()
+
+    def _urgent_seconds(self) -> float:
         peers = len(self.membership.near())
-        return max(TELL_SECONDS, peers / MOST_UPDATES_PER_S)
+        return self.pace.urgent_seconds(peers, self.clock.monotonic())
+
+    def _note_told(self, now: float) -> None:
+        self.pace.told(len(self.membership.near()), now)
 
     def _has_news(self) -> bool:
         """Return whether peers should know more than loads at once."""
--- a/packages/sycamore-standins/src/sycamore_standins/passes/gossip.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/gossip.py
@@ -8,6 +8,7 @@
     CellView,
     KnownEngine,
     LoadBook,
+    UpdatePace,
 )
 from sycamore_core.ids import EndpointId, PeerId, ZoneId
 from sycamore_core.routing import EngineShare
@@ -22,8 +23,9 @@
 class Gossip:
     """The updates between the entries of a replay.
 
-    Entries of a cell tell one another of each request; one of another cell is
-    told on each beat what the cell has, and at once what concerns its engines.
+    Entries of a cell tell one another of each request as their `UpdatePace`
+    has it; one of another cell is told each second what the cell has, and like
+    the own cell what concerns its engines.
 
     Attributes
     ----------
@@ -45,6 +47,7 @@
         cells = frozenset(zones) if load.zones > 1 else frozenset()
         self.views = [CellView(zone=zone, zones=cells) for zone in zones]
         self.zones = {one.endpoint: one.zone for one in engines}
+        self.paces = [UpdatePace() for _ in books]
         self._whole_at = [-WHOLE_SECONDS for _ in books]
         self._beats = 0
 
@@ -54,20 +57,23 @@
         for entry, _ in enumerate(self.books):
             self.timeline.at(entry * gap, self.tell, entry)
 
+    def has_sent(self, entry: int) -> None:
+        """Have an entry tell that it has sent a request."""
+        now = self.timeline.now
+        wait = self.paces[entry].urgent_seconds(self._near(entry), now)
+        self.timeline.at(now + wait, self._tell_changes, entry)
+
     def tell(self, entry: int) -> None:
         """Tell what changed, or all, and do so again later."""
         now = self.timeline.now
-        book = self.books[entry]
-        named = book.take_changed()
-        is_whole = now >= self._whole_at[entry]
-        if is_whole:
+        if now < self._whole_at[entry]:
+            self._tell_changes(entry)
+        else:
             self._whole_at[entry] = now + WHOLE_SECONDS
-            named = set(book.own)
             self._tell_cells(entry)
-        if named or is_whole:
-            shares = book.shares(sorted(named), now)
-            self._soon(self.hear, entry, shares, is_whole)
-        self.timeline.at(now + TELL_SECONDS, self.tell, entry)
+            self._tell(entry, set(self.books[entry].own), is_whole=True)
+        pause = self.paces[entry].beat_seconds(now) or TELL_SECONDS
+        self.timeline.at(now + pause, self.tell, entry)
 
     def hear(
         self,
@@ -102,6 +108,23 @@
             turns_per_s,
         )
 
+    def _tell_changes(self, entry: int) -> None:
+        changed = self.books[entry].take_changed()
+        if changed:
+            self._tell(entry, changed, is_whole=False)
+
+    def _tell(
+        self,
+        entry: int,
+        named: set[EndpointId],
+        *,
+        is_whole: bool,
+    ) -> None:
+        now = self.timeline.now
+        shares = self.books[entry].shares(sorted(named), now)
+        self._soon(self.hear, entry, shares, is_whole)
+        self.paces[entry].told(self._near(entry), now)
+
     def _tell_cells(self, teller: int) -> None:
         """Tell one entry of each other cell, each time the next."""
         now = self.timeline.now
@@ -123,6 +146,11 @@
     def _are_near(self, one: int, other: int) -> bool:
         return self.load.zone(one) == self.load.zone(other)
 
+    def _near(self, entry: int) -> int:
+        """Return the number of others in an entry's cell."""
+        others = [one for one, _ in self._others(entry)]
+        return sum(self._are_near(entry, one) for one in others)
+
     def _partner(self, zone: ZoneId) -> int:
         """Return the next entry of a zone to tell."""
         entries = range(len(self.books))
--- a/packages/sycamore-standins/src/sycamore_standins/passes/replay.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/replay.py
@@ -98,6 +98,7 @@
         promised_at = request.at + request.kind.objective_ms / _MS
         work = assignments_of(plan, wanted, promised_at)
         book.begin(request.request_id, work, now)
+        self.gossip.has_sent(request.entry)
         self._soon(self._send, answer, plan)
 
     def _wait(self, answer: Answer) -> None:
