Count answers that are about to begin as ones that can pause

Cause: an engine that has read its part of a prompt and will write its answer looked idle until its first event was heard of, and a turn that was just sent to an engine that writes nothing counted for nothing. Prompts that were put there were read in the first pass of those answers.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_harm.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_harm.py
@@ -160,6 +160,30 @@
         """Return the harm of a part that goes ahead of what it has."""
         return self.of_pauses(part_ms) + sum(self.delays(part_ms).values())
 
+    def of_last(self, read_ms: float) -> float:
+        """Return the harm of a prompt that is read after what it has.
+
+        What goes wrong otherwise: a turn has just been sent to an engine that
+        writes nothing. It counts for nothing until its first event is heard
+        of; a prompt that is put behind it is read in the first pass of its
+        answer, which pauses for as long.
+        """
+        known = self.forecast
+        if known.writes:
+            return self.of_part(read_ms)
+        answered = [
+            (one, known.queued_ms - done_ms)
+            for one, done_ms in zip(known.waiting, known.done_ms, strict=True)
+            if one.pause_ms
+        ]
+        return self.of_pauses(read_ms) + sum(
+            one.weight
+            * _added_lateness(
+                one.pause_ms, behind_ms, behind_ms + read_ms, _SAFE_PAUSE
+            )
+            for one, behind_ms in answered
+        )
+
     def delays(self, part_ms: float) -> dict[str, float]:
         """Return the harm to each prompt that is read later."""
         known = self.forecast
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/pass_forecast.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/pass_forecast.py
@@ -44,7 +44,8 @@
     waiting
         Prompts that new work delays.
     starting
-        Prompts whose answers begin with the next pass.
+        Prompts whose own part here has been read and whose answers begin with
+        the next pass, or as soon as other engines have read theirs.
     """
 
     pass_ms: float = 0
@@ -125,10 +126,17 @@
     for reading in readings:
         queued += reading.left_ms
         done.append(queued)
+    waiting = tuple(one.unread for one in readings)
+    left = {one.key for one in waiting}
     return PassForecast(
         queued_ms=queued,
-        waiting=tuple(one.unread for one in readings),
+        waiting=waiting,
         done_ms=tuple(done),
+        starting=tuple(
+            one
+            for one in unread
+            if one.key not in left and _is_answered_here(one)
+        ),
     )
 
 
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
@@ -227,7 +227,7 @@
     def _cost_alone(self, home: EngineHarm, read_ms: float) -> float:
         """Return the harm of a prompt that waits behind what there is."""
         cost = self._lateness(_expected((home,), read_ms))
-        cost += home.as_home(self.request.pause_ms) + home.of_pauses(read_ms)
+        cost += home.as_home(self.request.pause_ms) + home.of_last(read_ms)
         return cost + self._crowding((home,), read_ms)
 
     def _split(self, part_ms: float, parts: int) -> ReadPlan | None:
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_pass_forecast.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_pass_forecast.py
@@ -54,6 +54,45 @@
     assert harm.done_ms(400, is_ahead=True) == alone
 
 
+def test_answer_that_is_about_to_begin_counts() -> None:
+    """An engine has read its part of a prompt whose answer it will write.
+
+    Other engines still read theirs. The engine looks idle, and a part of
+    another prompt that is put there is read in the first pass of the answer,
+    which pauses for as long.
+    """
+    waits = part('first', 300, waited_ms=400, is_ahead=True, pause_ms=800)
+    load = EngineLoad(requests=1, unread=(waits,))
+    assert forecast(load, COSTS).starting == (waits,)
+    harm = EngineHarm(engine(1, **as_fields(load)), COSTS, 100_000)
+    assert harm.of_part(1200) > 10
+
+
+def test_prompt_behind_a_turn_lengthens_its_first_pause() -> None:
+    """A turn was sent to an engine that writes nothing, some moments ago.
+
+    Until its first event is heard of, a prompt of 50,000 tokens seems to harm
+    nobody there. It is read in the first pass of the turn's answer, whose
+    caller sees it stop for a third of a second.
+    """
+    sent = part('turn', 20, waited_ms=10, pause_ms=250)
+    harm = EngineHarm(engine(1, requests=1, unread=(sent,)), COSTS, 50_000)
+    assert harm.of_last(350) > 10
+    assert harm.of_last(20) < 0.1
+
+
+def test_prompt_behind_a_turn_in_the_same_pass_delays_it() -> None:
+    """A turn waits for the next pass of an engine that writes.
+
+    A prompt that joins it there is read in the same pass, so that the first
+    event of the turn comes with the end of both.
+    """
+    sent = Unread('turn', 1, 20, 5, slack_ms=300, pause_ms=250)
+    load = writing(sent)
+    harm = EngineHarm(engine(1, **as_fields(load)), COSTS, 50_000)
+    assert harm.of_last(350) > 0.9
+
+
 def test_reading_engine_takes_a_part_in_at_once() -> None:
     """An engine that only reads is sent a part of another prompt."""
     harm = EngineHarm(reading(1, 900), COSTS, 100_000)
