Read a late prompt before its caller leaves

Cause: once the objective of a prompt has passed, all plans seemed equally late, so that the one with the fewest engines won. Ruled out: giving such prompts up. Their callers have time left, and engines are idle.

A plan now counts what is lost beyond the objective against the caller's time. A prompt that cannot begin before its caller leaves is refused at once.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
@@ -20,6 +20,7 @@
 """
 
 import heapq
+import math
 from collections.abc import Sequence
 
 import msgspec
@@ -60,6 +61,12 @@
 #: part of what its lateness costs. What is read sooner is held up by fewer
 #: others: replayed loads gain up to a hundredth of their worth by it.
 _HURRY = 0.03
+#: Part of the worth that a late answer keeps, and loses where its caller would
+#: have left before the first event.
+_LATE_PART = 0.25
+#: Part of the caller's time that may pass before a late first event without
+#: harm: the rest of the answer has to fit into it as well.
+_SAFE_LIMIT = 0.4
 _MS = 1000.0
 _NO_PRESSURE = Pressure()
 
@@ -75,12 +82,15 @@
         Time to the first event that is left of what was promised.
     pause_ms
         Longest promised pause between events; 0 if nothing was promised.
+    limit_ms
+        Time after which its caller has left.
     """
 
     prompt_tokens: int
     answer_tokens: int
     objective_ms: float
     pause_ms: float = 0
+    limit_ms: float = math.inf
 
     @property
     def weight(self) -> float:
@@ -271,7 +281,11 @@
         objective = max(1, self.request.objective_ms)
         part = expected_ms / objective
         late = lateness(part, SAFE_FIRST_EVENT) + _HURRY * min(1, part)
-        return self.request.weight * late
+        # What goes wrong otherwise: a prompt is read anew once its objective
+        # has passed. It seems that nothing can be lost any more, three engines
+        # read it in nine seconds, and its caller leaves meanwhile.
+        lost = lateness(expected_ms / self.request.limit_ms, _SAFE_LIMIT)
+        return self.request.weight * (late + _LATE_PART * lost)
 
     def _crowding(
         self,
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_read_plan.py
@@ -165,3 +165,18 @@
     )
     assert rushed is not None
     assert len(rushed.members) < len(calm.members)
+
+
+def test_late_prompt_is_read_before_its_caller_leaves() -> None:
+    """An engine fell silent with a prompt whose objective then passed.
+
+    It is read anew. If lateness were all that counts, any number of engines
+    would do; a few would read it for longer than its caller waits, who has
+    no answer in the end.
+    """
+    request = msgspec.structs.replace(
+        archive(LARGEST, objective_ms=-2000),
+        limit_ms=8000,
+    )
+    plan = planned(request, [*idle(16), *chatting(6)])
+    assert plan.expected_ms < request.limit_ms / 2
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_worth.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_worth.py
@@ -1,5 +1,7 @@
 """Huge prompts that come while short turns fill the engines."""
 
+import msgspec
+
 from ..pressure import Pressure
 from ..read_plan import ReadPlan, ReadRequest, plan_read
 from ..worth import is_worth_reading
@@ -51,3 +53,14 @@
     request = archive(40_000, objective_ms=-2000)
     plan = plan_read(request, chatting(13, writers=6), COSTS, BURST)
     assert is_read(request, plan)
+
+
+def test_prompt_whose_caller_leaves_before_it_is_read_is_refused() -> None:
+    """An archive comes back with little of its caller's time left.
+
+    Read all the same, it keeps engines busy for seconds, and its caller has
+    left before the first event.
+    """
+    request = msgspec.structs.replace(HUGE, objective_ms=-3000, limit_ms=2500)
+    fleet = [*idle(14), *chatting(4)]
+    assert not is_read(request, plan_read(request, fleet, COSTS, CALM))
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
@@ -157,4 +157,5 @@
         answer_tokens=terms.answer_tokens,
         objective_ms=(call.objective_at - now) * _MS,
         pause_ms=call.route.pause_objective * _MS,
+        limit_ms=max(1, (call.limit - now) * _MS),
     )
--- a/packages/sycamore-standins/src/sycamore_standins/passes/replay.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/replay.py
@@ -196,4 +196,5 @@
         answer_tokens=request.answer_tokens,
         objective_ms=request.kind.objective_ms - waited_ms,
         pause_ms=request.kind.pause_ms,
+        limit_ms=_LIMIT_SECONDS * _MS - waited_ms,
     )
