Read a long prompt elsewhere once nothing explains that it waits

Cause: a fifth of the engines take requests and answer none for five seconds while they serve others. Ruled out: a shorter wait for all. Prompts are also late behind parts that came later, as their promises allow, and would be read twice for nothing.

Ways: as is; leave a prompt where known work explains the wait, and move it where none does and another engine still keeps its promise (this). The bound on repeats holds as before.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -18,6 +18,7 @@
     WHOLE_SECONDS,
     LoadBook,
 )
+from .overdue import is_overdue
 from .plain_choice import choose_plain
 from .pressure import Pressure, TurnMeter
 from .read_plan import (
@@ -65,6 +66,7 @@
     'assignments_of',
     'choose_plain',
     'is_isolated',
+    'is_overdue',
     'is_turn',
     'is_worth_reading',
     'next_step',
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_work.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_work.py
@@ -10,6 +10,11 @@
 _KEY_LENGTH = 8
 
 
+def key_of(request_id: RequestId) -> str:
+    """Return the name by which peers know a request's parts."""
+    return request_id[:_KEY_LENGTH]
+
+
 class Assignment(msgspec.Struct, kw_only=True):
     """Part of one request at one engine.
 
@@ -106,7 +111,7 @@
     request_id: RequestId, assignment: Assignment, now: float
 ) -> Unread:
     return Unread(
-        request_id[:_KEY_LENGTH],
+        key_of(request_id),
         assignment.weight,
         assignment.read_ms,
         (now - assignment.sent_at) * _MS,
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/pass_forecast.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/pass_forecast.py
@@ -73,16 +73,20 @@
 
 def forecast(load: EngineLoad, costs: EngineCosts) -> PassForecast:
     """Return what an engine with this load will do."""
-    if load.writers:
-        pass_ms = costs.pass_ms(load.writers, load.context_tokens)
-        found = _in_passes(load.unread, pass_ms)
-    else:
-        found = _in_chunks(load.unread)
+    found = planned_forecast(load, costs)
     if not found.waiting:
         found.opens_ms = max(found.opens_ms, _overdue_ms(load.unread))
     return found
 
 
+def planned_forecast(load: EngineLoad, costs: EngineCosts) -> PassForecast:
+    """Return what an engine does that takes no longer than its figures say."""
+    if load.writers:
+        pass_ms = costs.pass_ms(load.writers, load.context_tokens)
+        return _in_passes(load.unread, pass_ms)
+    return _in_chunks(load.unread)
+
+
 def _in_passes(unread: Sequence[Unread], pass_ms: float) -> PassForecast:
     """Return the forecast of an engine that writes."""
     # Passes are followed from the first prompt on, on a clock that is 0 now.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/silence.py
@@ -1,8 +1,10 @@
 """Ends an attempt at an endpoint that sends nothing for too long."""
 
 import asyncio
+import math
 
-from sycamore_core.decisions.direct import is_turn
+from sycamore_core.decisions.direct import is_overdue, is_turn
+from sycamore_core.routing import EngineCosts
 
 from .calls import AttemptCall
 from .channel import EndpointChannel
@@ -20,9 +22,9 @@
 #: seconds. It stands behind a long read that was not foreseen; callers give
 #: up after two seconds, and to read it again takes some 30 ms.
 _TURN_PATIENCE = 0.8
-#: Part of the time limit for which a long prompt waits at an engine that others
-#: find well: it is read again from the start elsewhere, and in an overload
-#: there is no engine that would be faster.
+#: Part of the time limit for which a long prompt waits where it is, unless it
+#: is overdue and another engine keeps its promise: it is read from the start
+#: there, and in an overload there is no engine that would be faster.
 _LONG_PART = 0.45
 #: Time until it is looked again whether a turn is better off elsewhere.
 _LOOK_AGAIN = 0.15
@@ -125,17 +127,41 @@
         the second becomes ten.
         """
         costs = self.call.service.engine
-        if costs is None or self.has_event or not self.is_turn:
+        if costs is None or self.has_event:
             return True
-        request = read_request(self.call, self._now())
+        if self.is_turn:
+            return self._elsewhere_ms(costs) < self.call.route.objective * _MS
+        if self._has_waited_long():
+            return True
+        left_ms = (self.call.objective_at - self._now()) * _MS
+        return self._is_overdue(costs) and self._elsewhere_ms(costs) < left_ms
+
+    def _has_waited_long(self) -> bool:
+        """Return whether a long prompt is to leave whatever explains it."""
+        home = self.placement.home.endpoint
+        if self.context.dispatcher.failures.is_doubtful(home):
+            return True
+        patience = self.call.route.time_limit * _LONG_PART
+        return self._now() - self._heard_at() >= patience
+
+    def _is_overdue(self, costs: EngineCosts) -> bool:
+        return is_overdue(
+            self.call.request_id,
+            self.placement.plan.members,
+            self.context.dispatcher.book,
+            costs,
+            self._now(),
+        )
+
+    def _elsewhere_ms(self, costs: EngineCosts) -> float:
+        """Return when another engine would begin the answer."""
         other = self.context.dispatcher.place_model(
             self.call.service,
             costs,
-            request,
+            read_request(self.call, self._now()),
             {self.placement.home.endpoint},
         )
-        promised_ms = self.call.route.objective * _MS
-        return other is not None and other.plan.expected_ms < promised_ms
+        return math.inf if other is None else other.plan.expected_ms
 
     @property
     def _alive_at(self) -> float:
@@ -173,11 +199,7 @@
         expected = self.placement.plan.expected_ms / _MS
         if self.is_turn:
             return max(_TURN_PATIENCE, expected + _TURN_PATIENCE / 2)
-        patience = expected * _FIRST_FACTOR + _FIRST_EXTRA
-        home = self.placement.home.endpoint
-        if self.context.dispatcher.failures.is_doubtful(home):
-            return patience
-        return max(patience, self.call.route.time_limit * _LONG_PART)
+        return expected * _FIRST_FACTOR + _FIRST_EXTRA
 
     def _now(self) -> float:
         return self.context.clock.monotonic()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from sycamore_core.decisions.direct import AllowanceBounds, Assignment
 from sycamore_core.ids import EndpointId, RequestId
@@ -21,6 +22,8 @@
 )
 
 STREAM = route(RouteKind.RESUMABLE_STREAM, MODEL)
+#: Its callers would wait for half a minute at an engine that never answers.
+LONG_STREAM = msgspec.structs.replace(STREAM, objective=20, time_limit=60)
 #: Longer than a turn waits at an engine that may be left.
 BUSY_SECONDS = 1.3
 
@@ -33,6 +36,14 @@
     writer.write(stream_head() + chunk(event(0)) + LAST_CHUNK)
 
 
+async def answer_late_by_far(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    await asyncio.sleep(2 * BUSY_SECONDS)
+    await answer_late(reader, writer)
+
+
 async def answer_at_once(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
@@ -125,3 +136,46 @@
         answer = await asking
     assert answer.endswith(LAST_CHUNK)
     assert not idle.requests
+
+
+async def test_report_leaves_an_engine_that_never_answers() -> None:
+    """An engine takes requests and answers none, though it looks well.
+
+    A report that was expected in half a second waits there for nearly half
+    of its caller's time, while another engine would have read it long ago.
+    """
+    mute = RawEndpoint('e1', say_nothing)
+    idle = RawEndpoint('e2', answer_at_once)
+    async with entry_before(LONG_STREAM, mute, idle) as entry:
+        occupy(entry, 'e2')
+        asking = asyncio.create_task(entry.ask(Prompt='40000'))
+        while not mute.requests:
+            await asyncio.sleep(0.01)
+        name = EndpointId('e2')
+        entry.context.dispatcher.book.end(RequestId('long at e2'), [name])
+        async with asyncio.timeout(15):
+            answer = await asking
+    assert answer.endswith(LAST_CHUNK)
+    assert len(idle.requests) == 1
+
+
+async def test_report_stays_behind_a_part_that_came_later() -> None:
+    """A part of a longer prompt goes ahead of a report that is promised.
+
+    Taken away, the report would be read twice, although its engine keeps the
+    promise.
+    """
+    busy = RawEndpoint('e1', answer_late_by_far)
+    idle = RawEndpoint('e2', answer_at_once)
+    async with entry_before(LONG_STREAM, busy, idle) as entry:
+        occupy(entry, 'e2')
+        asking = asyncio.create_task(entry.ask(Prompt='40000'))
+        while not busy.requests:
+            await asyncio.sleep(0.01)
+        dispatcher = entry.context.dispatcher
+        part = Assignment(read_ms=9000, is_ahead=True, is_home=False)
+        dispatcher.begin(RequestId('later'), {EndpointId('e1'): part})
+        dispatcher.book.end(RequestId('long at e2'), [EndpointId('e2')])
+        answer = await asking
+    assert answer.endswith(LAST_CHUNK)
+    assert not idle.requests
