Try: count a prompt at its engines only once it has left the link

Cause: a prompt of 850,000 tokens takes 68 ms to leave a link of 10 Mbit/s; parts of others that are placed meanwhile are taken to go ahead of it and come behind it.

--- a/packages/sycamore-core/src/sycamore_core/routing/loads.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/loads.py
@@ -19,7 +19,8 @@
     read_ms
         Time that its reading takes by itself, in milliseconds.
     waited_ms
-        Time since it was sent to the engine, in milliseconds.
+        Time since the engine has it, in milliseconds; negative as long as it
+        is being sent.
     slack_ms
         Time until its first event was promised, in milliseconds.
     is_ahead
