--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/assignments.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/assignments.py
@@ -9,7 +9,6 @@
     plan: ReadPlan,
     request: ReadRequest,
     promised_at: float,
-    sending_seconds: float = 0,
 ) -> dict[EndpointId, Assignment]:
     """Return the work of each engine that takes part in a plan.
 
@@ -17,8 +16,6 @@
     ----------
     promised_at
         By when the first event was promised, on the monotonic clock.
-    sending_seconds
-        Time until the engines have the prompt.
     """
     stored = dict(plan.stored)
     tokens = request.prompt_tokens + request.answer_tokens
@@ -30,7 +27,6 @@
             is_ahead=True,
             memory_tokens=stored.get(helper, 0),
             is_home=False,
-            sending_seconds=sending_seconds,
         )
         for helper in plan.helpers
     }
@@ -42,6 +38,5 @@
         context_tokens=request.prompt_tokens,
         memory_tokens=max(0, tokens - sum(stored.values())),
         pause_ms=request.pause_ms,
-        sending_seconds=sending_seconds,
     )
     return assignments
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_work.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_work.py
@@ -41,11 +41,8 @@
         of all others, also of earlier parts.
     is_writing
         Whether its first token has come.
-    sending_seconds
-        Time until the engine has it. Long prompts take a while to leave a
-        narrow link; parts of others that come meanwhile are read after them.
     sent_at
-        When the engine has it, on the monotonic clock.
+        When it was sent, on the monotonic clock.
     """
 
     read_ms: float
@@ -57,7 +54,6 @@
     is_home: bool = True
     is_ahead: bool = False
     is_writing: bool = False
-    sending_seconds: float = 0
     sent_at: float = 0
 
 
@@ -79,7 +75,7 @@
         self, request_id: RequestId, assignment: Assignment, now: float
     ) -> None:
         """Note that a request was sent to the engine."""
-        assignment.sent_at = now + assignment.sending_seconds
+        assignment.sent_at = now
         self.assignments[request_id] = assignment
 
     def first_token(self, request_id: RequestId) -> None:
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/pass_forecast.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/pass_forecast.py
@@ -149,8 +149,7 @@
     readings: list[_Reading] = []
     at: float = 0
     for one in sorted(unread, key=_sent_ms):
-        # What is still being sent comes last, and goes ahead if it is a part.
-        sent = min(0, _sent_ms(one))
+        sent = _sent_ms(one)
         readings = _after(readings, sent - at)
         readings.append(_Reading(one, one.read_ms))
         at = sent
--- a/packages/sycamore-core/src/sycamore_core/routing/loads.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/loads.py
@@ -19,8 +19,7 @@
     read_ms
         Time that its reading takes by itself, in milliseconds.
     waited_ms
-        Time since the engine has it, in milliseconds; negative as long as it
-        is being sent.
+        Time since it was sent to the engine, in milliseconds.
     slack_ms
         Time until its first event was promised, in milliseconds.
     is_ahead
--- a/packages/sycamore-standins/src/sycamore_standins/passes/loads.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/loads.py
@@ -22,8 +22,6 @@
 _SIZED_WORTH = 0.7
 _MOST_WORTH = 4.0
 _FEWEST_TOKENS = 200
-_BITS = 8
-_MILLION = 1_000_000
 
 
 class Spread(msgspec.Struct, frozen=True):
@@ -55,8 +53,6 @@
         Promised time to the first event and between two events.
     worth, late_worth
         What an answer of mean size is worth to its operator.
-    token_bytes
-        Bytes of a request for each token of its prompt.
     """
 
     name: str
@@ -67,7 +63,6 @@
     pause_ms: float
     worth: float
     late_worth: float
-    token_bytes: float = 0
 
 
 class ReplayRequest(msgspec.Struct, eq=False, kw_only=True):
@@ -118,8 +113,6 @@
         Cost figures of its engines; the common ones if there are none.
     kinds
         Its kinds of prompts; the common ones if there are none.
-    link_mbps
-        Bandwidth of the link of each entry, in Mbit/s.
     """
 
     name: str
@@ -131,7 +124,6 @@
     seconds: float = 34
     costs: EngineCosts | None = None
     kinds: tuple[PromptKind, ...] = ()
-    link_mbps: float = 1000
     set_prompts: tuple[SetPrompt, ...] = ()
 
     @property
@@ -144,11 +136,6 @@
         """Return its kinds of prompts."""
         return self.kinds or KINDS
 
-    def sending_seconds(self, request: ReplayRequest) -> float:
-        """Return the time that a request takes to leave its entry."""
-        sent = request.prompt_tokens * request.kind.token_bytes
-        return sent * _BITS / (self.link_mbps * _MILLION)
-
     def zone(self, number: int) -> ZoneId:
         """Return the zone of an entry or engine."""
         zone = number % self.zones
--- a/packages/sycamore-standins/src/sycamore_standins/passes/replay.py
+++ b/packages/sycamore-standins/src/sycamore_standins/passes/replay.py
@@ -96,11 +96,10 @@
         answer.plan = plan
         answer.unread_parts = len(plan.members)
         promised_at = request.at + request.kind.objective_ms / _MS
-        sending = self.load.sending_seconds(request)
-        work = assignments_of(plan, wanted, promised_at, sending)
+        work = assignments_of(plan, wanted, promised_at)
         book.begin(request.request_id, work, now)
         self.gossip.has_sent(request.entry)
-        self.timeline.at(now + sending, self._soon, self._send, answer, plan)
+        self._soon(self._send, answer, plan)
 
     def _wait(self, answer: Answer) -> None:
         """Look for a slot again, or refuse the request."""
