Let news in before a prompt is placed that has filled the link

Cause: on a link of 10 Mbit/s a prompt of 850,000 tokens takes 68 ms to arrive, and what peers say waits behind it. Ruled out: the beat and the bytes of the news, both mended before; they were told at once and in 400 bytes.

A prompt now waits for a quarter of the time that it took to arrive, 20 ms at most, which is nothing on fast links and for turns.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
@@ -24,6 +24,14 @@
 #: Time between two looks for a slot, in seconds; slots free a few times a
 #: second on each engine.
 _LOOK_SECONDS = 0.012
+#: Part of the time that a prompt took to arrive for which news is let in before
+#: it is placed, and the longest such wait, in seconds. What peers sent
+#: meanwhile waits behind the prompt on a narrow link, and comes in small
+#: messages once the link is free.
+_NEWS_PART = 0.25
+_LONGEST_NEWS = 0.02
+#: Shortest such wait, in seconds: a short turn is not held up for its timer.
+_LEAST_NEWS = 0.001
 _MS = 1000.0
 
 
@@ -61,6 +69,8 @@
         """
         has_others = self._others(excluded)
         left_out = excluded if has_others else excluded - failed_at
+        if not excluded:
+            await self._let_news_in()
         began = self._now()
         while True:
             placement = self._place(left_out)
@@ -69,6 +79,21 @@
                 return placement
             await self._wait_for_slot(left_out, began)
 
+    async def _let_news_in(self) -> None:
+        """Wait for what peers said while the prompt filled the link.
+
+        What goes wrong otherwise: a prompt of 900,000 tokens takes 75 ms to
+        arrive, and its entry knows of nothing that others placed meanwhile.
+        It puts parts of seconds ahead of theirs while half of the engines
+        are idle.
+        """
+        if self.call.service.engine is None:
+            return
+        taken = self._now() - self.call.request.arrived_at
+        wait = min(_LONGEST_NEWS, taken * _NEWS_PART)
+        if wait >= _LEAST_NEWS:
+            await asyncio.sleep(wait)
+
     def _place(self, excluded: Iterable[EndpointId]) -> Placement | None:
         dispatcher = self.context.dispatcher
         service = self.call.service
