--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/silence.py
@@ -23,9 +23,13 @@
 #: up after two seconds, and to read it again takes some 30 ms.
 _TURN_PATIENCE = 0.8
 #: Part of the time limit for which a long prompt waits where it is, unless it
-#: is overdue and another engine keeps its promise: it is read from the start
-#: there, and in an overload there is no engine that would be faster.
+#: is overdue, soon read, and another engine keeps its promise: it is read from
+#: the start there, and in an overload there is no engine that would be faster.
 _LONG_PART = 0.45
+#: Reading time up to which a long prompt that is overdue may leave sooner, in
+#: milliseconds: a second reading of longer ones takes seconds of engines that
+#: are full when many prompts are late.
+_CHEAP_READ_MS = 500.0
 #: Time until it is looked again whether a turn is better off elsewhere.
 _LOOK_AGAIN = 0.15
 #: Time between events after which a stream is resumed elsewhere, in multiples
@@ -133,6 +137,9 @@
             return self._elsewhere_ms(costs) < self.call.route.objective * _MS
         if self._has_waited_long():
             return True
+        tokens = self.call.terms.prompt_tokens
+        if costs.read_ms(tokens) > _CHEAP_READ_MS:
+            return False
         left_ms = (self.call.objective_at - self._now()) * _MS
         return self._is_overdue(costs) and self._elsewhere_ms(costs) < left_ms
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
@@ -26,6 +26,8 @@
 LONG_STREAM = msgspec.structs.replace(STREAM, objective=20, time_limit=60)
 #: Longer than a turn waits at an engine that may be left.
 BUSY_SECONDS = 1.3
+#: Longer than an archive of 100,000 tokens is expected to take, twice over.
+FAR_SECONDS = 5.0
 
 
 async def answer_late(
@@ -40,8 +42,8 @@
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
 ) -> None:
-    await asyncio.sleep(2 * BUSY_SECONDS)
-    await answer_late(reader, writer)
+    await asyncio.sleep(FAR_SECONDS)
+    writer.write(stream_head() + chunk(event(0)) + LAST_CHUNK)
 
 
 async def answer_at_once(
@@ -179,3 +181,23 @@
         answer = await asking
     assert answer.endswith(LAST_CHUNK)
     assert not idle.requests
+
+
+async def test_archive_is_not_read_twice_while_its_engine_may_answer() -> None:
+    """Archives come together, and each is read later than was forecast.
+
+    Read a second time elsewhere, each takes some seconds of engines from the
+    others, which are late as well then.
+    """
+    busy = RawEndpoint('e1', answer_late_by_far)
+    idle = RawEndpoint('e2', answer_at_once)
+    async with entry_before(LONG_STREAM, busy, idle) as entry:
+        occupy(entry, 'e2')
+        asking = asyncio.create_task(entry.ask(Prompt='100000'))
+        while not busy.requests:
+            await asyncio.sleep(0.01)
+        name = EndpointId('e2')
+        entry.context.dispatcher.book.end(RequestId('long at e2'), [name])
+        answer = await asking
+    assert answer.endswith(LAST_CHUNK)
+    assert not idle.requests
