--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/cells.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/cells.py
@@ -30,8 +30,8 @@
 _TURN_SPILL = 0.15
 #: The same for a long prompt: unless its own promise is as good as broken. Its
 #: parts go ahead of what engines read, so that what is not yet known of them
-#: breaks promises there. With the part of a turn, replayed loads of three
-#: cells lose a hundredth of their worth.
+#: breaks promises there: spilled as early as turns are, long prompts make more
+#: answers late in the other cell than they save in their own.
 _LONG_SPILL = 0.6
 #: Added to the cost of each engine of another cell, in broken promises: what
 #: is known of it is a second old, and turns by the dozen have come meanwhile.
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_harm.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/engine_harm.py
@@ -20,12 +20,11 @@
 #: `GATHERED_WRITERS`: little against a hundredth of a broken promise, so that
 #: it decides between engines that are otherwise alike.
 _GATHERING_COST = 0.006
-#: Part of a promised first event that may be used up without harm. The
-#: forecast of a request's own reading is off by 4 ms in the median; what is
-#: left is for the entry and the network.
+#: Part of a promised first event that may be used up without harm. What is
+#: left is for the entry, the network and errors of the forecast.
 SAFE_FIRST_EVENT = 0.85
-#: The same for a prompt that waits already. Later parts go ahead of it once
-#: more: with 0.9, replayed loads lose a hundredth of their worth.
+#: The same for a prompt that waits already: the next part will go ahead of it
+#: as well, and the one after it.
 _SAFE_WAITING = 0.5
 #: The same for the pauses of a stream. The next pass reads what comes
 #: meanwhile as well.
@@ -33,8 +32,8 @@
 #: Extra of the ones that are late by much against those that just miss.
 _LATE_SLOPE = 0.2
 #: Backlog that counts as one broken promise, in ms: whoever comes next to a
-#: busy engine waits, or has others wait. With 20 s, which only orders engines
-#: that are otherwise alike, replayed loads lose a hundredth of their worth.
+#: busy engine waits, or has others wait. Much more of it would only order
+#: engines that are otherwise alike, and work would pile up on a few.
 _BUSY_MS = 3000.0
 #: Largest difference by which equal engines are told apart, in broken
 #: promises, so that two entries choose different ones at the same moment.
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/pass_forecast.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/pass_forecast.py
@@ -7,9 +7,8 @@
 with each chunk: parts of split prompts go ahead there at once, the latest
 first.
 
-Checked against runs of a day with 680 prompts on 18 engines: the median error
-of the time to the first token is 4 ms for prompts above 80,000 tokens and the
-mean 18 ms. To take each part as read at once had a mean error of 495 ms.
+What goes wrong if each part is taken as read at once: it takes up to three
+times as long as expected, and all later decisions start from a wrong state.
 """
 
 import math
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
@@ -42,9 +42,8 @@
 #: to one more engine, and a part of less than one pass gains nothing.
 LEAST_SPLIT_MS = 90.0
 #: Cost of each engine that takes part, in broken promises: it breaks ties
-#: towards fewer engines. With four times as much, prompts are read by fewer
-#: engines than are free: 12 days of three deployments lose 0.007 of worth in
-#: the mean, those of the one with most idle engines 0.017.
+#: towards fewer engines. If it were more, engines would idle beside a prompt
+#: that they could have read sooner.
 _PART_COST = 0.004
 #: Harm up to which a short turn is read alone, in broken promises. Above it,
 #: one engine may help: halves are read ahead of long prompts that would hold
@@ -52,14 +51,14 @@
 _GOOD_ENOUGH = 0.15
 #: Time that the network and the entry add to the first event, in ms.
 OVERHEAD_MS = 15.0
-#: Prompt tokens that weigh as much as one short turn. The operator's own
-#: weights run from 1.3 for 5,000 tokens to 21 for 154,000.
+#: Prompt tokens that weigh as much as one short turn: callers of long prompts
+#: wait longer and lose more with a late answer.
 _TOKENS_OF_A_TURN = 7500.0
 #: Weight of the shortest prompt in such turns.
 _LEAST_WEIGHT = 0.5
 #: Cost of a first event at the end of its objective against one at once, as a
 #: part of what its lateness costs. What is read sooner is held up by fewer
-#: others: replayed loads gain up to a hundredth of their worth by it.
+#: others.
 _HURRY = 0.03
 #: Part of the worth that a late answer keeps, and loses where its caller would
 #: have left before the first event.
--- a/packages/sycamore-core/src/sycamore_core/membership/members.py
+++ b/packages/sycamore-core/src/sycamore_core/membership/members.py
@@ -1,15 +1,15 @@
 """The entries of a fleet, and the cells that they form.
 
 What goes wrong without cells: each entry tells all others of every request,
-so that the messages of a fleet grow with the square of its entries. At 68
-entries they use up a third of a small machine's processor share.
+so that the messages of a fleet grow with the square of its entries and use up
+the processor share of small instances.
 
 A fleet of up to `LARGEST_CELL` entries is one cell. In a larger one each
-availability zone is a cell. Entries of one cell hear each other directly;
-whoever falls silent is lost for the others, and is told on, so that it finds
-back by itself. Of another cell an entry believes what members of it say, one
-after the other: none of them has a duty that another would have to take over
-when it dies.
+availability zone is a cell. Entries of one cell hear each other directly. One
+that falls silent counts as lost and is still sent updates, so that it rejoins
+as soon as it hears them. Of another cell an entry believes what its members
+say in turn: none of them has a role that another would have to take over when
+it dies.
 """
 
 from collections.abc import Iterable
@@ -17,8 +17,8 @@
 from ..ids import PeerId, ZoneId
 from .member import Member, MemberState
 
-#: Entries up to which a fleet is one cell. With 22, an entry spends a sixteenth
-#: of a core on its peers; with 68 it is a third of a small machine's share.
+#: Entries up to which a fleet is one cell. Updates of a larger one would use up
+#: the processor share of a small instance.
 LARGEST_CELL = 32
 #: Silence from which on an entry of the own cell is lost, in seconds: it tells
 #: what it has every second, and two messages in a row may be lost.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/read_pace.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/read_pace.py
@@ -1,8 +1,8 @@
 """When an entry asks the platform again.
 
-Load pattern: 177 endpoints register within 16 s, or leave one after the other.
-Each change ends the watch of every entry, and each watch counts as a call: 68
-entries make 11,600 calls of it.
+Load pattern: endpoints by the hundred register within some seconds, or leave
+one after the other. Each change ends the watch of every entry, and each watch
+counts as a call.
 
 Without it: what the platform gives grows more slowly than the fleet, and it
 turns entries away once there are too many of them.
