Give callers, endpoints, placement, the mesh and the fleet a room each

Cause: 30 modules of the forwarding entry stood in one folder, so that a reader could not tell the life of a request from what entries tell one another. Modules moved whole; two have the name of their class now (entry_mesh, keeper). No behaviour changed: style, import contracts and all tests of the entry and the adapter pass.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/__init__.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from .errors import ForwardingError, WireError
-from .feed import (
+from .fleet.feed import (
     Change,
     ChangeBatch,
     EndpointChanged,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/admission.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/admission.py
@@ -5,13 +5,13 @@
 from sycamore_core.ids import RequestId, ServiceId, WorkspaceId
 from sycamore_core.routing import Route, RoutingTable
 
+from ..calls import AttemptCall
+from ..context import ForwardingContext
+from ..errors import WireError
+from ..fleet.keeper import FleetKeeper
+from ..wire import CallTerms
 from .caller import CallerRequest
-from .calls import AttemptCall
-from .context import ForwardingContext
-from .errors import WireError
-from .fleet import FleetKeeper
 from .refusals import Refusal, RefusalCause
-from .wire import CallTerms
 
 #: Time that a caller which names none is taken to have, in seconds, while no
 #: route is known.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
@@ -18,7 +18,7 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
-from .errors import CallerLeftError
+from ..errors import CallerLeftError
 
 
 class CallerRequest(msgspec.Struct, frozen=True):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -11,15 +11,17 @@
 from sycamore_core.ids import EndpointId
 from tornado.httputil import HTTPHeaders
 
+from ..calls import AttemptCall
+from ..context import ForwardingContext
+from ..decision_log import DecisionLog
+from ..endpoints.attempt import Attempt
+from ..endpoints.relay import AnswerRelay
+from ..endpoints.silence import SilenceWatch
+from ..errors import AttemptError, CallerLeftError
+from ..placement.dispatcher import Placement
+from ..placement.placing import Placing
 from .admission import admit
-from .attempt import Attempt
 from .caller import CallerAnswer, CallerRequest
-from .calls import AttemptCall
-from .context import ForwardingContext
-from .decision_log import DecisionLog
-from .dispatcher import Placement
-from .errors import AttemptError, CallerLeftError
-from .placing import Placing
 from .refusals import (
     BAD_GATEWAY,
     GATEWAY_TIMEOUT,
@@ -27,8 +29,6 @@
     RefusalCause,
     refuse,
 )
-from .relay import AnswerRelay
-from .silence import SilenceWatch
 
 _MS = 1000.0
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/readiness.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/readiness.py
@@ -5,7 +5,7 @@
 
 from tornado.httputil import ResponseStartLine
 
-from .operator_pages import OperatorPage, PageAnswer
+from ..operator_pages import OperatorPage, PageAnswer
 
 _READY = ResponseStartLine(
     'HTTP/1.1',
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/calls.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/calls.py
@@ -6,7 +6,7 @@
 from sycamore_core.ids import RequestId, WorkspaceId
 from sycamore_core.routing import Route, ServiceRecord
 
-from .caller import CallerRequest
+from .callers.caller import CallerRequest
 from .wire import CallTerms
 
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
@@ -8,10 +8,10 @@
 from sycamore_core.ids import EntryId, ServiceId
 from sycamore_core.telemetry import Log
 
-from .dispatcher import DirectDispatcher
-from .fleet import FleetKeeper
+from .endpoints.pool import ChannelPool
+from .fleet.keeper import FleetKeeper
 from .metrics import ForwardingMetrics
-from .pool import ChannelPool
+from .placement.dispatcher import DirectDispatcher
 from .settings import ForwardingSettings
 from .wire import WireFormat
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/decision_log.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/decision_log.py
@@ -1,9 +1,9 @@
 """Lines that tell what a decision about a request was based on."""
 
+from .callers.refusals import Refusal
 from .calls import AttemptCall
 from .context import ForwardingContext
-from .dispatcher import Placement
-from .refusals import Refusal
+from .placement.dispatcher import Placement
 
 _MS = 1000.0
 
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Attempts at endpoints: connections, answers, silence and set-aside memory."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
@@ -9,13 +9,13 @@
 )
 from sycamore_core.ids import EndpointId
 
+from ..errors import AttemptError
+from ..placement.placing import read_request
+from ..wire import AnswerHead, Helper, OutgoingTerms
 from .channel import EndpointChannel
-from .errors import AttemptError
-from .placing import read_request
 from .relay import AnswerRelay
 from .reservations import Reservations
 from .silence import SilenceWatch
-from .wire import AnswerHead, Helper, OutgoingTerms
 
 #: Ranks that an endpoint's queue knows.
 _LAST_RANK = 9
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
@@ -20,8 +20,8 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
-from .errors import AttemptError
-from .wire import AnswerHead, WireFormat
+from ..errors import AttemptError
+from ..wire import AnswerHead, WireFormat
 
 #: Time to make a connection, in seconds. Endpoints accept within a few
 #: milliseconds; one that does not is gone or cut off.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/pool.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/pool.py
@@ -4,8 +4,8 @@
 
 from sycamore_core.routing import EndpointRecord
 
+from ..wire import WireFormat
 from .channel import EndpointChannel
-from .wire import WireFormat
 
 #: Idle time after which a connection is not used again, in seconds, where the
 #: endpoint does not say how long it keeps it.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/relay.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/relay.py
@@ -5,11 +5,11 @@
 from sycamore_core.decisions.direct import AttemptEnd
 from sycamore_core.routing import Route, RouteKind
 
-from .caller import CallerAnswer
+from ..callers.caller import CallerAnswer
+from ..errors import AttemptError
+from ..wire import AnswerHead
 from .channel import EndpointChannel
-from .errors import AttemptError
 from .events import EventCutter, StreamEvent
-from .wire import AnswerHead
 
 _NO_EVENT = -1
 #: Statuses by which callers take it that a request has not run.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/reservations.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/reservations.py
@@ -13,10 +13,10 @@
 from sycamore_core.routing import EndpointRecord
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from .context import ForwardingContext
-from .dispatcher import Placement
-from .errors import AttemptError
-from .wire import Helper, Order
+from ..context import ForwardingContext
+from ..errors import AttemptError
+from ..placement.dispatcher import Placement
+from ..wire import Helper, Order
 
 #: Length of a lease, in seconds. Memory has to be free four seconds after its
 #: request, also when the entry that reserved it is gone.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
@@ -6,11 +6,11 @@
 from sycamore_core.decisions.direct import is_overdue, is_turn
 from sycamore_core.routing import EngineCosts
 
-from .calls import AttemptCall
+from ..calls import AttemptCall
+from ..context import ForwardingContext
+from ..placement.dispatcher import Placement
+from ..placement.placing import read_request
 from .channel import EndpointChannel
-from .context import ForwardingContext
-from .dispatcher import Placement
-from .placing import read_request
 
 _MS = 1000.0
 #: Time without a first event after which a request is tried elsewhere, in
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration and endpoints, as the platform has them."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/read_pace.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/read_pace.py
@@ -11,7 +11,7 @@
 import asyncio
 import contextlib
 
-from .settings import CHANGE_SECONDS
+from ..settings import CHANGE_SECONDS
 
 #: Part of the time for a change for which an entry gathers what has changed
 #: before it asks again. What it learns that late is still in force in time
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""What entries tell one another."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -34,7 +34,7 @@
 from sycamore_core.telemetry import Log
 from sycamore_core.transport import Node, NodeAddress, Peer
 
-from .context import ForwardingContext
+from ..context import ForwardingContext
 from .newer_settings import NewerSettings
 from .update_beat import UpdateBeat
 from .update_sender import UpdateSender
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/newer_settings.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/newer_settings.py
@@ -6,7 +6,7 @@
 from sycamore_core.platform import PublishedSettings, pack
 from sycamore_core.transport import Peer
 
-from .fleet import FleetKeeper
+from ..fleet.keeper import FleetKeeper
 
 #: How long a peer may have a newer configuration before it is asked for it,
 #: in seconds. The platform shows a change within some ten milliseconds.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/updates.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/updates.py
@@ -8,7 +8,7 @@
 from sycamore_core.membership import Membership
 from sycamore_core.messages import CellMembers, CellSummary, LoadUpdate
 
-from .context import ForwardingContext
+from ..context import ForwardingContext
 
 
 class UpdateWriter:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/dispatcher.py
@@ -25,7 +25,7 @@
     ServiceRecord,
 )
 
-from .fleet import FleetKeeper
+from ..fleet.keeper import FleetKeeper
 
 #: Cost of an endpoint that failed lately, in broken promises: others are
 #: taken as long as any of them keeps its promises.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
@@ -12,10 +12,10 @@
 )
 from sycamore_core.ids import EndpointId
 
-from .calls import AttemptCall
-from .context import ForwardingContext
+from ..callers.refusals import Refusal, RefusalCause
+from ..calls import AttemptCall
+from ..context import ForwardingContext
 from .dispatcher import Placement
-from .refusals import Refusal, RefusalCause
 
 #: Part of its objective for which a request waits for a free slot. A slot
 #: that frees within it still serves the request in time; beyond it, the
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -13,22 +13,22 @@
 from sycamore_core.telemetry import Log
 from tornado.httpserver import HTTPServer
 
-from .caller import (
+from .callers.caller import (
     CallerAnswer,
     CallerConnections,
     CallerRequest,
     RequestServer,
 )
+from .callers.exchange import Exchange
+from .callers.readiness import Readiness
 from .context import ForwardingContext
-from .dispatcher import DirectDispatcher
-from .exchange import Exchange
-from .feed import FleetFeed
-from .fleet import FleetKeeper
-from .mesh import EntryMesh
+from .endpoints.pool import ChannelPool
+from .fleet.feed import FleetFeed
+from .fleet.keeper import FleetKeeper
+from .fleet.read_pace import ReadPace
+from .mesh.entry_mesh import EntryMesh
 from .metrics import ForwardingMetrics, MetricsPage
-from .pool import ChannelPool
-from .read_pace import ReadPace
-from .readiness import Readiness
+from .placement.dispatcher import DirectDispatcher
 from .settings import ForwardingSettings
 from .wire import WireFormat
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
@@ -28,20 +28,20 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
 
-from ..caller import (
+from ..callers.caller import (
     CallerAnswer,
     CallerConnections,
     CallerRequest,
     RequestServer,
 )
+from ..callers.exchange import Exchange
 from ..context import ForwardingContext
-from ..dispatcher import DirectDispatcher
+from ..endpoints.pool import ChannelPool
 from ..errors import WireError
-from ..exchange import Exchange
-from ..feed import ChangeBatch, FleetFeed, FleetSnapshot, Revision
-from ..fleet import FleetKeeper
+from ..fleet.feed import ChangeBatch, FleetFeed, FleetSnapshot, Revision
+from ..fleet.keeper import FleetKeeper
 from ..metrics import ForwardingMetrics
-from ..pool import ChannelPool
+from ..placement.dispatcher import DirectDispatcher
 from ..settings import ForwardingSettings
 from ..wire import (
     AnswerHead,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_mesh.py
@@ -9,7 +9,7 @@
 from sycamore_core.ids import EntryId, KeyId, ZoneId
 from sycamore_core.messages import PeerKeys
 
-from ..feed import Change, ChangeBatch, FleetSnapshot, Revision
+from ..fleet.feed import Change, ChangeBatch, FleetSnapshot, Revision
 from ..process import ForwardingProcess
 from ..settings import ForwardingSettings
 from .builders import HOST, SNAPSHOT, FixedFeed, SimpleWire
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_cells.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_cells.py
@@ -9,7 +9,7 @@
 from sycamore_core.membership import members
 from sycamore_core.routing import EndpointRecord, PublishedTable, RouteKind
 
-from ..feed import FleetSnapshot, Revision, TableChanged
+from ..fleet.feed import FleetSnapshot, Revision, TableChanged
 from ..process import ForwardingProcess
 from .builders import COSTS, HOST, MODEL, route, table_of
 from .builders_mesh import entries, news_of, running
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_mesh.py
@@ -8,8 +8,8 @@
 from sycamore_core.ids import EndpointId, RequestId, ServiceId
 from sycamore_core.routing import PublishedTable, RouteKind
 
-from .. import mesh
-from ..feed import EndpointChanged, TableChanged
+from ..fleet.feed import EndpointChanged, TableChanged
+from ..mesh import entry_mesh
 from .builders import ENDPOINT, route, table_of
 from .builders_mesh import entries, news_of, running
 
@@ -72,7 +72,7 @@
     Until it is told, it fills the same engines once more, and the callers of
     both wait. The next update of all work is put off here for ten minutes.
     """
-    monkeypatch.setattr(mesh, 'WHOLE_SECONDS', 600)
+    monkeypatch.setattr(entry_mesh, 'WHOLE_SECONDS', 600)
     first, second = entries(2)
     first.start_tasks()
     await asyncio.sleep(0.1)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_news.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_news.py
@@ -6,7 +6,7 @@
 from sycamore_core.ids import EndpointId, PeerId
 from sycamore_core.routing import EngineLoad, EngineShare, RouteKind
 
-from .. import placing
+from ..placement import placing
 from .builders import (
     HOST,
     LAST_CHUNK,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_read_pace.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_read_pace.py
@@ -5,9 +5,9 @@
 import pytest
 from sycamore_core.clock import SystemClock
 
-from ..feed import ChangeBatch, EndpointChanged, Revision
-from ..fleet import FleetKeeper
-from ..read_pace import ReadPace
+from ..fleet.feed import ChangeBatch, EndpointChanged, Revision
+from ..fleet.keeper import FleetKeeper
+from ..fleet.read_pace import ReadPace
 from .builders import ENDPOINT, SNAPSHOT, FixedFeed
 
 CHANGES = 60
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_reservations.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_reservations.py
@@ -5,7 +5,7 @@
 import pytest
 from sycamore_core.routing import RouteKind
 
-from ..reservations import RENEW_SECONDS
+from ..endpoints.reservations import RENEW_SECONDS
 from .builders import (
     HOST,
     LAST_CHUNK,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_start.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_start.py
@@ -6,8 +6,8 @@
 from sycamore_core.clock import SystemClock
 from sycamore_core.routing import RouteKind
 
-from ..feed import ChangeBatch, EndpointChanged, FleetSnapshot, Revision
-from ..fleet import FleetKeeper
+from ..fleet.feed import ChangeBatch, EndpointChanged, FleetSnapshot, Revision
+from ..fleet.keeper import FleetKeeper
 from .builders import (
     ENDPOINT,
     SNAPSHOT,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_stopping.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_stopping.py
@@ -9,7 +9,7 @@
 from sycamore_core.messages import PeerKeys
 from sycamore_core.routing import RouteKind
 
-from ..feed import FleetSnapshot, Revision
+from ..fleet.feed import FleetSnapshot, Revision
 from ..process import ForwardingProcess
 from ..settings import ForwardingSettings
 from .builders import (
