--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
@@ -60,9 +60,9 @@
 #: part of what its lateness costs. What is read sooner is held up by fewer
 #: others.
 _HURRY = 0.03
-#: Part of the worth that a late answer keeps, and loses where its caller would
-#: have left before the first event.
-_LATE_PART = 0.25
+#: Worth of an answer whose first event is late against one in time. Operators
+#: give a quarter to a third of the worth for late answers.
+LATE_PART = 0.25
 #: Part of the caller's time that may pass before a late first event without
 #: harm: the rest of the answer has to fit into it as well.
 _SAFE_LIMIT = 0.4
@@ -284,7 +284,7 @@
         # has passed. It seems that nothing can be lost any more, three engines
         # read it in nine seconds, and its caller leaves meanwhile.
         lost = lateness(expected_ms / self.request.limit_ms, _SAFE_LIMIT)
-        return self.request.weight * (late + _LATE_PART * lost)
+        return self.request.weight * (late + LATE_PART * lost)
 
     def _crowding(
         self,
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/worth.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/worth.py
@@ -15,11 +15,8 @@
 A caller that is sent away comes back once the load may have changed.
 """
 
-from .read_plan import ReadPlan, ReadRequest
+from .read_plan import LATE_PART, ReadPlan, ReadRequest
 
-#: Worth of an answer whose first event is late against one in time. Operators
-#: give a quarter to a third of the worth for late answers.
-_LATE_PART = 0.25
 #: Reading time up to which a prompt is always read, in milliseconds. Shorter
 #: ones harm about as many as they serve, and to weigh them against callers who
 #: are late already sends away whoever comes back after an outage.
@@ -55,5 +52,5 @@
     if plan.part_ms >= request.limit_ms:
         return False
     is_late = plan.expected_ms > request.objective_ms
-    worth = request.weight * _LATE_PART if is_late else request.weight
+    worth = request.weight * LATE_PART if is_late else request.weight
     return plan.harm <= worth
