Decompress what peers send in one place

Cause: settings and updates of peers each had the same bounded decompression; three tests of patience told the same story in the same lines.

--- a/packages/sycamore-core/src/sycamore_core/messages/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/__init__.py
@@ -13,6 +13,7 @@
     SpanRun,
 )
 from .heartbeats import Heartbeat, LoadReport, SettingsBody, SettingsWanted
+from .inflate import inflate
 from .keys import PeerKeys
 from .requests import (
     Accepted,
@@ -67,5 +68,6 @@
     'compress',
     'decode_message',
     'encode_message',
+    'inflate',
     'restore',
 )
--- a/packages/sycamore-core/src/sycamore_core/messages/compression.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/compression.py
@@ -12,6 +12,7 @@
 
 from ..errors import CodecError
 from .entries import CellSummary, CompressedMessage, LoadUpdate
+from .inflate import inflate
 from .union import decode_message, encode_message
 
 #: Bytes of a message from which on it is compressed: one that names two
@@ -20,7 +21,7 @@
 #: Compression that costs least: the gain is in figures that repeat.
 _LEVEL = 1
 #: Bytes of a message in its plain form, at most: all work of an entry at 770
-#: endpoints takes a tenth of it. Keeps a small packet from filling the memory.
+#: endpoints takes a tenth of it.
 MOST_BYTES = 1_048_576
 
 
@@ -49,14 +50,7 @@
     CodecError
         If it cannot be read, is too large, or is of another kind.
     """
-    reader = zlib.decompressobj()
-    try:
-        encoded = reader.decompress(compressed.payload, MOST_BYTES)
-    except zlib.error as error:
-        raise CodecError(f'compressed message: {error}') from error
-    if not reader.eof:
-        raise CodecError('compressed message: cut off or too large')
-    message = decode_message(encoded)
+    message = decode_message(inflate(compressed.payload, MOST_BYTES))
     if isinstance(message, LoadUpdate | CellSummary):
         return message
     raise CodecError('compressed message: of another kind')
--- a/packages/sycamore-core/src/sycamore_core/platform/bodies.py
+++ b/packages/sycamore-core/src/sycamore_core/platform/bodies.py
@@ -6,9 +6,9 @@
 
 import zlib
 
-from ..errors import PlatformError
+from ..errors import CodecError, PlatformError
 from ..ids import SettingsVersion
-from ..messages import SettingsBody
+from ..messages import SettingsBody, inflate
 from .accepted import MAX_SETTINGS_BYTES
 from .sources import PublishedSettings
 
@@ -41,12 +41,8 @@
     version = SettingsVersion(message.version)
     if not message.compressed:
         return PublishedSettings(version, message.body)
-    reader = zlib.decompressobj()
     try:
-        # The bound keeps a small message from filling the memory.
-        body = reader.decompress(message.body, MAX_SETTINGS_BYTES)
-    except zlib.error as error:
+        body = inflate(message.body, MAX_SETTINGS_BYTES)
+    except CodecError as error:
         raise PlatformError(f'settings of a peer: {error}') from error
-    if not reader.eof:
-        raise PlatformError('settings of a peer: cut off or too large')
     return PublishedSettings(version, body)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
@@ -24,6 +24,9 @@
 STREAM = route(RouteKind.RESUMABLE_STREAM, MODEL)
 #: Its callers would wait for half a minute at an engine that never answers.
 LONG_STREAM = msgspec.structs.replace(STREAM, objective=20, time_limit=60)
+#: Tokens of a report and of an archive.
+REPORT = '40000'
+ARCHIVE = '100000'
 #: Longer than a turn waits at an engine that may be left.
 BUSY_SECONDS = 1.3
 #: Longer than an archive of 100,000 tokens is expected to take, twice over.
@@ -60,6 +63,12 @@
     entry.context.dispatcher.begin(request, {EndpointId(name): assignment})
 
 
+def free(entry: TestEntry, name: str) -> None:
+    """Have an engine end the long prompt that it reads."""
+    request = RequestId(f'long at {name}')
+    entry.context.dispatcher.book.end(request, [EndpointId(name)])
+
+
 async def test_turn_stays_where_all_engines_are_busy() -> None:
     """All engines read long prompts for a second, and guests send turns.
 
@@ -140,6 +149,19 @@
     assert not idle.requests
 
 
+async def asked_while_other_reads(
+    entry: TestEntry,
+    taken: RawEndpoint,
+    prompt: str,
+) -> asyncio.Task[bytes]:
+    """Ask while e2 reads a long prompt, until the other engine has it."""
+    occupy(entry, 'e2')
+    asking = asyncio.create_task(entry.ask(Prompt=prompt))
+    while not taken.requests:
+        await asyncio.sleep(0.01)
+    return asking
+
+
 async def test_report_leaves_an_engine_that_never_answers() -> None:
     """An engine takes requests and answers none, though it looks well.
 
@@ -149,12 +171,8 @@
     mute = RawEndpoint('e1', say_nothing)
     idle = RawEndpoint('e2', answer_at_once)
     async with entry_before(LONG_STREAM, mute, idle) as entry:
-        occupy(entry, 'e2')
-        asking = asyncio.create_task(entry.ask(Prompt='40000'))
-        while not mute.requests:
-            await asyncio.sleep(0.01)
-        name = EndpointId('e2')
-        entry.context.dispatcher.book.end(RequestId('long at e2'), [name])
+        asking = await asked_while_other_reads(entry, mute, REPORT)
+        free(entry, 'e2')
         async with asyncio.timeout(15):
             answer = await asking
     assert answer.endswith(LAST_CHUNK)
@@ -170,14 +188,11 @@
     busy = RawEndpoint('e1', answer_late_by_far)
     idle = RawEndpoint('e2', answer_at_once)
     async with entry_before(LONG_STREAM, busy, idle) as entry:
-        occupy(entry, 'e2')
-        asking = asyncio.create_task(entry.ask(Prompt='40000'))
-        while not busy.requests:
-            await asyncio.sleep(0.01)
-        dispatcher = entry.context.dispatcher
+        asking = await asked_while_other_reads(entry, busy, REPORT)
         part = Assignment(read_ms=9000, is_ahead=True, is_home=False)
+        dispatcher = entry.context.dispatcher
         dispatcher.begin(RequestId('later'), {EndpointId('e1'): part})
-        dispatcher.book.end(RequestId('long at e2'), [EndpointId('e2')])
+        free(entry, 'e2')
         answer = await asking
     assert answer.endswith(LAST_CHUNK)
     assert not idle.requests
@@ -192,12 +207,8 @@
     busy = RawEndpoint('e1', answer_late_by_far)
     idle = RawEndpoint('e2', answer_at_once)
     async with entry_before(LONG_STREAM, busy, idle) as entry:
-        occupy(entry, 'e2')
-        asking = asyncio.create_task(entry.ask(Prompt='100000'))
-        while not busy.requests:
-            await asyncio.sleep(0.01)
-        name = EndpointId('e2')
-        entry.context.dispatcher.book.end(RequestId('long at e2'), [name])
+        asking = await asked_while_other_reads(entry, busy, ARCHIVE)
+        free(entry, 'e2')
         answer = await asking
     assert answer.endswith(LAST_CHUNK)
     assert not idle.requests
