Part what a plan says from how it is made

The request and the plan have a module of their own (plan.py); nothing else changed, and the tests pass.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -20,13 +20,9 @@
 )
 from .overdue import is_overdue
 from .plain_choice import choose_plain
+from .plan import ReadPlan, ReadRequest
 from .pressure import Pressure, TurnMeter
-from .read_plan import (
-    ReadPlan,
-    ReadRequest,
-    is_turn,
-    plan_read,
-)
+from .read_plan import is_turn, plan_read
 from .retry_allowance import AllowanceBounds, RetryAllowance
 from .return_times import (
     CallerTime,
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/assignments.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/assignments.py
@@ -2,7 +2,7 @@
 
 from ...ids import EndpointId
 from .engine_work import Assignment
-from .read_plan import ReadPlan, ReadRequest
+from .plan import ReadPlan, ReadRequest
 
 
 def assignments_of(
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/cells.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/cells.py
@@ -22,7 +22,8 @@
 from ...routing import EngineCosts
 from .engine_harm import Candidate
 from .load_book import LoadBook
-from .read_plan import ReadPlan, ReadRequest, is_turn, plan_read
+from .plan import ReadPlan, ReadRequest
+from .read_plan import is_turn, plan_read
 
 #: Cost from which on the other cells are looked at, in parts of what the
 #: request's own promise is worth: for a short turn, below it nobody's promise
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/read_plan.py
@@ -20,11 +20,8 @@
 """
 
 import heapq
-import math
 from collections.abc import Sequence
 
-import msgspec
-
 from ...ids import EndpointId
 from ...routing import EngineCosts
 from .engine_harm import (
@@ -34,6 +31,7 @@
     EngineHarm,
     lateness,
 )
+from .plan import ReadPlan, ReadRequest
 from .pressure import Pressure
 
 #: Engines that may help the one that writes: what engines accept at most.
@@ -51,11 +49,6 @@
 _GOOD_ENOUGH = 0.15
 #: Time that the network and the entry add to the first event, in ms.
 OVERHEAD_MS = 15.0
-#: Prompt tokens that weigh as much as one short turn: callers of long prompts
-#: wait longer and lose more with a late answer.
-_TOKENS_OF_A_TURN = 7500.0
-#: Weight of the shortest prompt in such turns.
-_LEAST_WEIGHT = 0.5
 #: Cost of a first event at the end of its objective against one at once, as a
 #: part of what its lateness costs. What is read sooner is held up by fewer
 #: others.
@@ -70,69 +63,6 @@
 _NO_PRESSURE = Pressure()
 
 
-class ReadRequest(msgspec.Struct, frozen=True, kw_only=True):
-    """A request to a model service, as far as its placement goes.
-
-    Attributes
-    ----------
-    answer_tokens
-        Most tokens that the answer may have.
-    objective_ms
-        Time to the first event that is left of what was promised.
-    pause_ms
-        Longest promised pause between events; 0 if nothing was promised.
-    limit_ms
-        Time after which its caller has left.
-    """
-
-    prompt_tokens: int
-    answer_tokens: int
-    objective_ms: float
-    pause_ms: float = 0
-    limit_ms: float = math.inf
-
-    @property
-    def weight(self) -> float:
-        """Return how many short turns its objective counts for."""
-        return _LEAST_WEIGHT + self.prompt_tokens / _TOKENS_OF_A_TURN
-
-
-class ReadPlan(msgspec.Struct, frozen=True, kw_only=True):
-    """Where a prompt is read.
-
-    Attributes
-    ----------
-    home
-        Engine that gets the request and writes the answer.
-    helpers
-        Engines that read parts of the prompt for it.
-    part_ms
-        Time that each of them needs for its part.
-    expected_ms
-        Time to the first event.
-    stored
-        Tokens of the prompt that helpers have to store, by endpoint, where
-        the home engine's memory does not hold it.
-    cost
-        Expected harm, in broken promises of short turns.
-    harm
-        The part of it that others bear.
-    """
-
-    home: EndpointId
-    helpers: tuple[EndpointId, ...] = ()
-    part_ms: float = 0
-    expected_ms: float = 0
-    stored: tuple[tuple[EndpointId, int], ...] = ()
-    cost: float = 0
-    harm: float = 0
-
-    @property
-    def members(self) -> tuple[EndpointId, ...]:
-        """Return all engines that take part, the home one first."""
-        return (self.home, *self.helpers)
-
-
 def is_turn(costs: EngineCosts, prompt_tokens: int) -> bool:
     """Return whether a prompt is a short turn, which is read alone."""
     return costs.read_ms(prompt_tokens) <= LEAST_SPLIT_MS
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/builders.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/builders.py
@@ -3,7 +3,7 @@
 from ....ids import EndpointId
 from ....routing import EngineCosts, EngineLoad, PausePromise, Unread
 from ..engine_harm import Candidate
-from ..read_plan import ReadRequest
+from ..plan import ReadRequest
 
 COSTS = EngineCosts(
     slots=8,
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_read_plan.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_read_plan.py
@@ -8,8 +8,9 @@
 import pytest
 
 from ..engine_harm import SAFE_FIRST_EVENT, Candidate, lateness
+from ..plan import ReadPlan, ReadRequest
 from ..pressure import Pressure
-from ..read_plan import ReadPlan, ReadRequest, plan_read
+from ..read_plan import plan_read
 from .builders import COSTS, archive, chatting, idle, reading, turn
 
 LARGEST = 700_000
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_worth.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_worth.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
+from ..plan import ReadPlan, ReadRequest
 from ..pressure import Pressure
-from ..read_plan import ReadPlan, ReadRequest, plan_read
+from ..read_plan import plan_read
 from ..worth import is_worth_reading
 from .builders import COSTS, archive, chatting, idle
 
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/worth.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/worth.py
@@ -15,7 +15,8 @@
 A caller that is sent away comes back once the load may have changed.
 """
 
-from .read_plan import LATE_PART, ReadPlan, ReadRequest
+from .plan import ReadPlan, ReadRequest
+from .read_plan import LATE_PART
 
 #: Reading time up to which a prompt is always read, in milliseconds. Shorter
 #: ones harm about as many as they serve, and to weigh them against callers who
