Log by what a request is known when it comes again

The digest of path, workspace and body now stands in attempt_failed after a break. Ruled out: the platform's id of the try (new each time) and the prompt's length (not unique). It is worked out only after a break, since a body may have megabytes; its first half needs no body.

No decision changes.

--- a/packages/sycamore-core/src/sycamore_core/ids.py
+++ b/packages/sycamore-core/src/sycamore_core/ids.py
@@ -31,3 +31,5 @@
 FencingNumber = NewType('FencingNumber', int)
 #: Hash that stands for one block of a prompt and all the blocks before it.
 BlockHash = NewType('BlockHash', int)
+#: Digest of what makes two requests the same: path, workspace and body.
+ContentDigest = NewType('ContentDigest', bytes)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/admission.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/admission.py
@@ -6,6 +6,7 @@
 from sycamore_core.routing import Route, RoutingTable
 
 from ..calls import AttemptCall
+from ..content import RequestContent
 from ..context import ForwardingContext
 from ..errors import WireError
 from ..fleet.keeper import FleetKeeper
@@ -57,6 +58,7 @@
         service=service,
         workspace=workspace,
         limit=request.arrived_at + _patience(route, terms),
+        content=RequestContent(request, workspace),
     )
 
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -181,6 +181,7 @@
             sent=self.attempts.sent,
             may_have_run=self.attempts.may_have_run,
             events=relay.last_number,
+            content=call.content.name_after(error.end),
             step=step,
         )
         if step == NextStep.TRY_AGAIN:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/calls.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/calls.py
@@ -7,6 +7,7 @@
 from sycamore_core.routing import Route, ServiceRecord
 
 from .callers.caller import CallerRequest
+from .content import RequestContent
 from .wire import CallTerms
 
 
@@ -19,6 +20,8 @@
         Whose request it is; None on public routes.
     limit
         When it is over, on the monotonic clock, in seconds.
+    content
+        By which it is known when it comes again.
     """
 
     request_id: RequestId
@@ -28,6 +31,7 @@
     service: ServiceRecord
     workspace: WorkspaceId | None
     limit: float
+    content: RequestContent
 
     def caller_time(self, now: float) -> CallerTime:
         """Return what decides how long its caller may be sent away."""
