Read and log the rate that endpoints name

The latest word of each start of an endpoint is kept, and limit_named tells each change with the request that brought it.

No decision changes.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -23,6 +23,7 @@
 from .plan import ReadPlan, ReadRequest
 from .pressure import Pressure, TurnMeter
 from .quarantine import HELD_SECONDS, Quarantine
+from .rate_limits import RateLimits
 from .read_plan import is_turn, plan_read
 from .retry_allowance import AllowanceBounds, RetryAllowance
 from .return_times import (
@@ -53,6 +54,7 @@
     'NextStep',
     'Pressure',
     'Quarantine',
+    'RateLimits',
     'ReadPlan',
     'ReadRequest',
     'RetryAllowance',
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
@@ -144,6 +144,7 @@
         relay: AnswerRelay,
     ) -> None:
         head = await channel.read_head()
+        self._take_limit(head)
         self._check_ran(head)
         if self.call.route.kind.is_stream and head.is_success:
             if not head.is_signed:
@@ -160,6 +161,20 @@
                 head.faulty_address,
             )
 
+    def _take_limit(self, head: AnswerHead) -> None:
+        """Note the rate of requests that the endpoint takes."""
+        if head.is_other_instance or head.limit.is_unreadable:
+            return
+        home = self.placement.home
+        limits = self.context.dispatcher.limits
+        if limits.said(home.lifetime, head.limit.per_second, self._now()):
+            self.context.log.info(
+                'limit_named',
+                request_id=self.call.request_id,
+                endpoint=home.endpoint,
+                per_second=head.limit.per_second,
+            )
+
     def _on_event(self) -> None:
         dispatcher = self.context.dispatcher
         dispatcher.sent_something(self.placement.home.endpoint)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/dispatcher.py
@@ -11,6 +11,7 @@
     FailureBook,
     KnownEngine,
     LoadBook,
+    RateLimits,
     ReadPlan,
     ReadRequest,
     choose_plain,
@@ -63,6 +64,8 @@
         Which engines are weighed first.
     failures
         Which endpoints fail.
+    limits
+        Which endpoints name a limit.
     has_sent
         Set when a request has been sent; whoever tells others of it clears it.
     """
@@ -80,6 +83,7 @@
         self.book = LoadBook()
         self.cells = CellView(zone=zone)
         self.failures = FailureBook()
+        self.limits = RateLimits()
         self.has_sent = asyncio.Event()
         self._ties: dict[EndpointId, float] = {}
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/wire.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/wire.py
@@ -76,6 +76,24 @@
     after_event: str = ''
 
 
+class NamedLimit(msgspec.Struct, frozen=True):
+    """What an endpoint says of the rate that it takes from all entries.
+
+    Attributes
+    ----------
+    per_second
+        Requests a second; None if it names no limit.
+    is_unreadable
+        Whether it names one that is no rate: what was known of it stays.
+    """
+
+    per_second: float | None = None
+    is_unreadable: bool = False
+
+
+NO_LIMIT = NamedLimit()
+
+
 class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
     """Status and headers of an endpoint's answer.
 
@@ -97,6 +115,8 @@
         How long the endpoint keeps the connection; None if it does not say.
     closes
         Whether the endpoint closes the connection after this answer.
+    limit
+        The rate of requests that it takes.
     """
 
     status: int
@@ -108,6 +128,7 @@
     faulty_address: str = ''
     idle_seconds: float | None = None
     closes: bool = False
+    limit: NamedLimit = NO_LIMIT
 
     @property
     def is_success(self) -> bool:
