--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
@@ -46,6 +46,7 @@
 from ..wire import (
     AnswerHead,
     CallTerms,
+    NamedLimit,
     Order,
     OutgoingTerms,
     WireFormat,
@@ -116,6 +117,7 @@
             is_signed='Signed' in headers,
             is_other_instance=status == 421,
             closes=headers.get('Connection', '') == 'close',
+            limit=named_limit(headers.get('Limit', '')),
         )
 
     def own_headers(self, request_id: str) -> HTTPHeaders:
@@ -128,6 +130,10 @@
         return Order('/order', b'release')
 
 
+def named_limit(text: str) -> NamedLimit:
+    return NamedLimit(float(text)) if text else NamedLimit()
+
+
 class FixedFeed(FleetFeed):
     """A platform that never changes."""
 
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_rate_limits.py
@@ -0,0 +1,35 @@
+"""Endpoints that name a rate get no more from all entries together."""
+
+from sycamore_core.routing import RouteKind
+
+from .builders import RawEndpoint, route, saying, whole
+from .builders_crash import asked_at, snapshot_of
+from .builders_mesh import entries, running
+
+SAFE = route(RouteKind.SAFE)
+ASKED = 40
+#: What an endpoint may get in some four seconds that names one a second.
+MOST_ARRIVALS = 11
+
+
+def limited(number: int, rate: float = 1) -> tuple[RawEndpoint, ...]:
+    """Return endpoints that name a rate in each answer."""
+    answer = whole(extra=f'Limit: {rate}\r\n')
+    return tuple(
+        RawEndpoint(f'e{place}', saying(answer)) for place in range(number)
+    )
+
+
+async def test_limited_endpoints_get_no_more_than_they_name() -> None:
+    """Guards against endpoints in need that get all that they look idle for."""
+    endpoints = limited(2)
+    listed = await snapshot_of(SAFE, endpoints)
+    async with running(entries(2, snapshot=listed)) as made:
+        async with asked_at(made[0]) as one, asked_at(made[1]) as other:
+            for number in range(ASKED):
+                caller = (one, other)[number % 2]
+                answer = await caller.ask(Id=f'q{number}')
+    arrivals = [len(endpoint.requests) for endpoint in endpoints]
+    assert max(arrivals) <= MOST_ARRIVALS
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert b'Retry-After' in answer
