Keep to the rate that endpoints name, over all entries together

Cause: nothing read the limit, so that the engine which asked for less had less to do, looked idle and drew work. Class of fault: a bound that holds for all entries together, known to none; placement by load alone.

Change: an endpoint that has got its rate over two or four seconds is left out of the candidates. Each entry notes what it sends; what it sent to limited endpoints, by quarters of a second, and the limit with its age go with the updates that are sent anyway, at once after each send; each sends while the sum leaves room. Once there is room, each waits for a time of its own that changes from turn to turn, or all with more to send would send before they hear of one another. Entries that hear a part of the others use that part. Long prompts go to endpoints without a limit where there are any. If all have got their rate, a request is refused at once (503, rate_limited), with when the next is taken.

Why it works: what counts is what all have sent, and each knows that within the time of one update.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -29,6 +29,7 @@
 from .return_times import (
     CallerTime,
     after_full,
+    after_limit,
     after_load,
     after_start,
     spread,
@@ -62,6 +63,7 @@
     'TurnMeter',
     'UpdatePace',
     'after_full',
+    'after_limit',
     'after_load',
     'after_start',
     'assignments_of',
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/return_times.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/return_times.py
@@ -23,6 +23,9 @@
 #: Least expected rest of an outage of the platform, in seconds. A short one is
 #: not noticed by callers; of those that are, most last for several seconds.
 _LEAST_OUTAGE = 1.6
+#: Least time until endpoints that name a rate take more, in seconds: others
+#: that were refused come back meanwhile as well.
+_LEAST_LIMIT_SECONDS = 0.25
 
 
 class CallerTime(msgspec.Struct, frozen=True):
@@ -89,6 +92,22 @@
     return spread(caller.left, caller)
 
 
+def after_limit(seconds: float, caller: CallerTime) -> float:
+    """Return when a caller comes back to endpoints that take no more now.
+
+    Parameters
+    ----------
+    seconds
+        Time until one of them takes a request again.
+
+    Examples
+    --------
+    >>> after_limit(0.75, CallerTime(left=10, number=0.5))
+    0.75
+    """
+    return spread(max(_LEAST_LIMIT_SECONDS, seconds), caller)
+
+
 def after_full(stay_seconds: float, caller: CallerTime) -> float:
     """Return when a caller comes back to a fleet without a free slot.
 
--- a/packages/sycamore-core/src/sycamore_core/membership/members.py
+++ b/packages/sycamore-core/src/sycamore_core/membership/members.py
@@ -82,6 +82,14 @@
         others = [one for one in self.members.values() if not one.is_lost]
         return len(others) + 1
 
+    @property
+    def heard_part(self) -> float:
+        """Return the part of all entries that is not lost.
+
+        Those that are lost may be at work where they cannot be heard.
+        """
+        return self.expected / (len(self.members) + 1)
+
     @property
     def cells(self) -> frozenset[ZoneId]:
         """Return the zones that are cells; none if there is only one cell."""
--- a/packages/sycamore-core/src/sycamore_core/messages/entries.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/entries.py
@@ -3,7 +3,12 @@
 import msgspec
 
 from ..ids import EndpointId, EntryId, ZoneId
-from ..routing import CrashReport, EndpointLifetime, EngineShare
+from ..routing import (
+    CrashReport,
+    EndpointLifetime,
+    EngineShare,
+    LimitReport,
+)
 from .base import BaseMessage
 
 
@@ -37,6 +42,8 @@
         Endpoints at which attempts of this entry have just failed.
     crashes
         Requests under which endpoints crashed.
+    limits
+        Endpoints that name a limit, and what it has sent to them.
     """
 
     entry: EntryId
@@ -51,6 +58,7 @@
     is_greeting: bool = False
     failing: tuple[EndpointId, ...] = ()
     crashes: tuple[CrashReport, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 class CellSummary(BaseMessage, frozen=True):
@@ -72,6 +80,9 @@
         Short turns that arrive in the cell.
     crashes
         Requests under which endpoints crashed.
+    limits
+        Endpoints of the cell that name a limit, and what all entries but the
+        receiver have sent to them.
     """
 
     entry: EntryId
@@ -83,6 +94,7 @@
     leaving: tuple[EndpointLifetime, ...] = ()
     turns_per_s: float = 0
     crashes: tuple[CrashReport, ...] = ()
+    limits: tuple[LimitReport, ...] = ()
 
 
 class CompressedMessage(BaseMessage, frozen=True):
--- a/packages/sycamore-core/src/sycamore_core/routing/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/__init__.py
@@ -4,6 +4,7 @@
 from .directory import EndpointDirectory
 from .endpoints import EndpointLifetime, EndpointRecord
 from .engines import EngineCosts
+from .limits import LimitReport
 from .loads import EngineLoad, EngineShare, PausePromise, Unread
 from .routes import (
     CallerLimits,
@@ -25,6 +26,7 @@
     'EngineLoad',
     'EngineShare',
     'PublishedTable',
+    'LimitReport',
     'Route',
     'RouteKind',
     'RoutingTable',
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/refusals.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/refusals.py
@@ -20,6 +20,8 @@
     NO_ENDPOINT = 'no_endpoint'
     ENDPOINT_REFUSED = 'endpoint_refused'
     OVERLOADED = 'overloaded'
+    #: All endpoints have got the rate of requests that they name.
+    RATE_LIMITED = 'rate_limited'
     #: Reading the prompt now would take more from others than it is worth.
     HARMFUL = 'harmful'
     TIME_LIMIT = 'time_limit'
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
@@ -52,6 +52,7 @@
         """
         dispatcher = self.context.dispatcher
         began = self._now()
+        dispatcher.sends(self.placement)
         dispatcher.begin(self.call.request_id, self._assignments())
         try:
             await self._run_reserved(relay)
@@ -174,6 +175,7 @@
                 endpoint=home.endpoint,
                 per_second=head.limit.per_second,
             )
+            self.context.dispatcher.tell_at_once(home.endpoint)
 
     def _on_event(self) -> None:
         dispatcher = self.context.dispatcher
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -31,6 +31,7 @@
     SettingsWanted,
     restore,
 )
+from sycamore_core.routing import LimitReport
 from sycamore_core.telemetry import Log
 from sycamore_core.transport import Node, NodeAddress, Peer
 
@@ -175,6 +176,7 @@
         now = self.clock.monotonic()
         self._note(peer, update, now)
         self.crashes.hear(update.crashes, update.entry)
+        self._hear_limits(PeerId(update.entry), update.limits, now)
         self._answer_newcomer(peer, update, now)
         self.book.hear(
             PeerId(update.entry),
@@ -196,10 +198,27 @@
                 peer=update.entry,
             )
 
+    def _hear_limits(
+        self,
+        source: PeerId,
+        reports: tuple[LimitReport, ...],
+        now: float,
+    ) -> None:
+        """Take it from an entry, or a cell, what it sent where."""
+        limits = self.context.dispatcher.limits
+        for lifetime in limits.hear(source, reports, now):
+            self.log.info(
+                'limit_named_by_peer',
+                endpoint=lifetime.endpoint,
+                per_second=limits.limit(lifetime, now),
+                source=source,
+            )
+
     def _hear_cell(self, peer: Peer, summary: CellSummary) -> None:
         now = self.clock.monotonic()
         self._note(peer, summary, now)
         self.crashes.hear(summary.crashes, summary.entry)
+        self._hear_limits(PeerId(summary.zone), summary.limits, now)
         self.membership.vouch(summary.zone, summary.members, now)
         if not self.membership.is_near(summary.zone):
             self.book.hear_cell(
@@ -264,6 +283,9 @@
                 zone=lost.zone,
             )
         self.context.entries = self.membership.expected
+        limits = self.context.dispatcher.limits
+        limits.part = self.membership.heard_part
+        limits.entries = len(self.membership.near()) + 1
         self.keeper.pace.entries = self.membership.expected
         cells = self.membership.cells
         if cells != self.context.dispatcher.cells.zones:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/updates.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/updates.py
@@ -3,10 +3,11 @@
 from collections.abc import Iterable
 
 import msgspec
-from sycamore_core.decisions.direct import LoadBook
-from sycamore_core.ids import EndpointId, ZoneId
+from sycamore_core.decisions.direct import LoadBook, RateLimits
+from sycamore_core.ids import EndpointId, PeerId, ZoneId
 from sycamore_core.membership import Membership
 from sycamore_core.messages import CellMembers, CellSummary, LoadUpdate
+from sycamore_core.routing import LimitReport
 
 from ..context import ForwardingContext
 
@@ -22,6 +23,7 @@
         self.context = context
         self.membership = membership
         self.book: LoadBook = context.dispatcher.book
+        self.limits: RateLimits = context.dispatcher.limits
 
     def changes(
         self,
@@ -39,6 +41,7 @@
             turns_per_s=self.book.turns.rate(now),
             failing=context.dispatcher.failures.to_tell(now),
             crashes=context.quarantine.news(now),
+            limits=self.limits.reports(set(endpoints), now),
         )
 
     def whole(self, now: float) -> LoadUpdate:
@@ -49,6 +52,7 @@
             members=self._all_living(own_cell=True),
             leaving=self.context.keeper.leaving,
             crashes=self.context.quarantine.in_turn(now),
+            limits=self.limits.everything(now),
         )
 
     def introduction(self, now: float) -> LoadUpdate:
@@ -83,6 +87,7 @@
             leaving=context.keeper.leaving,
             turns_per_s=self.book.pressure(now).turns_per_s,
             crashes=context.quarantine.in_turn(now),
+            limits=self._limits_in(zone, now, name),
         )
 
     def by_owner(
@@ -102,6 +107,17 @@
         busy = self.book.own.keys() | self.book.heard.keys()
         return sorted(one for one in busy if self._zone_of(one) == zone)
 
+    def _limits_in(
+        self,
+        zone: ZoneId,
+        now: float,
+        receiver: PeerId,
+    ) -> tuple[LimitReport, ...]:
+        directory = self.context.keeper.directory
+        records = directory.records.values()
+        endpoints = {one.endpoint for one in records if one.zone == zone}
+        return self.limits.summary(endpoints, now, receiver)
+
     def _zone_of(self, endpoint: EndpointId) -> ZoneId | None:
         record = self.context.keeper.directory.find(endpoint)
         return None if record is None else record.zone
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/dispatcher.py
@@ -27,6 +27,7 @@
 )
 
 from ..fleet.keeper import FleetKeeper
+from .candidates import Candidates
 
 #: Cost of an endpoint that failed lately, in broken promises: others are
 #: taken as long as any of them keeps its promises.
@@ -66,6 +67,8 @@
         Which endpoints fail.
     limits
         Which endpoints name a limit.
+    candidates
+        Which endpoints may be given a request.
     has_sent
         Set when a request has been sent; whoever tells others of it clears it.
     """
@@ -83,7 +86,8 @@
         self.book = LoadBook()
         self.cells = CellView(zone=zone)
         self.failures = FailureBook()
-        self.limits = RateLimits()
+        self.limits = RateLimits(entry)
+        self.candidates = Candidates(keeper, self.limits)
         self.has_sent = asyncio.Event()
         self._ties: dict[EndpointId, float] = {}
 
@@ -96,7 +100,9 @@
     ) -> Placement | None:
         """Return where a prompt is read; None if no engine has a slot."""
         now = self.clock.monotonic()
-        records = self._records(service, excluded)
+        records = self.candidates.taking(service, excluded, now)
+        if not is_turn(costs, request.prompt_tokens):
+            records = self.candidates.without_limit(records, now)
         plan = plan_in_cells(
             request,
             [self._known(record, now) for record in records.values()],
@@ -120,7 +126,7 @@
     ) -> Placement | None:
         """Return the replica for a call; None if there is none."""
         now = self.clock.monotonic()
-        records = self._records(service, excluded)
+        records = self.candidates.taking(service, excluded, now)
         chosen = choose_plain(
             tuple(records.values()),
             lambda name: self._calls(name, now),
@@ -146,6 +152,12 @@
         """Note that an attempt is over."""
         self.book.end(request_id, placed.plan.members)
 
+    def sends(self, placed: Placement) -> None:
+        """Note a request to endpoints that may have named a limit."""
+        now = self.clock.monotonic()
+        for record in (placed.home, *placed.helpers):
+            self.limits.sent(record.lifetime, now)
+
     def sent_something(self, endpoint: EndpointId) -> None:
         """Note a sign of life of an endpoint."""
         self.failures.sent_something(endpoint, self.clock.monotonic())
@@ -177,19 +189,6 @@
                 return record.endpoint
         return None
 
-    def _records(
-        self,
-        service: ServiceRecord,
-        excluded: Iterable[EndpointId],
-    ) -> dict[EndpointId, EndpointRecord]:
-        left_out = set(excluded)
-        usable = self.keeper.directory.usable(service.service)
-        return {
-            record.endpoint: record
-            for record in usable
-            if record.endpoint not in left_out
-        }
-
     def _known(self, record: EndpointRecord, now: float) -> KnownEngine:
         endpoint = record.endpoint
         is_resting = self.failures.is_resting(endpoint, now)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
@@ -6,6 +6,7 @@
 from sycamore_core.decisions.direct import (
     ReadRequest,
     after_full,
+    after_limit,
     after_load,
     after_start,
     is_worth_reading,
@@ -161,6 +162,13 @@
             )
         if not self._others(excluded):
             return Refusal.by_endpoint(caller)
+        to_room = self._seconds_to_room(excluded)
+        if to_room:
+            return Refusal(
+                RefusalCause.RATE_LIMITED,
+                f'no endpoint takes more for {to_room:.2f} s',
+                retry_after=after_limit(to_room, caller),
+            )
         directory = self.context.keeper.directory
         usable = directory.usable(self.call.service.service)
         turns = self.context.dispatcher.book.turns
@@ -170,6 +178,11 @@
             retry_after=after_full(turns.stay_seconds, caller),
         )
 
+    def _seconds_to_room(self, excluded: Set[EndpointId]) -> float:
+        candidates = self.context.dispatcher.candidates
+        service = self.call.service
+        return candidates.seconds_to_room(service, excluded, self._now())
+
     def _now(self) -> float:
         return self.context.clock.monotonic()
 
