Compare the platform's epoch before its revisions

The keeper went on at max(own revision, the batch's): what was written again below was never read, so that endpoints and settings stayed unknown. Endpoints that the copy lacks were dropped at once, though all are well; endpoints that were seen to go came back with it.

Change: all answers carry an epoch. Settings go by their version and never go back. Peers are told starts of endpoints and versions, never revisions, so that none can bring back what is gone. An epoch that cannot be read is logged once and changes nothing; pages of two epochs are no list. What peers are told of leaving endpoints has a module of its own (the keeper had grown too large).

Ruled out: 410 as the only sign (the store may have caught up with the revision before the entry asks); dropping all on a new epoch (a service without endpoints).

--- a/packages/sycamore-core/src/sycamore_core/routing/directory.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/directory.py
@@ -9,6 +9,9 @@
 renewed. To drop them at once would leave a service without endpoints while
 all of them are well; they are therefore kept for a moment after the platform
 has come back, in which a living endpoint registers again.
+
+A platform may also come back from an older copy of itself, which lists
+endpoints that have gone meanwhile.
 """
 
 from collections.abc import Iterable
@@ -21,6 +24,9 @@
 #: How long a registration that is missing after an outage of the platform is
 #: kept, in seconds. Living endpoints have registered again within two.
 RETURN_SECONDS = 2.2
+#: Starts of endpoints that are remembered once they are gone: more do not leave
+#: within the seconds by which a copy is older.
+_MOST_GONE = 2000
 
 
 class EndpointDirectory:
@@ -42,6 +48,7 @@
     def __init__(self) -> None:
         self.records: dict[EndpointId, EndpointRecord] = {}
         self.missing_since: dict[EndpointId, float] = {}
+        self._gone: dict[EndpointLifetime, None] = {}
 
     def usable(self, service: ServiceId) -> list[EndpointRecord]:
         """Return the endpoints of a service that take new requests."""
@@ -58,6 +65,7 @@
     def put(self, record: EndpointRecord) -> None:
         """Take a registration, unless it is older than what is known."""
         self.missing_since.pop(record.endpoint, None)
+        self._gone.pop(record.lifetime, None)
         known = self.records.get(record.endpoint)
         if known is not None and not _may_follow(known, record):
             return
@@ -80,8 +88,12 @@
 
     def remove(self, endpoint: EndpointId) -> None:
         """Drop an endpoint whose registration was removed."""
-        self.records.pop(endpoint, None)
+        known = self.records.pop(endpoint, None)
         self.missing_since.pop(endpoint, None)
+        if known is not None:
+            self._gone[known.lifetime] = None
+        if len(self._gone) > _MOST_GONE:
+            self._gone.pop(next(iter(self._gone)))
 
     def replace(
         self,
@@ -89,6 +101,7 @@
         now: float,
         *,
         after_outage: bool,
+        is_old_copy: bool = False,
     ) -> None:
         """Take a whole list of registrations.
 
@@ -99,8 +112,15 @@
         after_outage
             Whether the platform was away just before: endpoints that are
             missing from the list are then kept for `RETURN_SECONDS`.
+        is_old_copy
+            Whether the list may name endpoints that have gone since: those
+            that were seen to go stay away.
         """
-        listed = {record.endpoint: record for record in records}
+        listed = {
+            record.endpoint: record
+            for record in records
+            if not (is_old_copy and record.lifetime in self._gone)
+        }
         for record in listed.values():
             self.put(record)
         for endpoint in self.records.keys() - listed.keys():
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/__init__.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/__init__.py
@@ -6,10 +6,12 @@
 
 from .errors import ForwardingError, WireError
 from .fleet.feed import (
+    UNKNOWN_EPOCH,
     Change,
     ChangeBatch,
     EndpointChanged,
     EndpointRemoved,
+    Epoch,
     FleetFeed,
     FleetSnapshot,
     HistoryLostError,
@@ -35,6 +37,7 @@
     'ChangeBatch',
     'EndpointChanged',
     'EndpointRemoved',
+    'Epoch',
     'FleetFeed',
     'FleetSnapshot',
     'ForwardingError',
@@ -47,6 +50,7 @@
     'OutgoingTerms',
     'Revision',
     'TableChanged',
+    'UNKNOWN_EPOCH',
     'WireError',
     'WireFormat',
 )
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/feed.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/feed.py
@@ -12,6 +12,13 @@
 Revision = NewType('Revision', int)
 
 
+#: Rises each time the platform comes back from an older copy of itself: what
+#: it had acknowledged since is gone, and its revisions are given out again.
+Epoch = NewType('Epoch', int)
+#: Of an answer that names none.
+UNKNOWN_EPOCH = Epoch(0)
+
+
 class HistoryLostError(PlatformError):
     """The platform no longer has the changes after a revision."""
 
@@ -22,6 +29,7 @@
     revision: Revision
     published: PublishedTable | None
     endpoints: tuple[EndpointRecord, ...]
+    epoch: Epoch = UNKNOWN_EPOCH
 
 
 class TableChanged(msgspec.Struct, frozen=True):
@@ -50,6 +58,7 @@
 
     revision: Revision
     changes: tuple[Change, ...] = ()
+    epoch: Epoch = UNKNOWN_EPOCH
 
 
 class FleetFeed(abc.ABC):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
@@ -3,10 +3,11 @@
 What goes wrong: the platform is away, slow, or serves this entry nothing,
 while others see changes. What is in force never goes back to an older
 version, and what an entry has once seen of an endpoint's leaving binds it.
+Nor does it believe a platform that has come back from an older copy what it
+knows to be over: revisions count within one epoch only.
 """
 
 import asyncio
-from collections import deque
 from collections.abc import Iterable
 
 from sycamore_core.clock import Clock
@@ -33,7 +34,9 @@
     TableChanged,
 )
 from .first_list import FirstList
+from .leaving import LeavingNews
 from .read_pace import ReadPace
+from .restoration import Restoration
 
 #: Pauses after failed reads, in seconds: the first and the longest. The
 #: platform takes 2,000 reads a second from all entries together.
@@ -42,9 +45,6 @@
 #: Pause of an entry without a list after a failed read, in seconds: its callers
 #: are refused meanwhile, and a hundred such entries make 700 calls a second.
 UNLISTED_PAUSE = 0.15
-#: How long peers are told of an endpoint that leaves, in seconds: three of
-#: the messages that name everything may be lost.
-LEAVING_SECONDS = 4.0
 #: Time between looks for registrations that did not come back, in seconds.
 EXPIRE_SECONDS = 0.25
 
@@ -63,6 +63,8 @@
         Asks for the first list of endpoints.
     pace
         When the platform is asked again.
+    restoration
+        Whether the platform has come back from an older copy.
     """
 
     def __init__(
@@ -78,9 +80,10 @@
         self.directory = EndpointDirectory()
         self.confirmed_at: float | None = None
         self.first_list = FirstList(feed, clock)
+        self.restoration = Restoration(clock)
         self.log = Log('fleet')
         self.published: PublishedTable | None = None
-        self._left: deque[tuple[float, EndpointLifetime]] = deque()
+        self._left = LeavingNews(clock)
         self._revision = Revision(0)
         self._failures = 0
 
@@ -109,10 +112,7 @@
     @property
     def leaving(self) -> tuple[EndpointLifetime, ...]:
         """Return the endpoints that were lately seen to leave."""
-        begin = self.clock.monotonic() - LEAVING_SECONDS
-        while self._left and self._left[0][0] < begin:
-            self._left.popleft()
-        return tuple(lifetime for _, lifetime in self._left)
+        return self._left.lately()
 
     def offer_table(self, body: SettingsBody) -> None:
         """Take a peer's configuration if it is newer."""
@@ -127,7 +127,7 @@
         """Take it from a peer that endpoints leave."""
         for lifetime in lifetimes:
             if self.directory.mark_leaving(lifetime):
-                self._note_leaving(lifetime)
+                self._left.note(lifetime)
                 self.log.info(
                     'endpoint_leaving_by_peer',
                     endpoint=lifetime.endpoint,
@@ -136,25 +136,33 @@
     async def run(self) -> None:
         """Read and watch the platform until cancelled."""
         while True:
-            has_changed = False
-            try:
-                has_changed = await self._read()
-            except HistoryLostError as error:
-                self.log.warning('history_lost', reason=str(error))
-                self._revision = Revision(0)
-            except PlatformError as error:
-                await self._pause(error)
-            else:
-                self._recovered()
+            has_changed = await self.step()
             if has_changed:
                 await self.pace.gather()
 
+    async def step(self) -> bool:
+        """Read the platform once; return whether it showed a change."""
+        try:
+            has_changed = await self._read()
+        except HistoryLostError as error:
+            self.log.warning('history_lost', reason=str(error))
+            self._revision = Revision(0)
+        except PlatformError as error:
+            await self._pause(error)
+        else:
+            return has_changed
+        return False
+
     async def expire(self) -> None:
         """Drop registrations that did not come back, until cancelled."""
         while True:
             await asyncio.sleep(EXPIRE_SECONDS)
-            for endpoint in self.directory.expire(self.clock.monotonic()):
-                self.log.info('endpoint_expired', endpoint=endpoint)
+            self.drop_expired()
+
+    def drop_expired(self) -> None:
+        """Drop registrations that should have come back by now."""
+        for endpoint in self.directory.expire(self.clock.monotonic()):
+            self.log.info('endpoint_expired', endpoint=endpoint)
 
     async def _read(self) -> bool:
         """Read what there is, or what changes next; return whether it did."""
@@ -167,12 +175,20 @@
             has_changed = await self._watch()
         self.first_list.note_answer(is_ready=self.is_ready)
         self.confirmed_at = started
+        if self._failures:
+            self.log.info('platform_regained', failures=self._failures)
+        self._failures = 0
         return has_changed
 
     async def _watch(self) -> bool:
         """Wait for a first change; return whether one came."""
         seconds = self.pace.change_seconds
         batch = await self.feed.changes(self._revision, seconds)
+        is_restored = self.restoration.note(batch.epoch)
+        if is_restored or self.restoration.take_settled():
+            # Of what the batch leaves out nothing is known.
+            self._revision = Revision(0)
+            return False
         for change in batch.changes:
             self._take(change)
         self._revision = max(self._revision, batch.revision)
@@ -193,18 +209,16 @@
             # meanwhile, and only a whole list tells.
             self._revision = Revision(0)
 
-    def _recovered(self) -> None:
-        if self._failures:
-            self.log.info('platform_regained', failures=self._failures)
-        self._failures = 0
-
     def _take_snapshot(self, snapshot: FleetSnapshot) -> None:
+        self.restoration.note(snapshot.epoch)
+        is_old_copy = self.restoration.is_settling
         if snapshot.published is not None:
             self._take_table(snapshot.published)
         self.directory.replace(
             snapshot.endpoints,
             self.clock.monotonic(),
-            after_outage=self.is_away,
+            after_outage=self.is_away or is_old_copy,
+            is_old_copy=is_old_copy,
         )
         self._revision = snapshot.revision
         self.log.info(
@@ -212,6 +226,7 @@
             endpoints=len(snapshot.endpoints),
             revision=snapshot.revision,
             after_outage=self.is_away,
+            is_old_copy=is_old_copy,
         )
 
     def _take(self, change: Change) -> None:
@@ -220,7 +235,7 @@
         elif isinstance(change, EndpointChanged):
             self.directory.put(change.record)
             if change.record.is_leaving:
-                self._note_leaving(change.record.lifetime)
+                self._left.note(change.record.lifetime)
             self.log.info(
                 'endpoint_changed',
                 endpoint=change.record.endpoint,
@@ -232,9 +247,6 @@
             self.directory.remove(change.endpoint)
             self.log.info('endpoint_removed', endpoint=change.endpoint)
 
-    def _note_leaving(self, lifetime: EndpointLifetime) -> None:
-        self._left.append((self.clock.monotonic(), lifetime))
-
     def _take_table(
         self,
         published: PublishedTable,
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_restored_platform.py
@@ -0,0 +1,177 @@
+"""A platform that comes back from a copy of itself some seconds old."""
+
+import asyncio
+
+import msgspec
+from sycamore_core.clock import ManualClock
+from sycamore_core.errors import PlatformError
+from sycamore_core.ids import EndpointId, SettingsVersion
+from sycamore_core.routing import EndpointRecord, PublishedTable, RouteKind
+
+from ..fleet.feed import (
+    ChangeBatch,
+    Epoch,
+    FleetSnapshot,
+    HistoryLostError,
+    Revision,
+)
+from ..fleet.keeper import FleetKeeper
+from ..fleet.restoration import SETTLE_SECONDS
+from .builders import ENDPOINT, SERVICE, FixedFeed, route, table_of
+
+OTHER = msgspec.structs.replace(ENDPOINT, endpoint=EndpointId('e2'))
+NEWER_VERSION = SettingsVersion(9)
+
+
+class CopiedFeed(FixedFeed):
+    """A platform whose every answer a test prepares.
+
+    Attributes
+    ----------
+    batches
+        Answers to watches, in order; then the platform shows nothing new.
+    """
+
+    def __init__(self, *listed: EndpointRecord) -> None:
+        super().__init__(listing(Epoch(1), *listed))
+        self.batches: list[ChangeBatch | PlatformError] = []
+        self.lists = 0
+
+    def restore(self, *listed: EndpointRecord, version: int = 3) -> None:
+        """Come back from an older copy, which has these endpoints."""
+        self.fixed = listing(Epoch(2), *listed, version=version)
+
+    async def snapshot(self) -> FleetSnapshot:
+        self.lists += 1
+        return self.fixed
+
+    async def changes(
+        self,
+        after: Revision,
+        wait_seconds: float,
+    ) -> ChangeBatch:
+        if not self.batches:
+            await asyncio.sleep(0)
+            return ChangeBatch(after, epoch=self.fixed.epoch)
+        answer = self.batches.pop(0)
+        if isinstance(answer, PlatformError):
+            raise answer
+        return answer
+
+
+def listing(
+    epoch: Epoch,
+    *listed: EndpointRecord,
+    version: int = 3,
+) -> FleetSnapshot:
+    table = table_of(route(RouteKind.SAFE))
+    table.version = SettingsVersion(version)
+    published = PublishedTable(table, str(version).encode())
+    return FleetSnapshot(Revision(10), published, listed, epoch)
+
+
+async def kept(feed: CopiedFeed, clock: ManualClock) -> FleetKeeper:
+    """Return a keeper that has read the first list."""
+    keeper = FleetKeeper(feed, clock)
+    await keeper.step()
+    return keeper
+
+
+def usable(keeper: FleetKeeper) -> set[EndpointId]:
+    return {one.endpoint for one in keeper.directory.usable(SERVICE)}
+
+
+async def test_revision_that_is_given_out_again_hides_no_change() -> None:
+    """Guards against a watch that goes on beyond what was written again."""
+    feed = CopiedFeed(ENDPOINT)
+    keeper = await kept(feed, ManualClock())
+    feed.restore(ENDPOINT, OTHER)
+    feed.batches = [ChangeBatch(Revision(12), epoch=Epoch(2))]
+    await keeper.step()
+    await keeper.step()
+    assert usable(keeper) == {ENDPOINT.endpoint, OTHER.endpoint}
+
+
+async def test_endpoint_that_the_copy_lacks_is_used_until_it_is_back() -> None:
+    """Guards against a service without endpoints while all are well."""
+    feed = CopiedFeed(ENDPOINT, OTHER)
+    clock = ManualClock()
+    keeper = await kept(feed, clock)
+    feed.restore(ENDPOINT)
+    feed.batches = [HistoryLostError('no history')]
+    await keeper.step()
+    await keeper.step()
+    assert OTHER.endpoint in usable(keeper)
+    clock.advance(3)
+    keeper.drop_expired()
+    assert OTHER.endpoint not in usable(keeper)
+
+
+async def test_endpoint_that_has_gone_is_not_brought_back_by_the_copy() -> None:
+    """Guards against requests to an endpoint that was seen to leave."""
+    feed = CopiedFeed(ENDPOINT, OTHER)
+    keeper = await kept(feed, ManualClock())
+    keeper.directory.remove(OTHER.endpoint)
+    feed.restore(ENDPOINT, OTHER)
+    feed.batches = [HistoryLostError('no history')]
+    await keeper.step()
+    await keeper.step()
+    assert usable(keeper) == {ENDPOINT.endpoint}
+
+
+async def test_endpoint_that_still_lives_is_used_once_leases_have_lapsed() -> (
+    None
+):
+    """Guards against an endpoint that is left alone for good."""
+    feed = CopiedFeed(ENDPOINT, OTHER)
+    clock = ManualClock()
+    keeper = await kept(feed, clock)
+    keeper.directory.remove(OTHER.endpoint)
+    feed.restore(ENDPOINT, OTHER)
+    feed.batches = [HistoryLostError('no history')]
+    await keeper.step()
+    await keeper.step()
+    clock.advance(SETTLE_SECONDS)
+    await keeper.step()
+    await keeper.step()
+    assert usable(keeper) == {ENDPOINT.endpoint, OTHER.endpoint}
+
+
+async def test_settings_never_go_back_to_those_of_the_copy() -> None:
+    """Guards against keys and routes that were taken away and come back."""
+    feed = CopiedFeed(ENDPOINT)
+    feed.fixed = listing(Epoch(1), ENDPOINT, version=NEWER_VERSION)
+    keeper = await kept(feed, ManualClock())
+    feed.restore(ENDPOINT, version=3)
+    feed.batches = [HistoryLostError('no history')]
+    await keeper.step()
+    await keeper.step()
+    assert keeper.version == NEWER_VERSION
+
+
+async def test_entry_that_was_cut_off_meanwhile_lists_anew_once() -> None:
+    """Guards against an entry that takes the copy for what it knew before."""
+    feed = CopiedFeed(ENDPOINT)
+    keeper = await kept(feed, ManualClock())
+    feed.restore(ENDPOINT, OTHER)
+    feed.batches = [PlatformError('no answer'), PlatformError('no answer')]
+    for _ in range(6):
+        await keeper.step()
+    assert usable(keeper) == {ENDPOINT.endpoint, OTHER.endpoint}
+    assert feed.lists == 2
+
+
+async def test_entry_that_starts_in_the_gap_takes_what_there_is() -> None:
+    feed = CopiedFeed(ENDPOINT)
+    feed.restore(ENDPOINT, OTHER)
+    keeper = await kept(feed, ManualClock())
+    assert usable(keeper) == {ENDPOINT.endpoint, OTHER.endpoint}
+
+
+async def test_platform_that_names_no_epoch_is_read_as_before() -> None:
+    feed = CopiedFeed(ENDPOINT)
+    feed.batches = [ChangeBatch(Revision(11)), ChangeBatch(Revision(12))]
+    keeper = await kept(feed, ManualClock())
+    for _ in range(3):
+        await keeper.step()
+    assert feed.lists == 1
