Count orders against the rate that an engine names

Callers would notice nothing; an engine in need would get up to three arrivals for one.

Evidence: test_orders_count_against_the_rate_that_an_engine_names, red without the count, green with it.

Tried beside it and not kept: sending a request that has just crashed an endpoint to an idle one, so that no stream of others goes along. The test that should show a gain passed without it (load and gathering chose idle endpoints already).

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/reservations.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/reservations.py
@@ -116,6 +116,7 @@
             },
         )
         start = RequestStartLine('POST', order.path, 'HTTP/1.1')
+        self.context.dispatcher.order_sent(record)
         try:
             async with asyncio.timeout(ORDER_SECONDS):
                 channel = await self.context.pool.take(record, fresh=False)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/dispatcher.py
@@ -158,6 +158,10 @@
         for record in (placed.home, *placed.helpers):
             self.limits.sent(record.lifetime, now)
 
+    def order_sent(self, record: EndpointRecord) -> None:
+        """Note an order to an endpoint, which arrives like a request."""
+        self.limits.sent(record.lifetime, self.clock.monotonic())
+
     def sent_something(self, endpoint: EndpointId) -> None:
         """Note a sign of life of an endpoint."""
         self.failures.sent_something(endpoint, self.clock.monotonic())
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_reservations.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_reservations.py
@@ -156,3 +156,22 @@
         await ask(entry)
         await released(fleet)
     assert max(one.orders.count('reserve') for one in fleet) == 3
+
+
+async def test_orders_count_against_the_rate_that_an_engine_names() -> None:
+    """Guards against an engine in need that gets orders beside requests."""
+    fleet = engines(ANSWER)
+    async with entry_before(STREAM, *fleet) as entry:
+        await ask(entry)
+        await released(fleet)
+        assert all(counted(entry, one) >= len(one.requests) for one in fleet)
+
+
+def counted(entry: TestEntry, engine: Engine) -> int:
+    """Return the sends to an engine that peers would be told of."""
+    limits = entry.context.dispatcher.limits
+    now = entry.context.clock.monotonic()
+    record = engine.record(MODEL)
+    limits.said(record.lifetime, 1, now)
+    told = limits.reports({record.endpoint}, now)
+    return sum(told[0].sends)
