--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -9,7 +9,6 @@
     next_step,
 )
 from sycamore_core.ids import EndpointId
-from tornado.httputil import HTTPHeaders
 
 from ..calls import AttemptCall
 from ..context import ForwardingContext
@@ -23,13 +22,8 @@
 from ..placement.placing import Placing
 from .admission import admit
 from .caller import CallerAnswer, CallerRequest
-from .refusals import (
-    BAD_GATEWAY,
-    GATEWAY_TIMEOUT,
-    Refusal,
-    RefusalCause,
-    refuse,
-)
+from .ending import Ending
+from .refusals import Refusal
 
 _MS = 1000.0
 
@@ -48,6 +42,8 @@
     failed_at
         Those of them that answered with a failure of their own: they are
         tried again where there is no other.
+    ending
+        What the caller is told where no endpoint has answered.
     """
 
     def __init__(
@@ -66,8 +62,7 @@
         self.failed_at: set[EndpointId] = set()
         self.call: AttemptCall | None = None
         self.request_id = context.wire.request_id(request.headers)
-        self.end = 'none'
-        self.detail = ''
+        self.ending = Ending(context, answer, self.attempts, self.request_id)
         self.first_event_ms: float = -1
         self.last_endpoint = EndpointId('')
 
@@ -76,14 +71,14 @@
         try:
             await self._serve()
         except CallerLeftError:
-            self.end = 'caller_left'
+            self.ending.how = 'caller_left'
         except asyncio.CancelledError:
-            self.end = 'caller_left'
+            self.ending.how = 'caller_left'
             raise
         except Exception as error:
             # A fault of ours. Its caller sees a failure that promises
             # nothing; the others must not suffer from it.
-            self.end = 'fault'
+            self.ending.how = 'fault'
             self.context.log.error(
                 'exchange_fault',
                 request_id=self.request_id,
@@ -96,16 +91,16 @@
         try:
             call = await admit(self.context, self.request)
         except Refusal as refusal:
-            await self._refuse(refusal)
+            await self.ending.refuse(refusal)
             return
         self.call = call
         try:
             async with asyncio.timeout(call.limit - self._now()):
                 await self._try_until_answered(call)
         except TimeoutError:
-            await self._out_of_time()
+            await self.ending.out_of_time()
         except Refusal as refusal:
-            await self._refuse(refusal)
+            await self.ending.refuse(refusal)
 
     async def _try_until_answered(self, call: AttemptCall) -> None:
         relay = AnswerRelay(self.answer, call.route, self._note_first)
@@ -148,7 +143,7 @@
             return await self._after(call, attempt, error, relay)
         self.attempts.note(AttemptEnd.ANSWERED)
         self.crashes.answered(call)
-        self.end = 'answered'
+        self.ending.how = 'answered'
         return True
 
     async def _place(
@@ -168,7 +163,7 @@
         except Refusal:
             if relay.failure is None:
                 raise
-        await self._hand_on_failure(relay)
+        await self.ending.hand_on_failure(relay)
         return None
 
     async def _after(
@@ -204,15 +199,11 @@
             caller = call.caller_time(self._now())
             raise Refusal.by_endpoint(caller, error.detail)
         if step == NextStep.HAND_ON:
-            await self._hand_on_failure(relay)
+            await self.ending.hand_on_failure(relay)
             return True
-        await self._fail()
+        await self.ending.fail()
         return True
 
-    async def _hand_on_failure(self, relay: AnswerRelay) -> None:
-        self.end = 'endpoint_failed'
-        await relay.hand_on_failure()
-
     def _exclude(self, attempt: Attempt, error: AttemptError) -> EndpointId:
         """Leave the endpoint at fault out of the next attempt; return it."""
         dispatcher = self.context.dispatcher
@@ -258,42 +249,6 @@
             max_attempts=call.route.max_attempts,
         )
 
-    async def _refuse(self, refusal: Refusal) -> None:
-        if self.answer.has_begun or self.attempts.may_have_run:
-            # In the middle of a stream, a head would be read as a piece of
-            # it; and a refusal says that the request has not run.
-            await self._fail()
-            return
-        cause = refusal.cause.value
-        self.end = f'refused_{cause}'
-        self.detail = refusal.detail
-        self.context.metrics.refusals.add(cause)
-        self.decisions.refused(self.request_id, refusal)
-        await refuse(self.answer, self._own_headers(), refusal)
-
-    async def _out_of_time(self) -> None:
-        """Answer at the time limit."""
-        if self.answer.has_begun:
-            self.end = 'cut_at_limit'
-            self.answer.cut()
-        elif self.attempts.may_have_run:
-            self.end = 'late'
-            await self.answer.send(GATEWAY_TIMEOUT, self._own_headers(), b'')
-        else:
-            await self._refuse(Refusal(RefusalCause.TIME_LIMIT))
-
-    async def _fail(self) -> None:
-        """Tell the caller that there is no answer, or no rest of one."""
-        if self.answer.has_begun:
-            self.end = 'cut'
-            self.answer.cut()
-            return
-        self.end = 'failed'
-        await self.answer.send(BAD_GATEWAY, self._own_headers(), b'')
-
-    def _own_headers(self) -> HTTPHeaders:
-        return self.context.wire.own_headers(self.request_id)
-
     def _note_first(self) -> None:
         passed = self._now() - self.request.arrived_at
         self.first_event_ms = passed * _MS
@@ -307,14 +262,14 @@
             # Whatever went wrong, the caller must not take half an answer
             # for a whole one, nor wait for the rest.
             self.answer.cut()
-        self.context.metrics.ends.add(self.end)
+        self.context.metrics.ends.add(self.ending.how)
         passed = self._now() - self.request.arrived_at
         self.context.log.info(
             'request_ended',
             request_id=self.request_id,
             route='' if self.call is None else self.call.route.name,
-            how=self.end,
-            detail=self.detail,
+            how=self.ending.how,
+            detail=self.ending.detail,
             endpoint=self.last_endpoint,
             attempts=self.attempts.sent,
             first_ms=round(self.first_event_ms, 1),
