Let only a success end the limit that an endpoint names

Cause, found by reading: any answer without the header ended a limit, also a refusal of an endpoint that is full. In an overload each refusal would have let in what the limit had just kept away.

Evidence: test_refusal_that_names_no_limit_does_not_end_one, red without the condition (limit gone after the refusal), green with it.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
@@ -163,8 +163,14 @@
             )
 
     def _take_limit(self, head: AnswerHead) -> None:
-        """Note the rate of requests that the endpoint takes."""
-        if head.is_other_instance or head.limit.is_unreadable:
+        """Note the rate of requests that the endpoint takes.
+
+        Only a success that names no limit ends one: a refusal may come from a
+        part of the endpoint that does not know it.
+        """
+        names_none = head.limit.per_second is None
+        is_unknown = head.limit.is_unreadable or head.is_other_instance
+        if is_unknown or (names_none and not head.is_success):
             return
         home = self.placement.home
         limits = self.context.dispatcher.limits
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_rate_limits.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_rate_limits.py
@@ -1,8 +1,17 @@
 """Endpoints that name a rate get no more from all entries together."""
 
+import asyncio
+
 from sycamore_core.routing import RouteKind
 
-from .builders import RawEndpoint, route, saying, whole
+from .builders import (
+    SERVICE,
+    RawEndpoint,
+    entry_before,
+    route,
+    saying,
+    whole,
+)
 from .builders_crash import asked_at, snapshot_of
 from .builders_mesh import entries, running
 
@@ -33,3 +42,32 @@
     assert max(arrivals) <= MOST_ARRIVALS
     assert answer.startswith(b'HTTP/1.1 503')
     assert b'Retry-After' in answer
+
+
+async def test_refusal_that_names_no_limit_does_not_end_one() -> None:
+    """Guards against a limit that is lifted by an endpoint that is full."""
+    answers = iter(
+        (
+            whole(extra='Limit: 5\r\n'),
+            whole('', 503, 'Not-Run: 1\r\n'),
+            whole(),
+        ),
+    )
+
+    async def talk(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(next(answers))
+
+    endpoint = RawEndpoint('e1', talk)
+    async with entry_before(SAFE, endpoint) as entry:
+        limits = entry.context.dispatcher.limits
+        lifetime = endpoint.record(SERVICE).lifetime
+        found = []
+        for _ in range(3):
+            await entry.ask()
+            found.append(
+                limits.limit(lifetime, entry.context.clock.monotonic())
+            )
+    assert found == [5, 5, None]
