Share a crash among all requests that had just begun there

The logs: a poison request ended two of three engines within 26 ms; another request, which twelve callers send with the same content, was at both, had no answer in between, and was held for fifteen minutes as well. Own fault of the fix for the first matter: two crashes convicted whoever was at both, and requests that lose an endpoint often go on to the next one together.

Change: a crash counts by the share that each request has in it among all that had just begun there; with shares of one and a half a request is held, and with three crashes in any case. Clearing one leaves its share to the others, so that the cause is held as soon as its bystanders are answered. What is remembered has a module of its own.

Ruled out: holding only after three crashes (one more endpoint for each poison request); trying a held request again after a minute (the users allow three sends more, and one entry does not know of another's try in time).

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
@@ -7,12 +7,13 @@
 Without it: the attempts of one try are bounded, but nothing connects one try
 with the next. Each takes two engines, until a fleet of 18 is down.
 
-A request is known by its content. Each crash of an endpoint under it is
-evidence: more where it had just begun to run there, since that is when such
-requests do harm, less where it had been running on. Entries tell one another,
-and each counts a crash once, whoever saw it. With enough evidence the content
-is held back everywhere. An answer clears it of the crashes before, as far as
-they are known: bystanders are answered elsewhere.
+A request is known by its content. Three crashes of endpoints under it hold it
+back everywhere; two do where it had just begun to run, since that is when such
+requests do harm, and few others had. A crash is shared by all that had just
+begun there: they often go on to the next endpoint together, and what is popular
+is at every endpoint. Entries tell one another, and each counts a crash once,
+whoever saw it. An answer clears a content of the crashes before, as far as they
+are known, and leaves them to the others.
 
 When many endpoints crash at once the cause is another one, and nothing is
 noted.
@@ -20,29 +21,20 @@
 
 from collections.abc import Iterable
 
-import msgspec
-
 from ...ids import ContentDigest
 from ...routing import CrashReport, EndpointLifetime
+from .crash_records import CrashRecord, MassCrash, Suspects, reports_of
 
-#: Evidence of one crash under a request that had just begun, and under one
-#: that had run on.
-_STRONG = 1.5
-_WEAK = 1.0
-#: Evidence with which a request is held back: two crashes at which it had just
-#: begun, or three of any kind. A bystander is rarely there twice.
-_ENOUGH = 3.0
+#: Crashes that hold a request back, whatever else ran there.
+_MOST_CRASHES_ALLOWED = 2
+#: Sum of shares in crashes that does: two that are its own, or one that is and
+#: one that it shares with another.
+_ENOUGH_SHARES = 1.5
 #: How long a crash counts, in seconds: until then operators have mended or
 #: replaced the model, and a further try costs one endpoint or two.
 HELD_SECONDS = 900.0
-#: Crashes within this time, in seconds, of more than so many endpoints have
-#: another cause than one request.
-_MASS_SECONDS = 0.5
-MOST_AT_ONCE = 5
 #: Contents that are remembered at most.
 MOST_CONTENTS = 256
-#: Crashes of one content that are remembered at most: more change nothing.
-_MOST_CRASHES = 4
 #: How long peers are told of news in every message, in seconds: at least one
 #: of these names everything.
 _NEWS_SECONDS = 1.2
@@ -55,83 +47,6 @@
 _OUTLINE_BYTES = 8
 
 
-class Crash(msgspec.Struct):
-    """One crash under a request.
-
-    Attributes
-    ----------
-    at
-        When, on the monotonic clock, in seconds.
-    """
-
-    at: float
-    had_just_begun: bool
-    is_cleared: bool = False
-
-    @property
-    def evidence(self) -> float:
-        """Return how much it counts."""
-        if self.is_cleared:
-            return 0
-        return _STRONG if self.had_just_begun else _WEAK
-
-
-class CrashRecord(msgspec.Struct):
-    """The crashes under one content.
-
-    Attributes
-    ----------
-    news_at
-        When anything of it was news, on the monotonic clock, in seconds.
-    """
-
-    crashes: dict[EndpointLifetime, Crash] = msgspec.field(
-        default_factory=dict,
-    )
-    news_at: float = 0
-
-    @property
-    def is_held(self) -> bool:
-        """Return whether there is evidence enough."""
-        evidence = [crash.evidence for crash in self.crashes.values()]
-        return sum(evidence) >= _ENOUGH
-
-    @property
-    def last_at(self) -> float:
-        """Return when an endpoint crashed last."""
-        return max(crash.at for crash in self.crashes.values())
-
-    def add(self, report: CrashReport, now: float) -> None:
-        """Add a crash that is not known, if there is room for it.
-
-        What goes wrong without room for new ones: a popular call, cleared of
-        four crashes, would be taken for innocent of all that follow.
-        """
-        if len(self.crashes) >= _MOST_CRASHES and not self._drop_cleared():
-            return
-        self.crashes[report.endpoint] = Crash(
-            at=now - report.age,
-            had_just_begun=report.had_just_begun,
-            is_cleared=report.is_cleared,
-        )
-        self.news_at = now
-
-    def _drop_cleared(self) -> bool:
-        """Forget the oldest crash that does not count, if there is one."""
-        cleared = [
-            endpoint
-            for endpoint, crash in self.crashes.items()
-            if crash.is_cleared
-        ]
-        if not cleared:
-            return False
-        self.crashes.pop(min(cleared, key=self._crashed_at))
-        return True
-
-    def _crashed_at(self, endpoint: EndpointLifetime) -> float:
-        return self.crashes[endpoint].at
-
-
 class Quarantine:
     """Contents under which endpoints crashed, as one entry knows them.
 
@@ -148,7 +63,8 @@
     def __init__(self) -> None:
         self.records: dict[ContentDigest, CrashRecord] = {}
         self._outlines: dict[bytes, set[ContentDigest]] = {}
-        self._lately: dict[EndpointLifetime, float] = {}
+        self._suspects = Suspects()
+        self._mass = MassCrash()
         self._turn = 0
 
     def crashed(
@@ -160,7 +76,7 @@
         had_just_begun: bool,
     ) -> None:
         """Note that an endpoint crashed with a request of this entry."""
-        if self._is_mass_crash(endpoint, now):
+        if self._mass.is_one(endpoint, now):
             return
         self._merge(
             CrashReport(content, endpoint, 0, had_just_begun=had_just_begun),
@@ -172,10 +88,9 @@
         record = self.records.get(content)
         if record is None:
             return
-        for crash in record.crashes.values():
+        for endpoint, crash in record.crashes.items():
             if not crash.is_cleared:
-                crash.is_cleared = True
-                record.news_at = now
+                self._clear(content, endpoint, now)
 
     def hear(
         self,
@@ -207,7 +122,7 @@
     def is_held(self, content: ContentDigest, now: float) -> bool:
         """Return whether a request is not to be sent anywhere."""
         record = self._record(content, now)
-        return record is not None and record.is_held
+        return record is not None and self._has_enough(record)
 
     def seconds_left(self, content: ContentDigest, now: float) -> float:
         """Return for how long a request will be held back."""
@@ -217,9 +132,7 @@
     def crashes(self, content: ContentDigest) -> int:
         """Return how many crashes count against a request."""
         record = self.records.get(content)
-        if record is None:
-            return 0
-        return sum(not one.is_cleared for one in record.crashes.values())
+        return 0 if record is None else record.counted
 
     def news(self, now: float) -> tuple[CrashReport, ...]:
         """Return what peers are to be told in every message."""
@@ -229,41 +142,59 @@
             for content, record in self.records.items()
             if record.news_at >= begin
         ]
-        return self._reports(latest[-_MOST_TOLD:], now)
+        return reports_of(self.records, latest[-_MOST_TOLD:], now)
 
     def in_turn(self, now: float) -> tuple[CrashReport, ...]:
         """Return the news, and some contents that are held back."""
-        held = [one for one, record in self.records.items() if record.is_held]
+        held = [
+            content
+            for content, record in self.records.items()
+            if self._has_enough(record)
+        ]
         begin = self._turn % max(1, len(held))
         self._turn = begin + _RETOLD
-        retold = self._reports(held[begin : self._turn], now)
+        retold = reports_of(self.records, held[begin : self._turn], now)
         return tuple(dict.fromkeys((*self.news(now), *retold)))
 
     def everything(self, now: float) -> tuple[CrashReport, ...]:
         """Return all that is known, for a newcomer."""
-        return self._reports(list(self.records), now)
+        return reports_of(self.records, list(self.records), now)
 
-    def _is_mass_crash(self, endpoint: EndpointLifetime, now: float) -> bool:
-        begin = now - _MASS_SECONDS
-        self._lately = {
-            one: at for one, at in self._lately.items() if at >= begin
-        }
-        self._lately[endpoint] = now
-        return len(self._lately) > MOST_AT_ONCE
+    def _has_enough(self, record: CrashRecord) -> bool:
+        """Return whether a content is to be held back."""
+        if record.counted > _MOST_CRASHES_ALLOWED:
+            return True
+        shares = map(self._suspects.share, record.suspicious)
+        return sum(shares) >= _ENOUGH_SHARES
+
+    def _clear(
+        self,
+        content: ContentDigest,
+        endpoint: EndpointLifetime,
+        now: float,
+    ) -> None:
+        """Note that a content was not the cause of a crash."""
+        record = self.records[content]
+        record.crashes[endpoint].is_cleared = True
+        record.news_at = now
+        self._suspects.discard(content, endpoint)
 
     def _merge(self, report: CrashReport, now: float) -> None:
         """Add what a report says; what is known of a crash only grows."""
         if report.age >= HELD_SECONDS:
             return
-        record = self._record(report.content, now) or self._new(report.content)
-        crash = record.crashes.get(report.endpoint)
-        if crash is None:
+        content, endpoint = report.content, report.endpoint
+        record = self._record(content, now) or self._new(content)
+        if endpoint not in record.crashes:
             record.add(report, now)
+        crash = record.crashes.get(endpoint)
+        if crash is None:
             return
         crash.had_just_begun = crash.had_just_begun or report.had_just_begun
         if report.is_cleared and not crash.is_cleared:
-            crash.is_cleared = True
-            record.news_at = now
+            self._clear(content, endpoint, now)
+        if crash.is_suspicious:
+            self._suspects.add(content, endpoint)
 
     def _new(self, content: ContentDigest) -> CrashRecord:
         if len(self.records) >= MOST_CONTENTS:
@@ -276,7 +207,7 @@
 
     def _worth_keeping(self, content: ContentDigest) -> tuple[bool, float]:
         record = self.records[content]
-        return record.is_held, record.last_at
+        return self._has_enough(record), record.last_at
 
     def _record(
         self,
@@ -291,26 +222,11 @@
         return record
 
     def _drop(self, content: ContentDigest) -> None:
-        self.records.pop(content)
+        record = self.records.pop(content)
+        for endpoint in record.crashes:
+            self._suspects.discard(content, endpoint)
         outline = content[:_OUTLINE_BYTES]
         same = self._outlines[outline]
         same.discard(content)
         if not same:
             self._outlines.pop(outline)
-
-    def _reports(
-        self,
-        digests: Iterable[ContentDigest],
-        now: float,
-    ) -> tuple[CrashReport, ...]:
-        return tuple(
-            CrashReport(
-                content=content,
-                endpoint=endpoint,
-                age=round(now - crash.at, 3),
-                had_just_begun=crash.had_just_begun,
-                is_cleared=crash.is_cleared,
-            )
-            for content in digests
-            for endpoint, crash in self.records[content].crashes.items()
-        )
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine.py
@@ -4,12 +4,8 @@
 
 from ....ids import ContentDigest, EndpointId
 from ....routing import CrashReport, EndpointLifetime
-from ..quarantine import (
-    HELD_SECONDS,
-    MOST_AT_ONCE,
-    MOST_CONTENTS,
-    Quarantine,
-)
+from ..crash_records import MOST_AT_ONCE
+from ..quarantine import HELD_SECONDS, MOST_CONTENTS, Quarantine
 
 POISON = ContentDigest(b'crashing request')
 BYSTANDER = ContentDigest(b'ordinary request')
@@ -72,6 +68,29 @@
     assert book.is_held(POISON, 21)
 
 
+def test_bystander_that_moves_on_with_the_cause_is_not_held() -> None:
+    """Guards against streams that go to the next endpoint with the cause."""
+    book = Quarantine()
+    for number in range(2):
+        crash(book, f'e{number}', 10 + number)
+        crash(book, f'e{number}', 10 + number, BYSTANDER)
+    assert not book.is_held(BYSTANDER, 12)
+    book.answered(BYSTANDER, 12)
+    assert book.is_held(POISON, 12)
+    assert not book.is_held(BYSTANDER, 12)
+
+
+def test_cause_is_held_after_three_crashes_whoever_was_there() -> None:
+    """Guards against a cause that hides among others for ever."""
+    book = Quarantine()
+    for number in range(3):
+        crash(book, f'e{number}', 10 + number)
+        for other in range(5):
+            crash(book, f'e{number}', 10 + number, numbered(other + 9 * number))
+    assert book.is_held(POISON, 13)
+    assert not book.is_held(numbered(1), 13)
+
+
 def test_one_crash_that_two_entries_see_counts_once() -> None:
     """Guards against two callers of one request that hold it by one crash."""
     one, other = Quarantine(), Quarantine()
