--- a/Makefile
+++ b/Makefile
@@ -56,4 +56,4 @@
 FIRST ?= 1
 SEEDS ?= 5
 soak: setup
-	PYTHONPATH=platform $(BIN)/python -m sycamore_adapter.tests.soak --first $(FIRST) --seeds $(SEEDS)
+	PYTHONPATH=platform $(BIN)/python -m sycamore_adapter.tests.soak --first $(FIRST) --seeds $(SEEDS) $(DRILLS)
