Hold a request in doubt for a moment only

Cause: with three crashes whoever was there was held as long as the cause, and a held request can no longer be answered, which alone would clear it.

Change: a content that was the only suspect of a crash is held for fifteen minutes; one that never was for ten seconds, until endpoints are back, and nine times as long with each further crash. Let through, a bystander is answered and cleared, and what it was suspected of is the cause's alone.

Ruled out: one entry that tries for all (entries may disagree who it is, and the users allow three sends more); remembering what was answered before (nothing had been answered yet).

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/crash_records.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/crash_records.py
@@ -12,7 +12,7 @@
 _MASS_SECONDS = 0.5
 MOST_AT_ONCE = 5
 #: Crashes of one content that are remembered at most: more change nothing.
-_MOST_CRASHES = 4
+_MOST_CRASHES = 6
 
 
 class Crash(msgspec.Struct):
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
@@ -17,6 +17,11 @@
 
 When many endpoints crash at once the cause is another one, and nothing is
 noted.
+
+A content that was the only suspect of a crash is held for long. One that never
+was may be a bystander, such as a popular call that was everywhere: it is held
+for a moment, and longer each time that a further endpoint crashes under it. A
+bystander is answered in between.
 """
 
 from collections.abc import Iterable
@@ -33,6 +38,10 @@
 #: How long a crash counts, in seconds: until then operators have mended or
 #: replaced the model, and a further try costs one endpoint or two.
 HELD_SECONDS = 900.0
+#: How long a content is held that may be a bystander, in seconds: endpoints
+#: that crashed are back by then. Each further crash makes it longer.
+DOUBT_SECONDS = 10.0
+_DOUBT_FACTOR = 9.0
 #: Contents that are remembered at most.
 MOST_CONTENTS = 256
 #: How long peers are told of news in every message, in seconds: at least one
@@ -121,13 +130,17 @@
 
     def is_held(self, content: ContentDigest, now: float) -> bool:
         """Return whether a request is not to be sent anywhere."""
-        record = self._record(content, now)
-        return record is not None and self._has_enough(record)
+        return self.seconds_left(content, now) > 0
 
     def seconds_left(self, content: ContentDigest, now: float) -> float:
         """Return for how long a request will be held back."""
-        record = self.records.get(content)
-        return 0 if record is None else record.last_at + HELD_SECONDS - now
+        record = self._record(content, now)
+        if record is None or not self._has_enough(record):
+            return 0
+        shares = map(self._suspects.share, record.suspicious)
+        is_certain = any(share >= 1 for share in shares)
+        held = HELD_SECONDS if is_certain else _doubt_seconds(record.counted)
+        return max(0, record.last_at + held - now)
 
     def crashes(self, content: ContentDigest) -> int:
         """Return how many crashes count against a request."""
@@ -230,3 +243,9 @@
         same.discard(content)
         if not same:
             self._outlines.pop(outline)
+
+
+def _doubt_seconds(crashes: int) -> float:
+    """Return how long a content is held that may be a bystander."""
+    further = max(0, crashes - _MOST_CRASHES_ALLOWED - 1)
+    return min(HELD_SECONDS, DOUBT_SECONDS * _DOUBT_FACTOR**further)
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine.py
@@ -5,9 +5,16 @@
 from ....ids import ContentDigest, EndpointId
 from ....routing import CrashReport, EndpointLifetime
 from ..crash_records import MOST_AT_ONCE
-from ..quarantine import HELD_SECONDS, MOST_CONTENTS, Quarantine
+from ..quarantine import (
+    DOUBT_SECONDS,
+    HELD_SECONDS,
+    MOST_CONTENTS,
+    Quarantine,
+)
 
 POISON = ContentDigest(b'crashing request')
+#: Sends that the users allow after the third crash.
+MOST_FURTHER = 3
 BYSTANDER = ContentDigest(b'ordinary request')
 
 
@@ -91,6 +98,30 @@
     assert not book.is_held(numbered(1), 13)
 
 
+def test_bystander_of_all_crashes_is_soon_let_through_again() -> None:
+    """Guards against a popular call that is held for long beside the cause."""
+    book = Quarantine()
+    for number in range(3):
+        crash(book, f'e{number}', 10)
+        crash(book, f'e{number}', 10, BYSTANDER)
+    assert book.is_held(BYSTANDER, 10 + DOUBT_SECONDS / 2)
+    assert not book.is_held(BYSTANDER, 10 + DOUBT_SECONDS)
+    book.answered(BYSTANDER, 11 + DOUBT_SECONDS)
+    assert book.is_held(POISON, 11 + DOUBT_SECONDS)
+
+
+def test_request_that_crashes_again_when_let_through_is_held_longer() -> None:
+    """Guards against a cause in doubt that ends an endpoint every moment."""
+    book = Quarantine()
+    now, crashes = 10.0, 0
+    while now < 300:
+        if not book.is_held(POISON, now):
+            crash(book, f'e{crashes}', now, had_just_begun=False)
+            crashes += 1
+        now += 0.5
+    assert crashes <= 3 + MOST_FURTHER
+
+
 def test_one_crash_that_two_entries_see_counts_once() -> None:
     """Guards against two callers of one request that hold it by one crash."""
     one, other = Quarantine(), Quarantine()
