--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/builders_limits.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/builders_limits.py
@@ -1,11 +1,12 @@
 """Entries that send to endpoints which name a rate, in virtual time."""
 
 import abc
-import random
+import math
 from collections import defaultdict, deque
 
 import msgspec
 
+from ....hashes import stable_part
 from ....ids import EndpointId, EntryId, PeerId
 from ....routing import EndpointLifetime
 from ..rate_limits import RateLimits
@@ -136,6 +137,23 @@
     least_served: float
 
 
+class Draws:
+    """Numbers that depend on a seed alone."""
+
+    def __init__(self, seed: int) -> None:
+        self.seed = seed
+        self._drawn = 0
+
+    def part(self) -> float:
+        """Return a number from 0 to 1."""
+        self._drawn += 1
+        return stable_part(f'{self.seed} {self._drawn}')
+
+    def gap(self, per_second: float) -> float:
+        """Return the time until the next of independent arrivals."""
+        return -math.log(1 - self.part()) / per_second
+
+
 def lifetime(endpoint: int) -> EndpointLifetime:
     return EndpointLifetime(EndpointId(str(endpoint)), 5)
 
@@ -143,22 +161,22 @@
 def play(policy: LimitPolicy, seed: int) -> Outcome:
     """Play a load against a policy."""
     load = policy.load
-    drawn = random.Random(seed)
+    drawn = Draws(seed)
     sends: list[list[float]] = [[] for _ in range(load.endpoints)]
     asked = [0 for _ in range(load.entries)]
     served = [0 for _ in range(load.entries)]
-    now = drawn.expovariate(load.arrivals_per_s)
+    now = drawn.gap(load.arrivals_per_s)
     while now < load.seconds:
         policy.tell(now)
-        entry = drawn.randrange(load.entries)
-        if drawn.random() < load.favourite:
+        entry = int(drawn.part() * load.entries)
+        if drawn.part() < load.favourite:
             entry = 0
         asked[entry] += 1
         chosen = _first_open(policy, entry, now)
         if chosen is not None:
             sends[chosen].append(now)
             served[entry] += 1
-        now += drawn.expovariate(load.arrivals_per_s)
+        now += drawn.gap(load.arrivals_per_s)
     capacity = load.rate * load.endpoints * load.seconds
     shares = [got / max(1, came) for got, came in zip(served, asked)]
     return Outcome(
