Ask for two crashes alone before a request is held for long

Of one of the two crashes nobody had told that the poison request was there, so that the popular one seemed to be the only suspect.

Change: to be alone under two crashes makes certain; less is held in doubt, for ten seconds and then longer.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
@@ -18,9 +18,9 @@
 When many endpoints crash at once the cause is another one, and nothing is
 noted.
 
-A content that was the only suspect of a crash is held for long. One that never
-was may be a bystander, such as a popular call that was everywhere: it is held
-for a moment, and longer each time that a further endpoint crashes under it. A
+A content that was the only suspect of two crashes is held for long. Any other
+may be a bystander, such as a popular call that was everywhere: it is held for a
+moment, and longer each time that a further endpoint crashes under it. A
 bystander is answered in between.
 """
 
@@ -38,6 +38,9 @@
 #: How long a crash counts, in seconds: until then operators have mended or
 #: replaced the model, and a further try costs one endpoint or two.
 HELD_SECONDS = 900.0
+#: Crashes of which a content was the only suspect that make it certain. Of one
+#: the cause may not be known: the entry that had sent it there has died.
+_CERTAIN_CRASHES = 2
 #: How long a content is held that may be a bystander, in seconds: endpoints
 #: that crashed are back by then. Each further crash makes it longer.
 DOUBT_SECONDS = 10.0
@@ -138,7 +141,8 @@
         if record is None or not self._has_enough(record):
             return 0
         shares = map(self._suspects.share, record.suspicious)
-        is_certain = any(share >= 1 for share in shares)
+        alone = sum(share >= 1 for share in shares)
+        is_certain = alone >= _CERTAIN_CRASHES
         held = HELD_SECONDS if is_certain else _doubt_seconds(record.counted)
         return max(0, record.last_at + held - now)
 
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine.py
@@ -110,6 +110,17 @@
     assert book.is_held(POISON, 11 + DOUBT_SECONDS)
 
 
+def test_bystander_of_a_crash_whose_cause_nobody_tells_is_held_briefly() -> (
+    None
+):
+    """Guards against an entry that dies before it tells what it had sent."""
+    book = Quarantine()
+    crash(book, 'e1', 10)
+    crash(book, 'e1', 10, BYSTANDER)
+    crash(book, 'e2', 11, BYSTANDER)
+    assert not book.is_held(BYSTANDER, 11 + DOUBT_SECONDS)
+
+
 def test_request_that_crashes_again_when_let_through_is_held_longer() -> None:
     """Guards against a cause in doubt that ends an endpoint every moment."""
     book = Quarantine()
