Take the turn of held contents from the time, not from a cursor

Found by reading the diff: in_turn moved a cursor whenever it was read. Each second an entry reads it for its own cell and once for each other cell; with twenty contents held and four other cells the cursor came round to the same four, and an entry of the own cell that had been cut off never heard of the rest. It would have let each of them end endpoints anew.

Change: the turn follows from the time in seconds; reading changes nothing, and the state goes.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
@@ -77,7 +77,6 @@
         self._outlines: dict[bytes, set[ContentDigest]] = {}
         self._suspects = Suspects()
         self._mass = MassCrash()
-        self._turn = 0
 
     def crashed(
         self,
@@ -168,9 +167,8 @@
             for content, record in self.records.items()
             if self._has_enough(record)
         ]
-        begin = self._turn % max(1, len(held))
-        self._turn = begin + _RETOLD
-        retold = reports_of(self.records, held[begin : self._turn], now)
+        begin = int(now) * _RETOLD % max(1, len(held))
+        retold = reports_of(self.records, held[begin : begin + _RETOLD], now)
         return tuple(dict.fromkeys((*self.news(now), *retold)))
 
     def everything(self, now: float) -> tuple[CrashReport, ...]:
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine.py
@@ -211,6 +211,20 @@
     assert late.records.keys() == one.records.keys()
 
 
+def test_summaries_for_other_cells_take_no_turn_of_the_own_one() -> None:
+    """Guards against held contents of which an entry's own cell hears never."""
+    one, late = Quarantine(), Quarantine()
+    for number in range(20):
+        crash(one, f'e{number}', number, numbered(number))
+        crash(one, f'x{number}', number, numbered(number))
+    for beat in range(20):
+        now = 200 + beat
+        late.hear(one.in_turn(now), now)
+        for _ in range(4):
+            one.in_turn(now)
+    assert late.records.keys() == one.records.keys()
+
+
 @pytest.mark.parametrize('age', [HELD_SECONDS, 1e9])
 def test_word_that_is_too_old_is_not_believed(age: float) -> None:
     book = Quarantine()
