--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
@@ -26,6 +26,7 @@
 
 from collections.abc import Iterable
 
+from ...hashes import HASH_BYTES
 from ...ids import ContentDigest
 from ...routing import CrashReport, EndpointLifetime
 from .crash_records import CrashRecord, MassCrash, Suspects, reports_of
@@ -56,7 +57,6 @@
 #: Contents that are held back of which peers are told once a second, in turn.
 #: An entry that was cut off, or was frozen, learns of all that way.
 _RETOLD = 4
-_OUTLINE_BYTES = 8
 
 
 class Quarantine:
@@ -216,7 +216,7 @@
             self._drop(min(self.records, key=self._worth_keeping))
         record = CrashRecord()
         self.records[content] = record
-        outline = content[:_OUTLINE_BYTES]
+        outline = content[:HASH_BYTES]
         self._outlines.setdefault(outline, set()).add(content)
         return record
 
@@ -240,7 +240,7 @@
         record = self.records.pop(content)
         for endpoint in record.crashes:
             self._suspects.discard(content, endpoint)
-        outline = content[:_OUTLINE_BYTES]
+        outline = content[:HASH_BYTES]
         same = self._outlines[outline]
         same.discard(content)
         if not same:
--- a/packages/sycamore-core/src/sycamore_core/hashes.py
+++ b/packages/sycamore-core/src/sycamore_core/hashes.py
@@ -2,17 +2,21 @@
 
 import hashlib
 
-_HASH_BYTES = 8
+HASH_BYTES = 8
 
 
 #: One more than the largest hash.
-HASH_RANGE = 1 << (8 * _HASH_BYTES)
+HASH_RANGE = 1 << (8 * HASH_BYTES)
+
+
+def stable_digest(hashed: bytes) -> bytes:
+    """Return `HASH_BYTES` bytes that are the same in every process."""
+    return hashlib.blake2b(hashed, digest_size=HASH_BYTES).digest()
 
 
 def stable_hash(text: str) -> int:
     """Return 64 bits that are the same in every process."""
-    hashed = hashlib.blake2b(text.encode(), digest_size=_HASH_BYTES)
-    return int.from_bytes(hashed.digest())
+    return int.from_bytes(stable_digest(text.encode()))
 
 
 def stable_part(text: str) -> float:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/content.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/content.py
@@ -1,15 +1,13 @@
 """By what a request is known when it comes again under another id."""
 
 import functools
-import hashlib
 
 from sycamore_core.decisions.direct import AttemptEnd
+from sycamore_core.hashes import stable_digest
 from sycamore_core.ids import ContentDigest, WorkspaceId
 
 from .callers.caller import CallerRequest
 
-_HALF_BYTES = 8
-
 
 class RequestContent:
     """Path, workspace and body of a request, as a digest.
@@ -41,17 +39,13 @@
             self.request.start.path,
             str(len(self.request.body)),
         )
-        return _hash('\n'.join(parts).encode())
+        return stable_digest('\n'.join(parts).encode())
 
     @functools.cached_property
     def digest(self) -> ContentDigest:
         """Return the digest of path, workspace and body."""
-        return ContentDigest(self.outline + _hash(self.request.body))
+        return ContentDigest(self.outline + stable_digest(self.request.body))
 
     def name_after(self, end: AttemptEnd) -> str:
         """Return the digest for a log line, if an attempt has broken."""
         return self.digest.hex() if end == AttemptEnd.BROKEN else ''
-
-
-def _hash(hashed: bytes) -> bytes:
-    return hashlib.blake2b(hashed, digest_size=_HALF_BYTES).digest()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
@@ -37,10 +37,10 @@
             return
         content = call.content.digest
         now = self._now()
-        if not self.quarantine.is_held(content, now):
+        seconds_left = self.quarantine.seconds_left(content, now)
+        if not seconds_left:
             return
         crashes = self.quarantine.crashes(content)
-        seconds_left = self.quarantine.seconds_left(content, now)
         # Told in full, though it is beyond the caller's own time: whoever
         # comes back sooner is refused again.
         raise Refusal(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
@@ -52,7 +52,7 @@
         """
         dispatcher = self.context.dispatcher
         began = self._now()
-        dispatcher.sends(self.placement)
+        dispatcher.request_sent(self.placement)
         dispatcher.begin(self.call.request_id, self._assignments())
         try:
             await self._run_reserved(relay)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/dispatcher.py
@@ -152,7 +152,7 @@
         """Note that an attempt is over."""
         self.book.end(request_id, placed.plan.members)
 
-    def sends(self, placed: Placement) -> None:
+    def request_sent(self, placed: Placement) -> None:
         """Note a request to endpoints that may have named a limit."""
         now = self.clock.monotonic()
         for record in (placed.home, *placed.helpers):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
@@ -172,6 +172,7 @@
         self.requests: list[dict[str, str]] = []
         self.closed = 0
         self.server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         self.server = await asyncio.start_server(self._serve, HOST, 0)
@@ -188,11 +189,17 @@
             slots=6,
         )
 
+    def reset(self) -> None:
+        """Reset all connections."""
+        for writer in tuple(self._writers):
+            writer.transport.abort()
+
     async def _serve(
         self,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
+        self._writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
@@ -206,6 +213,7 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             self.closed += 1
         finally:
+            self._writers.discard(writer)
             writer.close()
 
 
@@ -371,19 +379,27 @@
     return '\r\n'.join((*start, *rest, '', '')).encode() + body
 
 
-@contextlib.asynccontextmanager
-async def entry_before(
+async def snapshot_of(
     served: Route,
-    *endpoints: RawEndpoint,
-) -> AsyncIterator[TestEntry]:
-    """Run an entry before some endpoints of the route's service."""
+    endpoints: tuple[RawEndpoint, ...],
+) -> FleetSnapshot:
+    """Start endpoints; return the platform that lists them."""
     await asyncio.gather(*(endpoint.start() for endpoint in endpoints))
     service = served.services[0].service
-    snapshot = FleetSnapshot(
+    return FleetSnapshot(
         Revision(1),
-        PublishedTable(table_of(served), b''),
+        PublishedTable(table_of(served), b'3'),
         tuple(endpoint.record(service) for endpoint in endpoints),
     )
+
+
+@contextlib.asynccontextmanager
+async def entry_before(
+    served: Route,
+    *endpoints: RawEndpoint,
+) -> AsyncIterator[TestEntry]:
+    """Run an entry before some endpoints of the route's service."""
+    snapshot = await snapshot_of(served, endpoints)
     clock = SystemClock()
     keeper = FleetKeeper(FixedFeed(snapshot), clock)
     context = ForwardingContext(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
@@ -2,14 +2,12 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 
 from sycamore_core.ids import ContentDigest
-from sycamore_core.routing import EndpointRecord, PublishedTable, Route
 
-from ..fleet.feed import FleetSnapshot, Revision
 from ..process import ForwardingProcess
-from .builders import HOST, RawEndpoint, TestEntry, table_of, whole
+from .builders import HOST, RawEndpoint, TestEntry, whole
 
 #: Body under which an endpoint ends.
 POISON = b'crash'
@@ -56,18 +54,12 @@
     return sum(one.has_ended for one in endpoints)
 
 
-async def snapshot_of(
-    served: Route,
-    endpoints: tuple[RawEndpoint, ...],
-) -> FleetSnapshot:
-    """Start endpoints; return the platform that lists them."""
-    await asyncio.gather(*(endpoint.start() for endpoint in endpoints))
-    service = served.services[0].service
-    records: tuple[EndpointRecord, ...] = tuple(
-        endpoint.record(service) for endpoint in endpoints
-    )
-    published = PublishedTable(table_of(served), b'3')
-    return FleetSnapshot(Revision(1), published, records)
+def end_where_a_request_is(endpoints: Iterable[RawEndpoint]) -> None:
+    """End the endpoints that have got a request, with its connection."""
+    for endpoint in endpoints:
+        if endpoint.requests and endpoint.server is not None:
+            endpoint.server.close()
+            endpoint.reset()
 
 
 @contextlib.asynccontextmanager
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
@@ -5,23 +5,23 @@
 from sycamore_core.routing import RouteKind
 
 from .builders import (
-    HOST,
     PAUSE_SECONDS,
     RawEndpoint,
-    TestEntry,
     entry_before,
     parse_head,
     route,
     saying,
+    snapshot_of,
+    whole,
 )
 from .builders_crash import (
     POISON,
     all_have_heard,
     asked_at,
+    end_where_a_request_is,
     ended,
     fragile,
     held_now,
-    snapshot_of,
 )
 from .builders_mesh import entries, running
 
@@ -57,16 +57,11 @@
     endpoints = fragile(2 * TRIES)
     listed = await snapshot_of(SAFE, endpoints)
     async with running(entries(2, snapshot=listed)) as made:
-        callers = [TestEntry(one.context) for one in made]
-        for caller in callers:
-            caller.server.listen(0, HOST)
         for number in range(TRIES):
-            asked = callers[number % 2]
-            await asked.ask(Id=f'q{number}', body=POISON)
+            async with asked_at(made[number % 2]) as caller:
+                await caller.ask(Id=f'q{number}', body=POISON)
             # No word can be there in the millisecond of the crash.
             await all_have_heard(made)
-        for done in callers:
-            done.server.stop()
     assert ended(endpoints) <= MOST_ENDED
 
 
@@ -97,6 +92,32 @@
     assert not entry.context.quarantine.records
 
 
+async def test_request_that_lost_its_endpoint_is_cleared_by_its_answer() -> (
+    None
+):
+    """Guards against a bystander that stays suspected once it is answered."""
+    arrived = asyncio.Event()
+
+    async def hold_the_first(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if arrived.is_set():
+            writer.write(whole())
+            return
+        arrived.set()
+        await reader.read(1)
+
+    endpoints = [RawEndpoint(f'e{one}', hold_the_first) for one in '12']
+    async with entry_before(SAFE, *endpoints) as entry:
+        asking = asyncio.create_task(entry.ask(body=b'other'))
+        await arrived.wait()
+        end_where_a_request_is(endpoints)
+        assert (await asking).startswith(b'HTTP/1.1 200')
+        quarantine = entry.context.quarantine
+    assert [one.counted for one in quarantine.records.values()] == [0]
+
+
 async def test_broken_connection_is_not_taken_for_a_crash() -> None:
     """Guards against requests that are held where only links break."""
     endpoints = [RawEndpoint(f'e{one}', saying(close=True)) for one in '123']
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_rate_limits.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_rate_limits.py
@@ -10,9 +10,10 @@
     entry_before,
     route,
     saying,
+    snapshot_of,
     whole,
 )
-from .builders_crash import asked_at, snapshot_of
+from .builders_crash import asked_at
 from .builders_mesh import entries, running
 
 SAFE = route(RouteKind.SAFE)
