Move what answers say of their endpoint into a module of its own

Answers are read in two places, attempts and orders, and the second keeps the status only; both are to go through one module. This commit moves the limit there and changes nothing: 421 was left out before by the same test. Evidence: test_rate_limits.py, test_reservations.py green before and after.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
@@ -13,6 +13,7 @@
 from ..placement.placing import read_request
 from ..wire import AnswerHead, Helper, OutgoingTerms
 from .channel import EndpointChannel
+from .hearing import AnswerHearing
 from .relay import AnswerRelay
 from .reservations import Reservations
 from .silence import SilenceWatch
@@ -41,6 +42,7 @@
         self.context = watch.context
         self.call = watch.call
         self.placement = watch.placement
+        self.hearing = AnswerHearing(self.context)
 
     async def run(self, relay: AnswerRelay) -> None:
         """Send the request and relay the answer.
@@ -145,7 +147,11 @@
         relay: AnswerRelay,
     ) -> None:
         head = await channel.read_head()
-        self._take_limit(head)
+        self.hearing.answered(
+            self.placement.home,
+            head,
+            self.call.request_id,
+        )
         self._check_ran(head)
         if self.call.route.kind.is_stream and head.is_success:
             if not head.is_signed:
@@ -162,27 +168,6 @@
                 head.faulty_address,
             )
 
-    def _take_limit(self, head: AnswerHead) -> None:
-        """Note the rate of requests that the endpoint takes.
-
-        Only a success that names no limit ends one: a refusal may come from a
-        part of the endpoint that does not know it.
-        """
-        names_none = head.limit.per_second is None
-        is_unknown = head.limit.is_unreadable or head.is_other_instance
-        if is_unknown or (names_none and not head.is_success):
-            return
-        home = self.placement.home
-        limits = self.context.dispatcher.limits
-        if limits.said(home.lifetime, head.limit.per_second, self._now()):
-            self.context.log.info(
-                'limit_named',
-                request_id=self.call.request_id,
-                endpoint=home.endpoint,
-                per_second=head.limit.per_second,
-            )
-            self.context.dispatcher.tell_at_once(home.endpoint)
-
     def _on_event(self) -> None:
         dispatcher = self.context.dispatcher
         dispatcher.sent_something(self.placement.home.endpoint)
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/hearing.py
@@ -0,0 +1,50 @@
+"""What answers say of the endpoint that gave them, beside the answer itself."""
+
+from sycamore_core.routing import EndpointRecord
+
+from ..context import ForwardingContext
+from ..wire import AnswerHead
+
+
+class AnswerHearing:
+    """Notes what endpoints say of themselves, for all later decisions."""
+
+    def __init__(self, context: ForwardingContext) -> None:
+        self.context = context
+
+    def answered(
+        self,
+        record: EndpointRecord,
+        head: AnswerHead,
+        request_id: str,
+    ) -> None:
+        """Take what the answer to a request says of its endpoint."""
+        if head.is_other_instance:
+            return
+        self._take_limit(record, head, request_id)
+
+    def _take_limit(
+        self,
+        record: EndpointRecord,
+        head: AnswerHead,
+        request_id: str,
+    ) -> None:
+        """Note the rate of requests that the endpoint takes.
+
+        Only a success that names no limit ends one: a refusal may come from a
+        part of the endpoint that does not know it.
+        """
+        names_none = head.limit.per_second is None
+        if head.limit.is_unreadable or (names_none and not head.is_success):
+            return
+        dispatcher = self.context.dispatcher
+        now = self.context.clock.monotonic()
+        limit = head.limit.per_second
+        if dispatcher.limits.said(record.lifetime, limit, now):
+            self.context.log.info(
+                'limit_named',
+                request_id=request_id,
+                endpoint=record.endpoint,
+                per_second=limit,
+            )
+            dispatcher.tell_at_once(record.endpoint)
