Log when an endpoint says in an answer that it leaves

No decision changes. A word in an answer by another instance (421) is left out: it tells nothing of the endpoint that was asked.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/hearing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/hearing.py
@@ -21,8 +21,30 @@
         """Take what the answer to a request says of its endpoint."""
         if head.is_other_instance:
             return
+        self._take_leaving(record, head, request_id)
         self._take_limit(record, head, request_id)
 
+    def order_answered(self, record: EndpointRecord, head: AnswerHead) -> None:
+        """Take what the answer to an order says of its endpoint."""
+        if not head.is_other_instance:
+            self._take_leaving(record, head, '')
+
+    def _take_leaving(
+        self,
+        record: EndpointRecord,
+        head: AnswerHead,
+        request_id: str,
+    ) -> None:
+        if not head.is_leaving:
+            return
+        self.context.log.info(
+            'endpoint_leaving_by_answer',
+            request_id=request_id,
+            endpoint=record.endpoint,
+            started_ms=record.started_ms,
+            status=head.status,
+        )
+
     def _take_limit(
         self,
         record: EndpointRecord,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/reservations.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/reservations.py
@@ -16,7 +16,9 @@
 from ..context import ForwardingContext
 from ..errors import AttemptError
 from ..placement.dispatcher import Placement
-from ..wire import Helper, Order
+from ..wire import AnswerHead, Helper, Order
+from .channel import EndpointChannel
+from .hearing import AnswerHearing
 
 #: Length of a lease, in seconds. Memory has to be free four seconds after its
 #: request, also when the entry that reserved it is gone.
@@ -47,6 +49,7 @@
     ) -> None:
         self.context = context
         self.placement = placement
+        self.hearing = AnswerHearing(context)
         self.made: tuple[Helper, ...] = ()
         self._name = secrets.token_hex(_NAME_BYTES)
         self._asked: list[tuple[EndpointRecord, int]] = []
@@ -120,7 +123,7 @@
         try:
             async with asyncio.timeout(ORDER_SECONDS):
                 channel = await self.context.pool.take(record, fresh=False)
-                return await _status(channel, start, headers, order.body)
+                head = await _ask(channel, start, headers, order.body)
         except (AttemptError, TimeoutError) as error:
             self.context.log.info(
                 'order_unanswered',
@@ -128,12 +131,18 @@
                 reason=str(error),
             )
             return 0
+        self.hearing.order_answered(record, head)
+        return head.status
 
 
-async def _status(channel, start, headers, body) -> int:
+async def _ask(
+    channel: EndpointChannel,
+    start: RequestStartLine,
+    headers: HTTPHeaders,
+    body: bytes,
+) -> AnswerHead:
     try:
         channel.send(start, headers, body, '')
-        head = await channel.read_head()
-        return head.status
+        return await channel.read_head()
     finally:
         channel.close()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
@@ -118,6 +118,7 @@
             is_other_instance=status == 421,
             closes=headers.get('Connection', '') == 'close',
             limit=named_limit(headers.get('Limit', '')),
+            is_leaving='Leaving' in headers,
         )
 
     def own_headers(self, request_id: str) -> HTTPHeaders:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/wire.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/wire.py
@@ -117,6 +117,8 @@
         Whether the endpoint closes the connection after this answer.
     limit
         The rate of requests that it takes.
+    is_leaving
+        Whether it says that it takes no new requests before it ends.
     """
 
     status: int
@@ -129,6 +131,7 @@
     idle_seconds: float | None = None
     closes: bool = False
     limit: NamedLimit = NO_LIMIT
+    is_leaving: bool = False
 
     @property
     def is_success(self) -> bool:
