--- a/packages/sycamore-core/src/sycamore_core/routing/tests/test_directory_machine.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/tests/test_directory_machine.py
@@ -4,27 +4,15 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from ...ids import EndpointId, ServiceId, ZoneId
-from .. import EndpointDirectory, EndpointLifetime, EndpointRecord
+from ...ids import EndpointId
+from .. import EndpointDirectory, EndpointLifetime
 from ..directory import RETURN_SECONDS
+from .builders import SERVICE, record
 
-SERVICE = ServiceId('chat')
 NAMES = st.sampled_from(['e1', 'e2', 'e3'])
 STARTS = st.integers(min_value=1, max_value=3)
 
 
-def record(name: str, started_ms: int, *, is_leaving: bool) -> EndpointRecord:
-    return EndpointRecord(
-        endpoint=EndpointId(name),
-        service=SERVICE,
-        host='10.0.0.1',
-        port=80,
-        zone=ZoneId('a'),
-        started_ms=started_ms,
-        is_leaving=is_leaving,
-    )
-
-
 class DirectoryMachine(RuleBasedStateMachine):
     """News come in any order; what was seen to leave stays left."""
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_reservations.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_reservations.py
@@ -3,68 +3,25 @@
 import asyncio
 
 import pytest
-from sycamore_core.routing import RouteKind
 
 from ..endpoints.reservations import RENEW_SECONDS
 from .builders import (
     HOST,
     LAST_CHUNK,
     MODEL,
-    RawEndpoint,
     Talk,
     TestEntry,
-    chunk,
     entry_before,
-    event,
     request_bytes,
-    route,
     say_nothing,
     saying,
-    stream_head,
     whole,
 )
+from .builders_engines import ANSWER, HUGE, STREAM, Engine, engines
 
-#: Four engines need 6.5 s to read the prompt by their published figures; a
-#: caller with less time is refused at once.
-STREAM = route(RouteKind.RESUMABLE_STREAM, MODEL, time_limit=12)
-#: Beyond the memory of one engine, within that of three.
-HUGE = '500000'
-ANSWER = saying(stream_head(), chunk(event(0)), LAST_CHUNK)
 REFUSED = saying(whole('', 409))
 
 
-class Engine(RawEndpoint):
-    """Takes orders, and answers all else by a script."""
-
-    def __init__(self, name: str, answer: Talk, order: Talk) -> None:
-        super().__init__(name, self.choose)
-        self.answer = answer
-        self.order = order
-
-    @property
-    def orders(self) -> list[str]:
-        """Return the orders that came, without the numbers of tokens."""
-        bodies = [one['body'] for one in self.requests if is_order(one)]
-        return [body.split()[0] for body in bodies]
-
-    async def choose(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        talk = self.order if is_order(self.requests[-1]) else self.answer
-        await talk(reader, writer)
-
-
-def is_order(request: dict[str, str]) -> bool:
-    return request['line'].startswith('POST /order')
-
-
-def engines(answer: Talk, order: Talk | None = None) -> list[Engine]:
-    accepted = order or saying(whole('{}'))
-    return [Engine(f'e{one}', answer, accepted) for one in range(4)]
-
-
 async def released(fleet: list[Engine]) -> None:
     """Wait until each engine that was asked to reserve was asked to release."""
     async with asyncio.timeout(5):
