Send nothing more to an endpoint that says in an answer that it leaves

Cause: leaving was learned from the platform's registration alone, and that cannot be written while the platform is away. Answers said so, and no module read it: a fact with two sources of which the entry knew one. Ruled out: that the word is taken and undone (no line about the endpoint between answer and report), and that requests had been placed before it (placed 2 ms before they arrived).

Change: AnswerHearing marks the start that was asked as leaving, for answers of any status, streams and orders; peers are told at once by the message that told them of registrations so far.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/hearing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/hearing.py
@@ -35,8 +35,16 @@
         head: AnswerHead,
         request_id: str,
     ) -> None:
-        if not head.is_leaving:
+        """Send nothing more to an endpoint that leaves.
+
+        Its registration says so as well, but not while the platform is away.
+        """
+        is_news = head.is_leaving and self.context.keeper.leaving.said(
+            record.lifetime,
+        )
+        if not is_news:
             return
+        self.context.dispatcher.tell_at_once(record.endpoint)
         self.context.log.info(
             'endpoint_leaving_by_answer',
             request_id=request_id,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
@@ -2,13 +2,13 @@
 
 What goes wrong: the platform is away, slow, or serves this entry nothing,
 while others see changes. What is in force never goes back to an older
-version, and what an entry has once seen of an endpoint's leaving binds it.
+version, and what an entry has once seen of an endpoint's leaving binds it:
+in its registration, in an answer of its own, or by word of a peer.
 Nor does it believe a platform that has come back from an older copy what it
 knows to be over: revisions count within one epoch only.
 """
 
 import asyncio
-from collections.abc import Iterable
 
 from sycamore_core.clock import Clock
 from sycamore_core.errors import PlatformError
@@ -17,7 +17,6 @@
 from sycamore_core.platform import unpack
 from sycamore_core.routing import (
     EndpointDirectory,
-    EndpointLifetime,
     PublishedTable,
     RoutingTable,
 )
@@ -63,6 +62,8 @@
         Asks for the first list of endpoints.
     pace
         When the platform is asked again.
+    leaving
+        Endpoints that leave.
     restoration
         Whether the platform has come back from an older copy.
     """
@@ -83,7 +84,7 @@
         self.restoration = Restoration(clock)
         self.log = Log('fleet')
         self.published: PublishedTable | None = None
-        self._left = LeavingNews(clock)
+        self.leaving = LeavingNews(self.directory, clock, self.log)
         self._revision = Revision(0)
         self._failures = 0
 
@@ -109,11 +110,6 @@
         """Whether requests can be served."""
         return self.table is not None and bool(self.directory.records)
 
-    @property
-    def leaving(self) -> tuple[EndpointLifetime, ...]:
-        """Return the endpoints that were lately seen to leave."""
-        return self._left.lately()
-
     def offer_table(self, body: SettingsBody) -> None:
         """Take a peer's configuration if it is newer."""
         try:
@@ -123,16 +119,6 @@
             return
         self._take_table(published, source='peer')
 
-    def hear_leaving(self, lifetimes: Iterable[EndpointLifetime]) -> None:
-        """Take it from a peer that endpoints leave."""
-        for lifetime in lifetimes:
-            if self.directory.mark_leaving(lifetime):
-                self._left.note(lifetime)
-                self.log.info(
-                    'endpoint_leaving_by_peer',
-                    endpoint=lifetime.endpoint,
-                )
-
     async def run(self) -> None:
         """Read and watch the platform until cancelled."""
         while True:
@@ -235,7 +221,7 @@
         elif isinstance(change, EndpointChanged):
             self.directory.put(change.record)
             if change.record.is_leaving:
-                self._left.note(change.record.lifetime)
+                self.leaving.registered(change.record.lifetime)
             self.log.info(
                 'endpoint_changed',
                 endpoint=change.record.endpoint,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -167,7 +167,7 @@
 
     def _has_news(self) -> bool:
         """Return whether peers should know more than loads at once."""
-        news = (self.keeper.version, self.keeper.leaving)
+        news = (self.keeper.version, self.keeper.leaving.lately())
         is_new = news != self._told
         self._told = news
         return is_new
@@ -241,7 +241,7 @@
         if self.membership.hear(peer.address, message.zone, name, now):
             self.log.info('peer_found', peer=name, address=peer.address)
         self.context.peer_heard_at = now
-        self.keeper.hear_leaving(message.leaving)
+        self.keeper.leaving.hear(message.leaving, message.entry)
         self.newer_settings.compare(peer, message.settings_version)
 
     def _learn(self, cell: CellMembers, now: float) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/updates.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/updates.py
@@ -50,7 +50,7 @@
             self.changes(self.book.own, now),
             is_whole=True,
             members=self._all_living(own_cell=True),
-            leaving=self.context.keeper.leaving,
+            leaving=self.context.keeper.leaving.lately(),
             crashes=self.context.quarantine.in_turn(now),
             limits=self.limits.everything(now),
         )
@@ -84,7 +84,7 @@
             shares=self.book.near_shares(self._busy_in(zone), now, name),
             members=(*own.addresses, self.membership.address),
             contacts=tuple(self._contacts()),
-            leaving=context.keeper.leaving,
+            leaving=context.keeper.leaving.lately(),
             turns_per_s=self.book.pressure(now).turns_per_s,
             crashes=context.quarantine.in_turn(now),
             limits=self._limits_in(zone, now, name),
