Tell newcomers of all listed endpoints that leave, not of the last seconds'

The introduction now names each listed endpoint that leaves; that is as many as leave at one time.

Evidence: test_newcomer_is_told_of_endpoints_that_said_so_long_ago, red before (not told within 5 s), green now; mesh and cells green.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/leaving.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/leaving.py
@@ -64,3 +64,9 @@
         while self._seen and self._seen[0][0] < begin:
             self._seen.popleft()
         return tuple(lifetime for _, lifetime in self._seen)
+
+    def everything(self) -> tuple[EndpointLifetime, ...]:
+        """Return the endpoints that a newcomer is told of."""
+        records = self.directory.records.values()
+        listed = (one.lifetime for one in records if one.is_leaving)
+        return tuple({*listed, *self.lately()})
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/updates.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/updates.py
@@ -61,6 +61,7 @@
             self.whole(now),
             peers=tuple(self.membership.members),
             members=self._all_living(own_cell=False),
+            leaving=self.context.keeper.leaving.everything(),
             crashes=self.context.quarantine.everything(now),
         )
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_leaving_in_answers.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_leaving_in_answers.py
@@ -6,6 +6,7 @@
 import pytest
 from sycamore_core.routing import RouteKind
 
+from ..fleet import leaving
 from .builders import (
     LAST_CHUNK,
     MODEL,
@@ -52,21 +53,21 @@
     kind: str,
 ) -> None:
     """Guards against requests that are cut off when their endpoint ends."""
-    leaving = plain('e1', ANSWERS[kind])
-    async with entry_before(SAFE, leaving, plain('e2')) as entry:
+    ending = plain('e1', ANSWERS[kind])
+    async with entry_before(SAFE, ending, plain('e2')) as entry:
         for number in range(ASKED):
             answer = await entry.ask(Id=f'q{number}')
             assert answer.startswith(b'HTTP/1.1 200')
-    assert len(leaving.requests) <= 1
+    assert len(ending.requests) <= 1
 
 
 async def test_engine_that_says_it_leaves_gets_no_more_streams() -> None:
     """Guards against streams that are cut off when their engine ends."""
-    leaving = plain('e1', LEAVING_STREAM)
-    async with entry_before(CHAT, leaving, plain('e2', ANSWER)) as entry:
+    ending = plain('e1', LEAVING_STREAM)
+    async with entry_before(CHAT, ending, plain('e2', ANSWER)) as entry:
         for number in range(ASKED):
             await entry.ask(Id=f'q{number}', Prompt='5000')
-    assert len(leaving.requests) <= 1
+    assert len(ending.requests) <= 1
 
 
 async def test_leaving_that_only_an_order_is_told_is_heard() -> None:
@@ -82,19 +83,19 @@
 
 async def test_callers_are_refused_at_once_where_all_endpoints_leave() -> None:
     """Guards against requests to endpoints that end, for want of others."""
-    leaving = plain('e1', ANSWERS['success'])
-    async with entry_before(SAFE, leaving) as entry:
+    ending = plain('e1', ANSWERS['success'])
+    async with entry_before(SAFE, ending) as entry:
         await entry.ask()
         answer = await entry.ask()
-    assert len(leaving.requests) == 1
+    assert len(ending.requests) == 1
     assert answer.startswith(b'HTTP/1.1 503')
     assert b'Retry-After' in answer
 
 
 async def test_leaving_is_told_to_other_entries() -> None:
     """Guards against entries that each send once to an endpoint that ends."""
-    leaving = plain('e1', ANSWERS['success'])
-    listed = await snapshot_of(SAFE, (leaving,))
+    ending = plain('e1', ANSWERS['success'])
+    listed = await snapshot_of(SAFE, (ending,))
     async with running(entries(2, snapshot=listed)) as (first, second):
         async with asked_at(first) as caller:
             await caller.ask()
@@ -104,6 +105,28 @@
                 await asyncio.sleep(0.01)
 
 
+async def test_newcomer_is_told_of_endpoints_that_said_so_long_ago(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an entry that starts while the platform is behind."""
+    monkeypatch.setattr(leaving, 'LEAVING_SECONDS', 0)
+    endpoint = plain('e1')
+    listed = await snapshot_of(SAFE, (endpoint,))
+    first, second = entries(2, snapshot=listed)
+    first.start_tasks()
+    while not first.context.keeper.is_ready:
+        await asyncio.sleep(0.01)
+    first.context.keeper.leaving.said(endpoint.record(SERVICE).lifetime)
+    second.start_tasks()
+    keeper = second.context.keeper
+    try:
+        async with asyncio.timeout(5):
+            while not keeper.is_ready or keeper.directory.usable(SERVICE):
+                await asyncio.sleep(0.01)
+    finally:
+        await asyncio.gather(first.close(), second.close())
+
+
 async def test_answer_of_another_instance_tells_nothing_of_an_endpoint() -> (
     None
 ):
