--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/__init__.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/__init__.py
@@ -22,6 +22,7 @@
 from .settings import ForwardingSettings
 from .wire import (
     AnswerHead,
+    AskedRest,
     CallTerms,
     Helper,
     NamedLimit,
@@ -32,6 +33,7 @@
 
 __all__ = (
     'AnswerHead',
+    'AskedRest',
     'CallTerms',
     'Change',
     'ChangeBatch',
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/hearing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/hearing.py
@@ -22,12 +22,29 @@
         if head.is_other_instance:
             return
         self._take_leaving(record, head, request_id)
+        self._take_rest(record, head, request_id)
         self._take_limit(record, head, request_id)
 
     def order_answered(self, record: EndpointRecord, head: AnswerHead) -> None:
         """Take what the answer to an order says of its endpoint."""
         if not head.is_other_instance:
             self._take_leaving(record, head, '')
+            self._take_rest(record, head, '')
+
+    def _take_rest(
+        self,
+        record: EndpointRecord,
+        head: AnswerHead,
+        request_id: str,
+    ) -> None:
+        if head.rest.seconds is None and not head.rest.is_unreadable:
+            return
+        self.context.log.info(
+            'rest_asked_for',
+            request_id=request_id,
+            endpoint=record.endpoint,
+            seconds=head.rest.seconds,
+        )
 
     def _take_leaving(
         self,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
@@ -45,6 +45,7 @@
 from ..settings import ForwardingSettings
 from ..wire import (
     AnswerHead,
+    AskedRest,
     CallTerms,
     NamedLimit,
     Order,
@@ -119,6 +120,7 @@
             closes=headers.get('Connection', '') == 'close',
             limit=named_limit(headers.get('Limit', '')),
             is_leaving='Leaving' in headers,
+            rest=asked_rest(headers.get('Rest', '')),
         )
 
     def own_headers(self, request_id: str) -> HTTPHeaders:
@@ -131,6 +133,10 @@
         return Order('/order', b'release')
 
 
+def asked_rest(text: str) -> AskedRest:
+    return AskedRest(float(text)) if text else AskedRest()
+
+
 def named_limit(text: str) -> NamedLimit:
     return NamedLimit(float(text)) if text else NamedLimit()
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/wire.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/wire.py
@@ -94,6 +94,24 @@
 NO_LIMIT = NamedLimit()
 
 
+class AskedRest(msgspec.Struct, frozen=True):
+    """For how long an endpoint that turns a request away wants no other.
+
+    Attributes
+    ----------
+    seconds
+        How long this entry is to send nothing; None if it does not ask.
+    is_unreadable
+        Whether it asks for something that is no time.
+    """
+
+    seconds: float | None = None
+    is_unreadable: bool = False
+
+
+NO_REST = AskedRest()
+
+
 class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
     """Status and headers of an endpoint's answer.
 
@@ -119,6 +137,8 @@
         The rate of requests that it takes.
     is_leaving
         Whether it says that it takes no new requests before it ends.
+    rest
+        The rest that it asks for with a refusal.
     """
 
     status: int
@@ -132,6 +152,7 @@
     closes: bool = False
     limit: NamedLimit = NO_LIMIT
     is_leaving: bool = False
+    rest: AskedRest = NO_REST
 
     @property
     def is_success(self) -> bool:
