Leave an endpoint alone for as long as it asks with a refusal

Cause: a word that bounds what may be sent was read by nobody, and placement by load turns it into its opposite: what takes nothing looks idle (the class of Server-Limit and of leaving). Ruled out: second attempts alone (the reported ones are first attempts) and requests on their way (placed up to 2.9 s later).

After it one request goes first. What was placed before the word and waits for a connection is held back. If all endpoints rest, callers are refused at once and told when the first rest ends, spread behind it. Peers are not told.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -6,6 +6,7 @@
 what its peers say that they have there.
 """
 
+from .asked_rests import AskedRests
 from .assignments import assignments_of
 from .attempts import AttemptEnd, AttemptLog, NextStep, next_step
 from .cells import CellView, KnownEngine, plan_in_cells
@@ -31,6 +32,7 @@
     after_full,
     after_limit,
     after_load,
+    after_rest,
     after_start,
     spread,
 )
@@ -42,6 +44,7 @@
     'TELL_SECONDS',
     'WHOLE_SECONDS',
     'AllowanceBounds',
+    'AskedRests',
     'AttemptEnd',
     'AttemptLog',
     'CallerTime',
@@ -64,6 +67,7 @@
     'after_full',
     'after_limit',
     'after_load',
+    'after_rest',
     'after_start',
     'assignments_of',
     'choose_plain',
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/attempts.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/attempts.py
@@ -19,6 +19,8 @@
     ANSWERED = 'answered'
     #: No connection could be made, or nothing was sent on it.
     NOT_SENT = 'not_sent'
+    #: Nothing was sent, as its endpoint said meanwhile that it takes nothing.
+    HELD_BACK = 'held_back'
     #: The endpoint says that it has not run the request.
     NOT_RUN = 'not_run'
     #: The endpoint has answered that it failed.
@@ -31,7 +33,12 @@
     @property
     def has_not_run(self) -> bool:
         """Whether it is certain that the request did not run there."""
-        return self in {AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN}
+        return not self.was_sent or self == AttemptEnd.NOT_RUN
+
+    @property
+    def was_sent(self) -> bool:
+        """Whether anything reached the endpoint."""
+        return self not in {AttemptEnd.NOT_SENT, AttemptEnd.HELD_BACK}
 
 
 class NextStep(enum.StrEnum):
@@ -89,7 +96,7 @@
     def note(self, end: AttemptEnd) -> None:
         """Note how the attempt in progress ended."""
         self.is_open = False
-        if end != AttemptEnd.NOT_SENT:
+        if end.was_sent:
             self.sent += 1
         if not end.has_not_run:
             self.ran += 1
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/return_times.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/return_times.py
@@ -23,8 +23,8 @@
 #: Least expected rest of an outage of the platform, in seconds. A short one is
 #: not noticed by callers; of those that are, most last for several seconds.
 _LEAST_OUTAGE = 1.6
-#: Least time until endpoints that name a rate take more, in seconds: others
-#: that were refused come back meanwhile as well.
+#: Least time until endpoints that rest, or name a rate, take more, in seconds:
+#: others that were refused come back meanwhile as well.
 _LEAST_LIMIT_SECONDS = 0.25
 
 
@@ -108,6 +108,29 @@
     return spread(max(_LEAST_LIMIT_SECONDS, seconds), caller)
 
 
+def after_rest(seconds: float, caller: CallerTime) -> float:
+    """Return when a caller comes back to endpoints that all rest.
+
+    Not before the end of the rest, unless that leaves the caller too little
+    time: endpoints name a rest to each entry, and another one may serve it.
+
+    Parameters
+    ----------
+    seconds
+        Time until the first of them takes a request again.
+
+    Examples
+    --------
+    >>> after_rest(2, CallerTime(left=30, number=0))
+    2.0
+    >>> round(after_rest(60, CallerTime(left=9, number=1)), 2)
+    2.97
+    """
+    largest = caller.left * _LARGEST_PART
+    soonest = min(max(_LEAST_LIMIT_SECONDS, seconds), largest / (1 + _SPREAD))
+    return soonest * (1 + _SPREAD * caller.number)
+
+
 def after_full(stay_seconds: float, caller: CallerTime) -> float:
     """Return when a caller comes back to a fleet without a free slot.
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -238,8 +238,7 @@
         allowance = self.context.allowance(call.service.service)
         # Nothing reached an endpoint where no connection was made: such an
         # attempt does not count as a repeat.
-        is_free = end == AttemptEnd.NOT_SENT
-        if is_free or allowance.take(now, self.context.entries):
+        if not end.was_sent or allowance.take(now, self.context.entries):
             return step
         return next_step(
             kind,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/refusals.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/refusals.py
@@ -22,6 +22,8 @@
     OVERLOADED = 'overloaded'
     #: All endpoints have got the rate of requests that they name.
     RATE_LIMITED = 'rate_limited'
+    #: All endpoints have asked this entry for rest.
+    ENDPOINTS_REST = 'endpoints_rest'
     #: Reading the prompt now would take more from others than it is worth.
     HARMFUL = 'harmful'
     TIME_LIMIT = 'time_limit'
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
@@ -95,6 +95,7 @@
         fresh = not self.call.route.kind.is_idempotent
         channel = await self.context.pool.take(home, fresh=fresh)
         try:
+            self._check_still_taken()
             self._send(channel, relay, reserved)
             await self._relay(channel, relay)
         except BaseException:
@@ -102,6 +103,16 @@
             raise
         self.context.pool.give_back(home, channel)
 
+    def _check_still_taken(self) -> None:
+        """Send nothing to an endpoint that has meanwhile asked for rest.
+
+        What goes wrong otherwise: connections by the dozen wait for an
+        endpoint that is full, and each sends its request after the word.
+        """
+        candidates = self.context.dispatcher.candidates
+        if not candidates.still_takes(self.placement.home, self._now()):
+            raise AttemptError(AttemptEnd.HELD_BACK, 'takes nothing now')
+
     def _send(
         self,
         channel: EndpointChannel,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/hearing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/hearing.py
@@ -3,7 +3,7 @@
 from sycamore_core.routing import EndpointRecord
 
 from ..context import ForwardingContext
-from ..wire import AnswerHead
+from ..wire import NO_REST, AnswerHead
 
 
 class AnswerHearing:
@@ -24,6 +24,8 @@
         self._take_leaving(record, head, request_id)
         self._take_rest(record, head, request_id)
         self._take_limit(record, head, request_id)
+        if not head.has_not_run:
+            self.context.dispatcher.rests.accepted(record.lifetime)
 
     def order_answered(self, record: EndpointRecord, head: AnswerHead) -> None:
         """Take what the answer to an order says of its endpoint."""
@@ -37,13 +39,19 @@
         head: AnswerHead,
         request_id: str,
     ) -> None:
-        if head.rest.seconds is None and not head.rest.is_unreadable:
+        """Send nothing to an endpoint for as long as it asks."""
+        if head.rest == NO_REST:
             return
+        seconds = head.rest.seconds
+        if seconds is not None:
+            now = self.context.clock.monotonic()
+            rests = self.context.dispatcher.rests
+            rests.said(record.lifetime, seconds, now)
         self.context.log.info(
             'rest_asked_for',
             request_id=request_id,
             endpoint=record.endpoint,
-            seconds=head.rest.seconds,
+            seconds=seconds,
         )
 
     def _take_leaving(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/dispatcher.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/dispatcher.py
@@ -6,6 +6,7 @@
 import msgspec
 from sycamore_core.clock import Clock
 from sycamore_core.decisions.direct import (
+    AskedRests,
     Assignment,
     CellView,
     FailureBook,
@@ -67,6 +68,8 @@
         Which endpoints fail.
     limits
         Which endpoints name a limit.
+    rests
+        Which endpoints have asked this entry for rest.
     candidates
         Which endpoints may be given a request.
     has_sent
@@ -87,7 +90,8 @@
         self.cells = CellView(zone=zone)
         self.failures = FailureBook()
         self.limits = RateLimits(entry)
-        self.candidates = Candidates(keeper, self.limits)
+        self.rests = AskedRests()
+        self.candidates = Candidates(keeper, self.limits, self.rests)
         self.has_sent = asyncio.Event()
         self._ties: dict[EndpointId, float] = {}
 
@@ -153,10 +157,11 @@
         self.book.end(request_id, placed.plan.members)
 
     def request_sent(self, placed: Placement) -> None:
-        """Note a request to endpoints that may have named a limit."""
+        """Note a request to endpoints that may have named a limit, or rest."""
         now = self.clock.monotonic()
         for record in (placed.home, *placed.helpers):
             self.limits.sent(record.lifetime, now)
+            self.rests.sent(record.lifetime, now)
 
     def order_sent(self, record: EndpointRecord) -> None:
         """Note an order to an endpoint, which arrives like a request."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
@@ -8,6 +8,7 @@
     after_full,
     after_limit,
     after_load,
+    after_rest,
     after_start,
     is_worth_reading,
 )
@@ -16,6 +17,7 @@
 from ..callers.refusals import Refusal, RefusalCause
 from ..calls import AttemptCall
 from ..context import ForwardingContext
+from .candidates import Wait
 from .dispatcher import Placement
 
 #: Part of its objective for which a request waits for a free slot. A slot
@@ -68,7 +70,7 @@
         Refusal
             If there is no place, and none is expected in time.
         """
-        has_others = self._others(excluded)
+        has_others = self._has_taking(excluded)
         left_out = excluded if has_others else excluded - failed_at
         if not excluded:
             await self._let_news_in()
@@ -147,41 +149,55 @@
             raise refusal
         await asyncio.sleep(_LOOK_SECONDS)
 
+    def _has_taking(self, excluded: Iterable[EndpointId]) -> bool:
+        """Return whether endpoints that were not tried take a request."""
+        candidates = self.context.dispatcher.candidates
+        service = self.call.service
+        return bool(candidates.taking(service, excluded, self._now()))
+
     def _others(self, excluded: Iterable[EndpointId]) -> bool:
         """Return whether there are endpoints that were not tried."""
+        return bool(self._usable().difference(excluded))
+
+    def _usable(self) -> set[EndpointId]:
         directory = self.context.keeper.directory
         usable = directory.usable(self.call.service.service)
-        return bool({one.endpoint for one in usable}.difference(excluded))
+        return {one.endpoint for one in usable}
 
     def _no_place(self, excluded: Set[EndpointId]) -> Refusal:
         caller = self.call.caller_time(self._now())
-        if not self._others(frozenset()):
+        if not self._usable():
             return Refusal(
                 RefusalCause.NO_ENDPOINT,
                 retry_after=after_start(0, caller),
             )
+        wait = self._shortest_wait(())
+        if wait.is_rest:
+            return Refusal(
+                RefusalCause.ENDPOINTS_REST,
+                f'all endpoints rest for {wait.seconds:.2f} s',
+                retry_after=after_rest(wait.seconds, caller),
+            )
         if not self._others(excluded):
             return Refusal.by_endpoint(caller)
-        to_room = self._seconds_to_room(excluded)
-        if to_room:
+        wait = self._shortest_wait(excluded)
+        if wait.seconds:
             return Refusal(
                 RefusalCause.RATE_LIMITED,
-                f'no endpoint takes more for {to_room:.2f} s',
-                retry_after=after_limit(to_room, caller),
+                f'no endpoint takes more for {wait.seconds:.2f} s',
+                retry_after=after_limit(wait.seconds, caller),
             )
-        directory = self.context.keeper.directory
-        usable = directory.usable(self.call.service.service)
         turns = self.context.dispatcher.book.turns
         return Refusal(
             RefusalCause.OVERLOADED,
-            f'no slot at {len(usable)} endpoints',
+            f'no slot at {len(self._usable())} endpoints',
             retry_after=after_full(turns.stay_seconds, caller),
         )
 
-    def _seconds_to_room(self, excluded: Set[EndpointId]) -> float:
+    def _shortest_wait(self, excluded: Iterable[EndpointId]) -> Wait:
         candidates = self.context.dispatcher.candidates
         service = self.call.service
-        return candidates.seconds_to_room(service, excluded, self._now())
+        return candidates.shortest_wait(service, excluded, self._now())
 
     def _now(self) -> float:
         return self.context.clock.monotonic()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_asked_rest.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_asked_rest.py
@@ -23,7 +23,7 @@
 from .builders_engines import ANSWER, HUGE, STREAM, engines
 from .builders_mesh import entries, running
 
-SAFE = route(RouteKind.SAFE)
+SAFE = route(RouteKind.SAFE, time_limit=60)
 CHAT = route(RouteKind.RESUMABLE_STREAM, MODEL)
 ASKED = 8
 LONG_REST = 30
@@ -182,3 +182,24 @@
     first.context.dispatcher.tell_at_once(EndpointId('e1'))
     while second.context.peer_heard_at == heard_at:
         await asyncio.sleep(0.01)
+
+
+async def test_failed_replica_is_tried_again_where_all_others_rest() -> None:
+    """Guards against a look-up that is lost though its replica lives."""
+    answers = iter((whole('', 500), whole()))
+
+    async def talk(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        writer.write(next(answers))
+
+    failing = RawEndpoint('e1', talk)
+    full = resting('e2')
+    async with entry_before(SAFE, failing, full) as entry:
+        dispatcher = entry.context.dispatcher
+        now = entry.context.clock.monotonic()
+        dispatcher.rests.said(full.record(SERVICE).lifetime, LONG_REST, now)
+        assert is_answered(await entry.ask())
+    assert len(failing.requests) == 2
+    assert not full.requests
