Hear a limit that the answer to an order names

An engine in need that gets nothing but orders to set memory aside named its rate in vain, and got more orders than it allows (orders count as requests). Only an answer to a request that names none ends a limit, as before.

Evidence: test_limit_that_only_an_order_names_is_heard, red before (None, 5 named), green now; limits, rests and leaving green.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/hearing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/hearing.py
@@ -3,7 +3,7 @@
 from sycamore_core.routing import EndpointRecord
 
 from ..context import ForwardingContext
-from ..wire import NO_REST, AnswerHead
+from ..wire import NO_LIMIT, NO_REST, AnswerHead
 
 
 class AnswerHearing:
@@ -21,17 +21,30 @@
         """Take what the answer to a request says of its endpoint."""
         if head.is_other_instance:
             return
-        self._take_leaving(record, head, request_id)
-        self._take_rest(record, head, request_id)
-        self._take_limit(record, head, request_id)
+        self._take_words(record, head, request_id)
+        if head.is_success and head.limit == NO_LIMIT:
+            # That ends one. A refusal without a limit does not: it may come
+            # from a part of the endpoint that does not know it.
+            self._take_limit(record, head, request_id)
         if not head.has_not_run:
             self.context.dispatcher.rests.accepted(record.lifetime)
 
     def order_answered(self, record: EndpointRecord, head: AnswerHead) -> None:
         """Take what the answer to an order says of its endpoint."""
         if not head.is_other_instance:
-            self._take_leaving(record, head, '')
-            self._take_rest(record, head, '')
+            self._take_words(record, head, request_id='')
+
+    def _take_words(
+        self,
+        record: EndpointRecord,
+        head: AnswerHead,
+        request_id: str,
+    ) -> None:
+        """Take what holds whatever the answer is to."""
+        self._take_leaving(record, head, request_id)
+        self._take_rest(record, head, request_id)
+        if head.limit.per_second is not None:
+            self._take_limit(record, head, request_id)
 
     def _take_rest(
         self,
@@ -84,14 +97,7 @@
         head: AnswerHead,
         request_id: str,
     ) -> None:
-        """Note the rate of requests that the endpoint takes.
-
-        Only a success that names no limit ends one: a refusal may come from a
-        part of the endpoint that does not know it.
-        """
-        names_none = head.limit.per_second is None
-        if head.limit.is_unreadable or (names_none and not head.is_success):
-            return
+        """Note the rate of requests that the endpoint takes."""
         dispatcher = self.context.dispatcher
         now = self.context.clock.monotonic()
         limit = head.limit.per_second
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_rate_limits.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_rate_limits.py
@@ -5,6 +5,7 @@
 from sycamore_core.routing import RouteKind
 
 from .builders import (
+    MODEL,
     SERVICE,
     RawEndpoint,
     entry_before,
@@ -14,6 +15,7 @@
     whole,
 )
 from .builders_crash import asked_at
+from .builders_engines import ANSWER, HUGE, STREAM, engines
 from .builders_mesh import entries, running
 
 SAFE = route(RouteKind.SAFE)
@@ -72,3 +74,18 @@
                 limits.limit(lifetime, entry.context.clock.monotonic())
             )
     assert found == [5, 5, None]
+
+
+async def test_limit_that_only_an_order_names_is_heard() -> None:
+    """Guards against a limit that is lost as an order's answer is a status."""
+    fleet = engines(ANSWER, saying(whole('{}', extra='Limit: 5\r\n')))
+    async with entry_before(STREAM, *fleet) as entry:
+        await entry.ask(Prompt=HUGE)
+        now = entry.context.clock.monotonic()
+        limits = entry.context.dispatcher.limits
+        ordered = [engine for engine in fleet if engine.orders]
+        found = {
+            limits.limit(engine.record(MODEL).lifetime, now)
+            for engine in ordered
+        }
+    assert found == {5}
