--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
@@ -4,13 +4,26 @@
 import contextlib
 from collections.abc import AsyncIterator, Iterable
 
-from sycamore_core.ids import ContentDigest
-
+from sycamore_core.decisions.direct import Assignment
+from sycamore_core.decisions.direct.quarantine import DOUBT_SECONDS
+from sycamore_core.ids import (
+    ContentDigest,
+    EndpointId,
+    RequestId,
+    WorkspaceId,
+)
+from sycamore_core.routing import CrashReport, EndpointLifetime
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from ..callers.caller import CallerRequest
+from ..content import RequestContent
+from ..context import ForwardingContext
 from ..process import ForwardingProcess
 from .builders import HOST, RawEndpoint, TestEntry, whole
 
-#: Body under which an endpoint ends.
+#: Body under which an endpoint ends, and one that any bears.
 POISON = b'crash'
+ORDINARY = b'other'
 
 
 class FragileEndpoint(RawEndpoint):
@@ -73,6 +86,64 @@
         caller.server.stop()
 
 
+@contextlib.asynccontextmanager
+async def asked_at_all(
+    processes: Iterable[ForwardingProcess],
+) -> AsyncIterator[list[TestEntry]]:
+    """Let callers in at all entries of a fleet."""
+    async with contextlib.AsyncExitStack() as stack:
+        yield [
+            await stack.enter_async_context(asked_at(process))
+            for process in processes
+        ]
+
+
+def digest_of(body: bytes) -> ContentDigest:
+    """Return by what the entries know the requests of these tests."""
+    start = RequestStartLine('POST', '/a/x?q=1', 'HTTP/1.1')
+    request = CallerRequest(start, HTTPHeaders(), body, 0)
+    return RequestContent(request, WorkspaceId('school')).digest
+
+
+def in_doubt(context: ForwardingContext, body: bytes) -> None:
+    """Have an entry know of crashes whose hold in doubt is just over.
+
+    Another request was at each of them.
+    """
+    reports = [
+        CrashReport(
+            content,
+            EndpointLifetime(EndpointId(f'gone-{number}'), 5),
+            DOUBT_SECONDS + 1,
+            had_just_begun=True,
+        )
+        for content in (digest_of(body), digest_of(b'beside it'))
+        for number in range(3)
+    ]
+    context.quarantine.hear(reports, context.clock.monotonic())
+
+
+def suspected_together(context: ForwardingContext, *bodies: bytes) -> None:
+    """Have an entry know of one crash under several requests."""
+    gone = EndpointLifetime(EndpointId('gone'), 5)
+    for body in bodies:
+        context.quarantine.crashed(
+            digest_of(body),
+            gone,
+            context.clock.monotonic(),
+            had_just_begun=True,
+        )
+
+
+def make_busy(context: ForwardingContext, endpoint: RawEndpoint) -> None:
+    """Have an entry know of calls in progress at an endpoint."""
+    for number in range(3):
+        context.dispatcher.begin(
+            RequestId(f'{endpoint.name}-{number}'),
+            {EndpointId(endpoint.name): Assignment(read_ms=0)},
+        )
+
+
 def held_now(process: ForwardingProcess) -> tuple[ContentDigest, float]:
     """Return the one content that an entry remembers, and its time."""
     content = next(iter(process.context.quarantine.records))
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
@@ -10,18 +10,24 @@
     entry_before,
     parse_head,
     route,
+    say_nothing,
     saying,
     snapshot_of,
     whole,
 )
 from .builders_crash import (
+    ORDINARY,
     POISON,
     all_have_heard,
     asked_at,
+    asked_at_all,
     end_where_a_request_is,
     ended,
     fragile,
     held_now,
+    in_doubt,
+    make_busy,
+    suspected_together,
 )
 from .builders_mesh import entries, running
 
@@ -30,10 +36,15 @@
 #: Endpoints that one request may end before it is known.
 MOST_ENDED = 3
 TRIES = 4
+ENTRIES = 3
 #: Beyond the patience of all callers, in seconds.
 LONG_SECONDS = 60
 
 
+def is_answered(answer: bytes) -> bool:
+    return answer.startswith(b'HTTP/1.1 200')
+
+
 def retry_after(answer: bytes) -> float:
     head = answer.partition(b'\r\n\r\n')[0].decode()
     return float(parse_head(head)['retry-after'])
@@ -127,3 +138,48 @@
             assert answer.startswith(b'HTTP/1.1 502')
         await asyncio.sleep(PAUSE_SECONDS)
     assert not entry.context.quarantine.records
+
+
+async def test_request_in_doubt_is_tried_once_by_the_whole_fleet() -> None:
+    """Guards against a hold that lets a request in at all entries at once."""
+    endpoints = fragile(ENTRIES + 1)
+    listed = await snapshot_of(SAFE, endpoints)
+    async with running(entries(ENTRIES, snapshot=listed)) as made:
+        for process in made:
+            in_doubt(process.context, POISON)
+        async with asked_at_all(made) as callers:
+            asked = [caller.ask(body=POISON) for caller in callers]
+            answers = await asyncio.gather(*asked)
+    assert ended(endpoints) == 1
+    refused = [one.startswith(b'HTTP/1.1 503') for one in answers]
+    assert sum(refused) == ENTRIES - 1
+
+
+async def test_request_in_doubt_that_is_answered_is_free_everywhere() -> None:
+    """Guards against a bystander that is refused after it was cleared."""
+    endpoints = fragile(2)
+    listed = await snapshot_of(SAFE, endpoints)
+    async with running(entries(ENTRIES, snapshot=listed)) as made:
+        for process in made:
+            in_doubt(process.context, ORDINARY)
+        async with asked_at_all(made) as callers:
+            assert is_answered(await callers[0].ask(body=ORDINARY))
+            await all_have_heard(made)
+            for caller in callers:
+                assert is_answered(await caller.ask(body=ORDINARY))
+
+
+async def test_suspects_of_one_crash_go_on_to_different_endpoints() -> None:
+    """Guards against a bystander that is at each crash beside its cause."""
+    first = RawEndpoint('e0', say_nothing)
+    others = [RawEndpoint(f'e{one}', saying(whole())) for one in '12']
+    async with entry_before(SAFE, first, *others) as entry:
+        suspected_together(entry.context, POISON, ORDINARY)
+        for other in others:
+            make_busy(entry.context, other)
+        asking = asyncio.create_task(entry.ask(Id='q1', body=POISON))
+        while not first.requests:
+            await asyncio.sleep(0.01)
+        assert is_answered(await entry.ask(Id='q2', body=ORDINARY))
+        assert [one['id'] for one in first.requests] == ['q1']
+        asking.cancel()
