Part requests that are suspected of the same crash

Callers of sound requests were refused for ten seconds and more beside a request that crashes engines: eight streams lose their engine, all go on to the least loaded other one within a millisecond, it crashes too, and each of them was at both.

Change: a request that is suspected of a crash is not placed where another suspect of that crash is in progress, as long as there is another place. Each entry knows its own only; those of a crash are mostly of one entry, or come back to one.

Placement of requests that are suspected of nothing is as before: their body is not even read.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -36,6 +36,7 @@
     after_start,
     spread,
 )
+from .suspect_places import SuspectPlaces
 from .update_pace import TELL_SECONDS, UpdatePace
 from .worth import is_worth_reading
 
@@ -62,6 +63,7 @@
     'ReadRequest',
     'RetryAllowance',
     'Assignment',
+    'SuspectPlaces',
     'TurnMeter',
     'UpdatePace',
     'after_full',
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/crash_records.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/crash_records.py
@@ -119,6 +119,15 @@
         if not suspects:
             self._by_endpoint.pop(endpoint, None)
 
+    def beside(
+        self, content: ContentDigest, endpoints: Iterable[EndpointLifetime]
+    ) -> set[ContentDigest]:
+        """Return the other suspects of some crashes."""
+        found: set[ContentDigest] = set()
+        for endpoint in endpoints:
+            found.update(self._by_endpoint.get(endpoint, ()))
+        return found - {content}
+
     def share(self, endpoint: EndpointLifetime) -> float:
         """Return the share of each suspect in a crash."""
         return 1 / max(1, len(self._by_endpoint.get(endpoint, ())))
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
@@ -150,6 +150,12 @@
         record = self.records.get(content)
         return 0 if record is None else record.counted
 
+    def fellow_suspects(self, content: ContentDigest) -> set[ContentDigest]:
+        """Return the contents that are suspected of the same crashes."""
+        record = self.records.get(content)
+        crashes = () if record is None else record.suspicious
+        return self._suspects.beside(content, crashes)
+
     def news(self, now: float) -> tuple[CrashReport, ...]:
         """Return what peers are to be told in every message."""
         begin = now - _NEWS_SECONDS
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -115,7 +115,8 @@
         is_over = False
         while not is_over:
             self.crashes.check(call)
-            placement = await self._place(placing, relay)
+            avoided = self.crashes.places_to_avoid(call)
+            placement = await self._place(placing, relay, avoided)
             if placement is None:
                 return
             is_over = await self._try_at(placement, call, relay)
@@ -138,7 +139,8 @@
         attempt = Attempt(watch)
         self.attempts.begin()
         try:
-            await attempt.run(relay)
+            with self.crashes.sent_to(self.last_endpoint, call):
+                await attempt.run(relay)
         except AttemptError as error:
             return await self._after(call, attempt, error, relay)
         self.attempts.note(AttemptEnd.ANSWERED)
@@ -150,6 +152,7 @@
         self,
         placing: Placing,
         relay: AnswerRelay,
+        avoided: set[EndpointId],
     ) -> Placement | None:
         """Return where to send the request; None if it is over.
 
@@ -159,7 +162,11 @@
             If there is no place, and nobody has answered before.
         """
         try:
-            return await placing.place(self.excluded, self.failed_at)
+            return await placing.place(
+                self.excluded,
+                self.failed_at,
+                avoided,
+            )
         except Refusal:
             if relay.failure is None:
                 raise
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
@@ -7,6 +7,7 @@
 from sycamore_core.decisions.direct import (
     Quarantine,
     RetryAllowance,
+    SuspectPlaces,
     is_isolated,
 )
 from sycamore_core.ids import EntryId, ServiceId
@@ -34,6 +35,8 @@
         When another entry was last heard, on the monotonic clock.
     quarantine
         Requests under which endpoints crashed.
+    suspect_places
+        Where such requests of this entry are.
     background
         Tasks that go on after the exchange that began them.
     """
@@ -56,6 +59,9 @@
         default_factory=dict,
     )
     quarantine: Quarantine = dataclasses.field(default_factory=Quarantine)
+    suspect_places: SuspectPlaces = dataclasses.field(
+        default_factory=SuspectPlaces,
+    )
     crash_probe: CrashProbe = dataclasses.field(default_factory=CrashProbe)
 
     @property
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
@@ -1,10 +1,11 @@
 """Keeps requests from endpoints that would crash under them."""
 
 import asyncio
-from collections.abc import Iterable
+import contextlib
+from collections.abc import Iterable, Iterator
 
 from sycamore_core.decisions.direct import AttemptEnd
-from sycamore_core.ids import ContentDigest, EntryId
+from sycamore_core.ids import ContentDigest, EndpointId, EntryId
 from sycamore_core.routing import CrashReport, EndpointRecord
 
 from .callers.refusals import Refusal, RefusalCause
@@ -50,6 +51,31 @@
             retry_after=seconds_left,
         )
 
+    def places_to_avoid(self, call: AttemptCall) -> set[EndpointId]:
+        """Return where requests are that are suspected of the same crash."""
+        if not self._may_know(call):
+            return set()
+        fellows = self.quarantine.fellow_suspects(call.content.digest)
+        return self.context.suspect_places.with_any(fellows)
+
+    @contextlib.contextmanager
+    def sent_to(
+        self,
+        endpoint: EndpointId,
+        call: AttemptCall,
+    ) -> Iterator[None]:
+        """Note for how long a suspected request is at an endpoint."""
+        if not self._may_know(call):
+            yield
+            return
+        places = self.context.suspect_places
+        content = call.content.digest
+        places.begin(content, endpoint)
+        try:
+            yield
+        finally:
+            places.end(content, endpoint)
+
     def answered(self, call: AttemptCall) -> None:
         """Note that a request got its whole answer."""
         if self._may_know(call):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
@@ -53,6 +53,7 @@
         self,
         excluded: Set[EndpointId],
         failed_at: Set[EndpointId],
+        avoided: Set[EndpointId],
     ) -> Placement:
         """Return where to send the request.
 
@@ -64,6 +65,8 @@
             Those of them that are tried again where there is no other. What
             goes wrong otherwise: one replica is left of three, it fails one
             look-up in seven, and each of these is lost.
+        avoided
+            Endpoints that are left out as long as there are others.
 
         Raises
         ------
@@ -76,7 +79,7 @@
             await self._let_news_in()
         began = self._now()
         while True:
-            placement = self._place(left_out)
+            placement = self._place_apart(left_out, avoided)
             if placement is not None:
                 self._check_worth(placement, left_out)
                 return placement
@@ -97,6 +100,18 @@
         if wait >= _LEAST_NEWS:
             await asyncio.sleep(wait)
 
+    def _place_apart(
+        self,
+        excluded: Set[EndpointId],
+        avoided: Set[EndpointId],
+    ) -> Placement | None:
+        """Return a place, away from some endpoints where there is another."""
+        if avoided:
+            placement = self._place(excluded | avoided)
+            if placement is not None:
+                return placement
+        return self._place(excluded)
+
     def _place(self, excluded: Iterable[EndpointId]) -> Placement | None:
         dispatcher = self.context.dispatcher
         service = self.call.service
