Try a request whose hold is over by one attempt in the whole fleet

Cause: a hold ended by time alone, and the time is the same for all. Ruled out: words that are late (the entries agreed to the millisecond).

Change: beyond its hold a content in doubt is tried only by an attempt that one entry has granted: the one that a hash chooses among the living for this content, so that there is no coordinator and nothing is stored. It grants one at a time, the next once a crash or an answer tells, or after 12 s; three in all for as long as crashes count. How often it was tried goes with the crashes, so that the entry that is chosen next knows. An entry that has just started, stood still or hears half of the others at most grants nothing, and no answer is none. Callers come back spread behind the hold. An attempt that has not run goes on elsewhere under its grant.

Quarantine had grown to 23 methods: what is known and told is CrashBook now, verdicts stay; the mesh chooses by a table who takes a message.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -30,6 +30,7 @@
 from .return_times import (
     CallerTime,
     after_full,
+    after_hold,
     after_limit,
     after_load,
     after_rest,
@@ -37,6 +38,7 @@
     spread,
 )
 from .suspect_places import SuspectPlaces
+from .trials import granting_entry, may_grant
 from .update_pace import TELL_SECONDS, UpdatePace
 from .worth import is_worth_reading
 
@@ -67,16 +69,19 @@
     'TurnMeter',
     'UpdatePace',
     'after_full',
+    'after_hold',
     'after_limit',
     'after_load',
     'after_rest',
     'after_start',
     'assignments_of',
     'choose_plain',
+    'granting_entry',
     'is_isolated',
     'is_overdue',
     'is_turn',
     'is_worth_reading',
+    'may_grant',
     'next_step',
     'plan_in_cells',
     'plan_read',
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/crash_records.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/crash_records.py
@@ -41,12 +41,18 @@
     ----------
     news_at
         When anything of it was news, on the monotonic clock, in seconds.
+    tries
+        How often the content was tried after it had been held.
+    tried_at
+        When it was tried last, on the monotonic clock; None if it never was.
     """
 
     crashes: dict[EndpointLifetime, Crash] = msgspec.field(
         default_factory=dict,
     )
     news_at: float = 0
+    tries: int = 0
+    tried_at: float | None = None
 
     @property
     def last_at(self) -> float:
@@ -82,6 +88,18 @@
         )
         self.news_at = now
 
+    def clear(self, endpoint: EndpointLifetime, now: float) -> None:
+        """Note that the content was not the cause of a crash."""
+        self.crashes[endpoint].is_cleared = True
+        self.news_at = now
+
+    def note_tries(self, tries: int, tried_at: float, now: float) -> None:
+        """Note how often the content was tried, if that is news."""
+        if tries > self.tries:
+            self.tries = tries
+            self.tried_at = tried_at
+            self.news_at = now
+
     def _drop_cleared(self) -> bool:
         """Forget the oldest crash that does not count, if there is one."""
         cleared = [
@@ -162,6 +180,8 @@
             age=round(now - crash.at, 3),
             had_just_begun=crash.had_just_begun,
             is_cleared=crash.is_cleared,
+            tries=records[content].tries,
+            try_age=round(now - (records[content].tried_at or now), 3),
         )
         for content in digests
         for endpoint, crash in records[content].crashes.items()
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
@@ -20,25 +20,23 @@
 
 A content that was the only suspect of two crashes is held for long. Any other
 may be a bystander, such as a popular call that was everywhere: it is held for a
-moment, and longer each time that a further endpoint crashes under it. A
-bystander is answered in between.
+moment, and longer each time that a further endpoint crashes under it. Then it
+is tried, by one attempt in the whole fleet (see `trials`): a bystander is
+answered, and is free everywhere.
 """
 
 from collections.abc import Iterable
 
-from ...hashes import HASH_BYTES
 from ...ids import ContentDigest
 from ...routing import CrashReport, EndpointLifetime
-from .crash_records import CrashRecord, MassCrash, Suspects, reports_of
+from .crash_book import (
+    HELD_SECONDS,
+    MOST_CRASHES_ALLOWED,
+    CrashBook,
+)
+from .crash_records import CrashRecord, MassCrash
+from .trials import seconds_to_try
 
-#: Crashes that hold a request back, whatever else ran there.
-_MOST_CRASHES_ALLOWED = 2
-#: Sum of shares in crashes that does: two that are its own, or one that is and
-#: one that it shares with another.
-_ENOUGH_SHARES = 1.5
-#: How long a crash counts, in seconds: until then operators have mended or
-#: replaced the model, and a further try costs one endpoint or two.
-HELD_SECONDS = 900.0
 #: Crashes of which a content was the only suspect that make it certain. Of one
 #: the cause may not be known: the entry that had sent it there has died.
 _CERTAIN_CRASHES = 2
@@ -46,21 +44,15 @@
 #: that crashed are back by then. Each further crash makes it longer.
 DOUBT_SECONDS = 10.0
 _DOUBT_FACTOR = 9.0
-#: Contents that are remembered at most.
-MOST_CONTENTS = 256
-#: How long peers are told of news in every message, in seconds: at least one
-#: of these names everything.
-_NEWS_SECONDS = 1.2
-#: Contents at most of which one message tells: it must stay small while many
-#: endpoints crash.
-_MOST_TOLD = 16
-#: Contents that are held back of which peers are told once a second, in turn.
-#: An entry that was cut off, or was frozen, learns of all that way.
-_RETOLD = 4
 
 
 class Quarantine:
-    """Contents under which endpoints crashed, as one entry knows them.
+    """What is sent nowhere, as endpoints crashed under it.
+
+    Attributes
+    ----------
+    book
+        The crashes that are known.
 
     Examples
     --------
@@ -73,9 +65,7 @@
     """
 
     def __init__(self) -> None:
-        self.records: dict[ContentDigest, CrashRecord] = {}
-        self._outlines: dict[bytes, set[ContentDigest]] = {}
-        self._suspects = Suspects()
+        self.book = CrashBook()
         self._mass = MassCrash()
 
     def crashed(
@@ -89,19 +79,14 @@
         """Note that an endpoint crashed with a request of this entry."""
         if self._mass.is_one(endpoint, now):
             return
-        self._merge(
+        self.book.merge(
             CrashReport(content, endpoint, 0, had_just_begun=had_just_begun),
             now,
         )
 
     def answered(self, content: ContentDigest, now: float) -> None:
         """Note that a request got its whole answer."""
-        record = self.records.get(content)
-        if record is None:
-            return
-        for endpoint, crash in record.crashes.items():
-            if not crash.is_cleared:
-                self._clear(content, endpoint, now)
+        self.book.clear(content, now)
 
     def hear(
         self,
@@ -118,142 +103,77 @@
         found = []
         for report in reports:
             was_held = self.is_held(report.content, now)
-            self._merge(report, now)
+            self.book.merge(report, now)
             if not was_held and self.is_held(report.content, now):
                 found.append(report.content)
         return found
 
-    def may_know(self, outline: bytes) -> bool:
-        """Return whether the content with this first half may be known.
-
-        For all others the body need not be read.
-        """
-        return outline in self._outlines
-
     def is_held(self, content: ContentDigest, now: float) -> bool:
         """Return whether a request is not to be sent anywhere."""
         return self.seconds_left(content, now) > 0
 
     def seconds_left(self, content: ContentDigest, now: float) -> float:
         """Return for how long a request will be held back."""
-        record = self._record(content, now)
-        if record is None or not self._has_enough(record):
+        record = self.book.find_held(content, now)
+        if record is None:
             return 0
-        shares = map(self._suspects.share, record.suspicious)
-        alone = sum(share >= 1 for share in shares)
-        is_certain = alone >= _CERTAIN_CRASHES
-        held = HELD_SECONDS if is_certain else _doubt_seconds(record.counted)
-        return max(0, record.last_at + held - now)
+        return max(0, record.last_at + self._held_seconds(record) - now)
+
+    def is_in_doubt(self, content: ContentDigest, now: float) -> bool:
+        """Return whether a request is to be tried before it is let through."""
+        is_known = self.book.find_held(content, now) is not None
+        return is_known and not self.is_held(content, now)
+
+    def seconds_to_try(self, content: ContentDigest, now: float) -> float:
+        """Return when a request that is in doubt may be tried."""
+        record = self.book.records[content]
+        seconds = seconds_to_try(record, now)
+        if seconds is None:
+            return record.last_at + HELD_SECONDS - now
+        return seconds
+
+    def grant_try(self, content: ContentDigest, now: float) -> int:
+        """Allow an attempt to try a request that is in doubt.
+
+        Returns
+        -------
+        int
+            How often it has been tried with this one; 0 if it may not be.
+        """
+        if not self.is_in_doubt(content, now):
+            return 0
+        if self.seconds_to_try(content, now):
+            return 0
+        number = self.book.records[content].tries + 1
+        self.tried(content, number, now)
+        return number
+
+    def tried(self, content: ContentDigest, number: int, now: float) -> None:
+        """Note the attempt of some number that tries a request."""
+        record = self.book.records.get(content)
+        if record is not None:
+            record.note_tries(number, now, now)
 
     def crashes(self, content: ContentDigest) -> int:
         """Return how many crashes count against a request."""
-        record = self.records.get(content)
+        record = self.book.records.get(content)
         return 0 if record is None else record.counted
 
     def fellow_suspects(self, content: ContentDigest) -> set[ContentDigest]:
         """Return the contents that are suspected of the same crashes."""
-        record = self.records.get(content)
+        record = self.book.records.get(content)
         crashes = () if record is None else record.suspicious
-        return self._suspects.beside(content, crashes)
-
-    def news(self, now: float) -> tuple[CrashReport, ...]:
-        """Return what peers are to be told in every message."""
-        begin = now - _NEWS_SECONDS
-        latest = [
-            content
-            for content, record in self.records.items()
-            if record.news_at >= begin
-        ]
-        return reports_of(self.records, latest[-_MOST_TOLD:], now)
+        return self.book.suspects.beside(content, crashes)
 
-    def in_turn(self, now: float) -> tuple[CrashReport, ...]:
-        """Return the news, and some contents that are held back."""
-        held = [
-            content
-            for content, record in self.records.items()
-            if self._has_enough(record)
-        ]
-        begin = int(now) * _RETOLD % max(1, len(held))
-        retold = reports_of(self.records, held[begin : begin + _RETOLD], now)
-        return tuple(dict.fromkeys((*self.news(now), *retold)))
-
-    def everything(self, now: float) -> tuple[CrashReport, ...]:
-        """Return all that is known, for a newcomer."""
-        return reports_of(self.records, list(self.records), now)
-
-    def _has_enough(self, record: CrashRecord) -> bool:
-        """Return whether a content is to be held back."""
-        if record.counted > _MOST_CRASHES_ALLOWED:
-            return True
-        shares = map(self._suspects.share, record.suspicious)
-        return sum(shares) >= _ENOUGH_SHARES
-
-    def _clear(
-        self,
-        content: ContentDigest,
-        endpoint: EndpointLifetime,
-        now: float,
-    ) -> None:
-        """Note that a content was not the cause of a crash."""
-        record = self.records[content]
-        record.crashes[endpoint].is_cleared = True
-        record.news_at = now
-        self._suspects.discard(content, endpoint)
-
-    def _merge(self, report: CrashReport, now: float) -> None:
-        """Add what a report says; what is known of a crash only grows."""
-        if report.age >= HELD_SECONDS:
-            return
-        content, endpoint = report.content, report.endpoint
-        record = self._record(content, now) or self._new(content)
-        if endpoint not in record.crashes:
-            record.add(report, now)
-        crash = record.crashes.get(endpoint)
-        if crash is None:
-            return
-        crash.had_just_begun = crash.had_just_begun or report.had_just_begun
-        if report.is_cleared and not crash.is_cleared:
-            self._clear(content, endpoint, now)
-        if crash.is_suspicious:
-            self._suspects.add(content, endpoint)
-
-    def _new(self, content: ContentDigest) -> CrashRecord:
-        if len(self.records) >= MOST_CONTENTS:
-            self._drop(min(self.records, key=self._worth_keeping))
-        record = CrashRecord()
-        self.records[content] = record
-        outline = content[:HASH_BYTES]
-        self._outlines.setdefault(outline, set()).add(content)
-        return record
-
-    def _worth_keeping(self, content: ContentDigest) -> tuple[bool, float]:
-        record = self.records[content]
-        return self._has_enough(record), record.last_at
-
-    def _record(
-        self,
-        content: ContentDigest,
-        now: float,
-    ) -> CrashRecord | None:
-        """Return what is known of a content, unless it is too old."""
-        record = self.records.get(content)
-        if record is not None and now - record.last_at >= HELD_SECONDS:
-            self._drop(content)
-            return None
-        return record
-
-    def _drop(self, content: ContentDigest) -> None:
-        record = self.records.pop(content)
-        for endpoint in record.crashes:
-            self._suspects.discard(content, endpoint)
-        outline = content[:HASH_BYTES]
-        same = self._outlines[outline]
-        same.discard(content)
-        if not same:
-            self._outlines.pop(outline)
+    def _held_seconds(self, record: CrashRecord) -> float:
+        shares = map(self.book.suspects.share, record.suspicious)
+        alone = sum(share >= 1 for share in shares)
+        if alone >= _CERTAIN_CRASHES:
+            return HELD_SECONDS
+        return _doubt_seconds(record.counted)
 
 
 def _doubt_seconds(crashes: int) -> float:
     """Return how long a content is held that may be a bystander."""
-    further = max(0, crashes - _MOST_CRASHES_ALLOWED - 1)
+    further = max(0, crashes - MOST_CRASHES_ALLOWED - 1)
     return min(HELD_SECONDS, DOUBT_SECONDS * _DOUBT_FACTOR**further)
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/return_times.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/return_times.py
@@ -26,6 +26,9 @@
 #: Least time until endpoints that rest, or name a rate, take more, in seconds:
 #: others that were refused come back meanwhile as well.
 _LEAST_LIMIT_SECONDS = 0.25
+#: Span over which the callers of a held request are spread at least, in
+#: seconds: an attempt of one of them is answered within it.
+_LEAST_HOLD_SPREAD = 1.0
 
 
 class CallerTime(msgspec.Struct, frozen=True):
@@ -131,6 +134,23 @@
     return soonest * (1 + _SPREAD * caller.number)
 
 
+def after_hold(seconds: float, caller: CallerTime) -> float:
+    """Return when a caller of a request that is held back comes back.
+
+    Told in full, though it may be beyond the caller's own time: whoever comes
+    back sooner is refused again. Callers come one after the other once the
+    hold is over, as one of them is let through first.
+
+    Examples
+    --------
+    >>> after_hold(10, CallerTime(left=3, number=0.5))
+    11.75
+    >>> after_hold(0, CallerTime(left=3, number=1))
+    1.0
+    """
+    return seconds + max(_LEAST_HOLD_SPREAD, seconds * _SPREAD) * caller.number
+
+
 def after_full(stay_seconds: float, caller: CallerTime) -> float:
     """Return when a caller comes back to a fleet without a free slot.
 
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/suspect_places.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/suspect_places.py
@@ -12,7 +12,7 @@
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Container
+from collections.abc import Set
 
 from ...ids import ContentDigest, EndpointId
 
@@ -49,10 +49,10 @@
         if not there:
             self.by_endpoint.pop(endpoint)
 
-    def with_any(self, contents: Container[ContentDigest]) -> set[EndpointId]:
+    def with_any(self, requests: Set[ContentDigest]) -> set[EndpointId]:
         """Return the endpoints at which any of some requests is."""
         return {
             endpoint
             for endpoint, there in self.by_endpoint.items()
-            if any(content in contents for content in there)
+            if not requests.isdisjoint(there)
         }
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine.py
@@ -4,13 +4,9 @@
 
 from ....ids import ContentDigest, EndpointId
 from ....routing import CrashReport, EndpointLifetime
+from ..crash_book import HELD_SECONDS, MOST_CONTENTS
 from ..crash_records import MOST_AT_ONCE
-from ..quarantine import (
-    DOUBT_SECONDS,
-    HELD_SECONDS,
-    MOST_CONTENTS,
-    Quarantine,
-)
+from ..quarantine import DOUBT_SECONDS, Quarantine
 
 POISON = ContentDigest(b'crashing request')
 #: Sends that the users allow after the third crash.
@@ -138,7 +134,7 @@
     one, other = Quarantine(), Quarantine()
     crash(one, 'e1', 10)
     crash(other, 'e1', 10.001)
-    other.hear(one.news(10.1), 10.1)
+    other.hear(one.book.news(10.1), 10.1)
     assert not other.is_held(POISON, 10.1)
 
 
@@ -155,15 +151,15 @@
     one, other = Quarantine(), Quarantine()
     crash(one, 'e1', 10)
     crash(other, 'e2', 11)
-    assert other.hear(one.news(11), 11) == [POISON]
-    assert not other.hear(one.news(11.1), 11.1)
+    assert other.hear(one.book.news(11), 11) == [POISON]
+    assert not other.hear(one.book.news(11.1), 11.1)
 
 
 def test_age_of_a_crash_passes_through_entries_with_other_clocks() -> None:
     one, other = Quarantine(), Quarantine()
     crash(one, 'e1', 10)
     crash(one, 'e2', 11)
-    other.hear(one.everything(41), 7000)
+    other.hear(one.book.everything(41), 7000)
     assert other.seconds_left(POISON, 7000) == HELD_SECONDS - 30
 
 
@@ -174,7 +170,7 @@
         content = numbered(number)
         crash(book, f'e{number}', 10, content)
         crash(book, f'e{number}', 10, BYSTANDER)
-    assert len(book.records) <= MOST_AT_ONCE + 1
+    assert len(book.book.records) <= MOST_AT_ONCE + 1
     crash(book, 'e100', 10.2, POISON)
     assert not book.is_held(POISON, 11)
 
@@ -184,7 +180,7 @@
     crash(book, 'e1', 10)
     crash(book, 'e2', 11)
     assert not book.is_held(POISON, 11 + HELD_SECONDS)
-    assert not book.may_know(POISON[:8])
+    assert not book.book.may_know(POISON[:8])
 
 
 def test_flood_of_other_contents_does_not_free_a_held_one() -> None:
@@ -195,7 +191,7 @@
     for number in range(3 * MOST_CONTENTS):
         content = numbered(number)
         crash(book, f'x{number}', 3 + number, content)
-    assert len(book.records) == MOST_CONTENTS
+    assert len(book.book.records) == MOST_CONTENTS
     assert book.is_held(POISON, 500)
 
 
@@ -207,8 +203,8 @@
         crash(one, f'e{number}', number, content)
         crash(one, f'x{number}', number, content)
     for beat in range(10):
-        late.hear(one.in_turn(200 + beat), 200 + beat)
-    assert late.records.keys() == one.records.keys()
+        late.hear(one.book.in_turn(200 + beat), 200 + beat)
+    assert late.book.records.keys() == one.book.records.keys()
 
 
 def test_summaries_for_other_cells_take_no_turn_of_the_own_one() -> None:
@@ -219,14 +215,14 @@
         crash(one, f'x{number}', number, numbered(number))
     for beat in range(20):
         now = 200 + beat
-        late.hear(one.in_turn(now), now)
+        late.hear(one.book.in_turn(now), now)
         for _ in range(4):
-            one.in_turn(now)
-    assert late.records.keys() == one.records.keys()
+            one.book.in_turn(now)
+    assert late.book.records.keys() == one.book.records.keys()
 
 
 @pytest.mark.parametrize('age', [HELD_SECONDS, 1e9])
 def test_word_that_is_too_old_is_not_believed(age: float) -> None:
     book = Quarantine()
     book.hear([CrashReport(POISON, start_of('e1'), age)], 10)
-    assert not book.records
+    assert not book.book.records
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine_machine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine_machine.py
@@ -58,7 +58,7 @@
 
     @rule(entry=entry_of)
     def entry_tells(self, entry: int) -> None:
-        message = self.books[entry].in_turn(self.now)
+        message = self.books[entry].book.in_turn(self.now)
         self.on_the_way.append((self.now, message))
 
     @rule(entry=entry_of, place=st.integers(0, 50))
@@ -70,7 +70,7 @@
     @rule()
     def all_hear_all(self) -> None:
         for _ in range(2):
-            told = [book.everything(self.now) for book in self.books]
+            told = [book.book.everything(self.now) for book in self.books]
             for book in self.books:
                 for message in told:
                     book.hear(message, self.now)
--- a/packages/sycamore-core/src/sycamore_core/messages/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/__init__.py
@@ -2,7 +2,14 @@
 
 from .codec import PROTOCOL_VERSION, Packet, PacketCodec, Parcel
 from .compression import compress, restore
-from .entries import CellMembers, CellSummary, CompressedMessage, LoadUpdate
+from .entries import (
+    CellMembers,
+    CellSummary,
+    CompressedMessage,
+    LoadUpdate,
+    TrialAnswer,
+    TrialWanted,
+)
 from .frames import Ack, Close, Frame
 from .groups import (
     GroupAnswer,
@@ -64,6 +71,8 @@
     'SettingsWanted',
     'SpanDone',
     'SpanRun',
+    'TrialAnswer',
+    'TrialWanted',
     'Withdraw',
     'compress',
     'decode_message',
--- a/packages/sycamore-core/src/sycamore_core/messages/entries.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/entries.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ..ids import EndpointId, EntryId, ZoneId
+from ..ids import ContentDigest, EndpointId, EntryId, ZoneId
 from ..routing import (
     CrashReport,
     EndpointLifetime,
@@ -97,6 +97,25 @@
     limits: tuple[LimitReport, ...] = ()
 
 
+class TrialWanted(BaseMessage, frozen=True):
+    """Asks whether a request whose hold is over may be tried."""
+
+    content: ContentDigest
+
+
+class TrialAnswer(BaseMessage, frozen=True):
+    """Says whether a request whose hold is over may be tried.
+
+    Attributes
+    ----------
+    number
+        How often it has been tried with this attempt; 0 if it may not be.
+    """
+
+    content: ContentDigest
+    number: int
+
+
 class CompressedMessage(BaseMessage, frozen=True):
     """A `LoadUpdate` or a `CellSummary`, compressed once for all receivers.
 
--- a/packages/sycamore-core/src/sycamore_core/messages/union.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/union.py
@@ -3,7 +3,13 @@
 import msgspec
 
 from ..errors import CodecError
-from .entries import CellSummary, CompressedMessage, LoadUpdate
+from .entries import (
+    CellSummary,
+    CompressedMessage,
+    LoadUpdate,
+    TrialAnswer,
+    TrialWanted,
+)
 from .frames import Ack, Frame
 from .groups import (
     GroupAnswer,
@@ -30,7 +36,9 @@
     Accepted | Attach | Cancel | Declined | Offer | RunReport | Withdraw
 )
 AnswerMessage = Ack | Frame | Reserve | Reserved
-EntryMessage = CellSummary | CompressedMessage | LoadUpdate
+EntryMessage = (
+    CellSummary | CompressedMessage | LoadUpdate | TrialAnswer | TrialWanted
+)
 PeerMessage = (
     EntryMessage | Heartbeat | LoadReport | SettingsBody | SettingsWanted
 )
--- a/packages/sycamore-core/src/sycamore_core/routing/crashes.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/crashes.py
@@ -22,6 +22,10 @@
     is_cleared
         Whether the request has been answered since, so that it was not the
         cause.
+    tries
+        How often the request was tried after it had been held.
+    try_age
+        Time since the last of these, in seconds.
     """
 
     content: ContentDigest
@@ -29,3 +33,5 @@
     age: float
     had_just_begun: bool = False
     is_cleared: bool = False
+    tries: int = 0
+    try_age: float = 0
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -114,7 +114,7 @@
             )
         is_over = False
         while not is_over:
-            self.crashes.check(call)
+            await self.crashes.check(call)
             avoided = self.crashes.places_to_avoid(call)
             placement = await self._place(placing, relay, avoided)
             if placement is None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
@@ -19,6 +19,7 @@
 from .metrics import ForwardingMetrics
 from .placement.dispatcher import DirectDispatcher
 from .settings import ForwardingSettings
+from .trials import OwnGrants, TrialGrants
 from .wire import WireFormat
 
 
@@ -37,6 +38,8 @@
         Requests under which endpoints crashed.
     suspect_places
         Where such requests of this entry are.
+    trials
+        Which attempts try such a request once its hold is over.
     background
         Tasks that go on after the exchange that began them.
     """
@@ -63,6 +66,10 @@
         default_factory=SuspectPlaces,
     )
     crash_probe: CrashProbe = dataclasses.field(default_factory=CrashProbe)
+    trials: TrialGrants = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.trials = OwnGrants(self.quarantine, self.clock)
 
     @property
     def is_isolated(self) -> bool:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
@@ -4,7 +4,7 @@
 import contextlib
 from collections.abc import Iterable, Iterator
 
-from sycamore_core.decisions.direct import AttemptEnd
+from sycamore_core.decisions.direct import AttemptEnd, after_hold
 from sycamore_core.ids import ContentDigest, EndpointId, EntryId
 from sycamore_core.routing import CrashReport, EndpointRecord
 
@@ -20,13 +20,20 @@
 
 
 class CrashWatch:
-    """What one entry does about requests under which endpoints crash."""
+    """What one entry does about requests under which endpoints crash.
+
+    Attributes
+    ----------
+    is_trial
+        Whether the attempt of this watch is the one that tries a request.
+    """
 
     def __init__(self, context: ForwardingContext) -> None:
         self.context = context
         self.quarantine = context.quarantine
+        self.is_trial = False
 
-    def check(self, call: AttemptCall) -> None:
+    async def check(self, call: AttemptCall) -> None:
         """Let a request pass that may be sent to an endpoint.
 
         Raises
@@ -34,22 +41,20 @@
         Refusal
             If too many endpoints have crashed under it.
         """
-        if not self._may_know(call):
+        if not self._may_know(call) or self.is_trial:
             return
         content = call.content.digest
-        now = self._now()
-        seconds_left = self.quarantine.seconds_left(content, now)
-        if not seconds_left:
+        seconds_left = self.quarantine.seconds_left(content, self._now())
+        if seconds_left:
+            raise self._held(call, seconds_left)
+        if not self.quarantine.is_in_doubt(content, self._now()):
             return
-        crashes = self.quarantine.crashes(content)
-        # Told in full, though it is beyond the caller's own time: whoever
-        # comes back sooner is refused again.
-        raise Refusal(
-            RefusalCause.CRASHES_ENDPOINTS,
-            f'content {content.hex()}, {crashes} crashes,'
-            f' held for {seconds_left:.0f} s',
-            retry_after=seconds_left,
-        )
+        to_try = self.quarantine.seconds_to_try(content, self._now())
+        if to_try or not await self.context.trials.may_try(content):
+            raise self._held(call, to_try)
+        self.is_trial = True
+        # The others are told that it is tried.
+        self.context.dispatcher.has_sent.set()
 
     def places_to_avoid(self, call: AttemptCall) -> set[EndpointId]:
         """Return where requests are that are suspected of the same crash."""
@@ -92,6 +97,7 @@
         A request that may have been the cause waits for that: its next
         attempt would end one more endpoint.
         """
+        self.is_trial = self.is_trial and error.end.has_not_run
         if error.end != AttemptEnd.BROKEN:
             return
         looking = asyncio.create_task(self._look(call, attempt))
@@ -141,8 +147,18 @@
         if is_held and not was_held:
             self._log_held((content,), self.context.entry)
 
+    def _held(self, call: AttemptCall, seconds: float) -> Refusal:
+        content = call.content.digest
+        crashes = self.quarantine.crashes(content)
+        return Refusal(
+            RefusalCause.CRASHES_ENDPOINTS,
+            f'content {content.hex()}, {crashes} crashes,'
+            f' held for {seconds:.0f} s',
+            retry_after=after_hold(seconds, call.caller_time(self._now())),
+        )
+
     def _may_know(self, call: AttemptCall) -> bool:
-        return self.quarantine.may_know(call.content.outline)
+        return self.quarantine.book.may_know(call.content.outline)
 
     def _log_held(
         self,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -8,7 +8,8 @@
 """
 
 import time
-from typing import Self
+from collections.abc import Callable
+from typing import Any, Self
 
 from sycamore_core.clock import Clock
 from sycamore_core.decisions.direct import (
@@ -29,6 +30,8 @@
     PeerKeys,
     SettingsBody,
     SettingsWanted,
+    TrialAnswer,
+    TrialWanted,
     restore,
 )
 from sycamore_core.routing import LimitReport
@@ -37,6 +40,7 @@
 
 from ..context import ForwardingContext
 from ..crashes import CrashWatch
+from ..trials import FleetGrants, OwnGrants
 from .newer_settings import NewerSettings
 from .update_beat import UpdateBeat
 from .update_sender import UpdateSender
@@ -58,6 +62,8 @@
         Exchanges configurations.
     crashes
         Takes what others say of endpoints that crashed.
+    trials
+        Says which attempts try a request that is in doubt.
     beat
         When the others are told what has changed.
     """
@@ -76,11 +82,25 @@
         self.sender = UpdateSender(node, self.membership, self.writer)
         self.newer_settings = NewerSettings(context.keeper)
         self.crashes = CrashWatch(context)
+        self.trials = FleetGrants(
+            OwnGrants(context.quarantine, context.clock),
+            node,
+            self.membership,
+        )
+        context.trials = self.trials
         self.beat = UpdateBeat(
             context.dispatcher.has_sent,
             self.membership,
             context.clock,
         )
+        self._takers: dict[type[Message], Callable[[Peer, Any], None]] = {
+            LoadUpdate: self._hear,
+            CellSummary: self._hear_cell,
+            SettingsWanted: self.newer_settings.answer,
+            SettingsBody: self.newer_settings.take,
+            TrialWanted: self.trials.answer,
+            TrialAnswer: self.trials.take,
+        }
         self.log = Log('mesh')
         self._incarnations: dict[str, Incarnation] = {}
         self._next_whole: float = 0
@@ -129,6 +149,7 @@
         while True:
             await self.beat.wait()
             now = self.clock.monotonic()
+            self.trials.runs(now)
             changed = self.book.take_changed()
             if now >= self._next_whole or self._has_news():
                 self._next_whole = now + WHOLE_SECONDS
@@ -148,14 +169,9 @@
     def _take(self, peer: Peer, message: Message) -> None:
         if isinstance(message, CompressedMessage):
             message = self._restored(message)
-        if isinstance(message, LoadUpdate):
-            self._hear(peer, message)
-        elif isinstance(message, CellSummary):
-            self._hear_cell(peer, message)
-        elif isinstance(message, SettingsWanted):
-            self.newer_settings.answer(peer, message)
-        elif isinstance(message, SettingsBody):
-            self.newer_settings.take(message)
+        take = self._takers.get(type(message))
+        if take is not None:
+            take(peer, message)
 
     def _restored(self, message: CompressedMessage) -> Message:
         try:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/newer_settings.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/newer_settings.py
@@ -45,7 +45,7 @@
         settings = PublishedSettings(self.keeper.version, published.source)
         peer.post(pack(settings))
 
-    def take(self, body: SettingsBody) -> None:
+    def take(self, peer: Peer, body: SettingsBody) -> None:
         """Take a configuration that a peer has sent."""
         self.keeper.offer_table(body)
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/updates.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/updates.py
@@ -40,7 +40,7 @@
             shares=self.book.shares(endpoints, now),
             turns_per_s=self.book.turns.rate(now),
             failing=context.dispatcher.failures.to_tell(now),
-            crashes=context.quarantine.news(now),
+            crashes=context.quarantine.book.news(now),
             limits=self.limits.reports(set(endpoints), now),
         )
 
@@ -51,7 +51,7 @@
             is_whole=True,
             members=self._all_living(own_cell=True),
             leaving=self.context.keeper.leaving.lately(),
-            crashes=self.context.quarantine.in_turn(now),
+            crashes=self.context.quarantine.book.in_turn(now),
             limits=self.limits.everything(now),
         )
 
@@ -62,7 +62,7 @@
             peers=tuple(self.membership.members),
             members=self._all_living(own_cell=False),
             leaving=self.context.keeper.leaving.everything(),
-            crashes=self.context.quarantine.everything(now),
+            crashes=self.context.quarantine.book.everything(now),
         )
 
     def summary(self, receiver: str, now: float) -> CellSummary:
@@ -87,7 +87,7 @@
             contacts=tuple(self._contacts()),
             leaving=context.keeper.leaving.lately(),
             turns_per_s=self.book.pressure(now).turns_per_s,
-            crashes=context.quarantine.in_turn(now),
+            crashes=context.quarantine.book.in_turn(now),
             limits=self._limits_in(zone, now, name),
         )
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
@@ -146,7 +146,7 @@
 
 def held_now(process: ForwardingProcess) -> tuple[ContentDigest, float]:
     """Return the one content that an entry remembers, and its time."""
-    content = next(iter(process.context.quarantine.records))
+    content = next(iter(process.context.quarantine.book.records))
     return content, process.context.clock.monotonic()
 
 
@@ -160,4 +160,4 @@
 def known_crashes(process: ForwardingProcess) -> int:
     """Return how many crashes an entry knows."""
     quarantine = process.context.quarantine
-    return sum(map(quarantine.crashes, quarantine.records))
+    return sum(map(quarantine.crashes, quarantine.book.records))
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+from sycamore_core.decisions.direct import trials
 from sycamore_core.routing import RouteKind
 
 from .builders import (
@@ -100,7 +102,7 @@
         for _ in range(TRIES):
             answer = await entry.ask(body=b'other')
             assert answer.startswith(b'HTTP/1.1 200')
-    assert not entry.context.quarantine.records
+    assert not entry.context.quarantine.book.records
 
 
 async def test_request_that_lost_its_endpoint_is_cleared_by_its_answer() -> (
@@ -126,7 +128,7 @@
         end_where_a_request_is(endpoints)
         assert (await asking).startswith(b'HTTP/1.1 200')
         quarantine = entry.context.quarantine
-    assert [one.counted for one in quarantine.records.values()] == [0]
+    assert [one.counted for one in quarantine.book.records.values()] == [0]
 
 
 async def test_broken_connection_is_not_taken_for_a_crash() -> None:
@@ -137,11 +139,14 @@
             answer = await entry.ask()
             assert answer.startswith(b'HTTP/1.1 502')
         await asyncio.sleep(PAUSE_SECONDS)
-    assert not entry.context.quarantine.records
+    assert not entry.context.quarantine.book.records
 
 
-async def test_request_in_doubt_is_tried_once_by_the_whole_fleet() -> None:
+async def test_request_in_doubt_is_tried_once_by_the_whole_fleet(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against a hold that lets a request in at all entries at once."""
+    monkeypatch.setattr(trials, 'STEADY_SECONDS', 0)
     endpoints = fragile(ENTRIES + 1)
     listed = await snapshot_of(SAFE, endpoints)
     async with running(entries(ENTRIES, snapshot=listed)) as made:
@@ -155,8 +160,11 @@
     assert sum(refused) == ENTRIES - 1
 
 
-async def test_request_in_doubt_that_is_answered_is_free_everywhere() -> None:
+async def test_request_in_doubt_that_is_answered_is_free_everywhere(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """Guards against a bystander that is refused after it was cleared."""
+    monkeypatch.setattr(trials, 'STEADY_SECONDS', 0)
     endpoints = fragile(2)
     listed = await snapshot_of(SAFE, endpoints)
     async with running(entries(ENTRIES, snapshot=listed)) as made:
