--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
@@ -15,6 +15,7 @@
 
 from .endpoints.crash_probe import CrashProbe
 from .endpoints.pool import ChannelPool
+from .endpoints.unknown_headers import UnknownHeaders
 from .fleet.keeper import FleetKeeper
 from .metrics import ForwardingMetrics
 from .placement.dispatcher import DirectDispatcher
@@ -67,8 +68,10 @@
     )
     crash_probe: CrashProbe = dataclasses.field(default_factory=CrashProbe)
     trials: TrialGrants = dataclasses.field(init=False)
+    unknown_headers: UnknownHeaders = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
+        self.unknown_headers = UnknownHeaders(self.metrics, self.log)
         self.trials = OwnGrants(self.quarantine, self.clock)
 
     @property
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/hearing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/hearing.py
@@ -41,6 +41,10 @@
         request_id: str,
     ) -> None:
         """Take what holds whatever the answer is to."""
+        self.context.unknown_headers.note(
+            head.unknown_names,
+            record.endpoint,
+        )
         self._take_leaving(record, head, request_id)
         self._take_rest(record, head, request_id)
         if head.limit.per_second is not None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
@@ -33,6 +33,8 @@
     ----------
     refusals, retries, ends
         Refusals and retries by reason, requests by how they ended.
+    unknown_headers
+        Headers of answers whose meaning is not known, by name.
     """
 
     def __init__(self, process: str = 'entry') -> None:
@@ -40,6 +42,7 @@
         self.refusals = Tally('reason')
         self.retries = Tally('reason')
         self.ends = Tally('end')
+        self.unknown_headers = Tally('name')
         self._early: deque[tuple[PromptBand, float]] = deque(maxlen=MOST_EARLY)
         self._metrics: Metrics | None = None
 
@@ -58,6 +61,7 @@
             self._metrics.show('forwarding_refusals', self.refusals)
             self._metrics.show('forwarding_retries', self.retries)
             self._metrics.show('forwarded_requests', self.ends)
+            self._metrics.show('unknown_headers', self.unknown_headers)
             for band, seconds in self._early:
                 self._metrics.first_token(band, seconds)
         return self._metrics
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/wire.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/wire.py
@@ -139,6 +139,8 @@
         Whether it says that it takes no new requests before it ends.
     rest
         The rest that it asks for with a refusal.
+    unknown_names
+        Headers whose meaning is not known here.
     """
 
     status: int
@@ -153,6 +155,7 @@
     limit: NamedLimit = NO_LIMIT
     is_leaving: bool = False
     rest: AskedRest = NO_REST
+    unknown_names: tuple[str, ...] = ()
 
     @property
     def is_success(self) -> bool:
