--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_heard_words.py
@@ -0,0 +1,27 @@
+"""The page on what is heard names all that the adapter may decode."""
+
+import pathlib
+import re
+
+import msgspec
+import pytest
+from sycamore_core.routing import EndpointRecord
+
+from ..wire import AnswerHead, CallTerms
+
+ROOT = pathlib.Path(__file__).parents[6]
+PAGE = ROOT / 'docs' / 'heard.md'
+
+
+def listed_fields(decoded: type[msgspec.Struct]) -> set[str]:
+    """Return the fields in the first column of the table of a type."""
+    _, _, table = PAGE.read_text().partition(f'field of `{decoded.__name__}`')
+    rows, _, _ = table.partition('\n\n')
+    cells = [row.split('|')[1] for row in rows.splitlines()[2:]]
+    return set(re.findall(r'`(\w+)`', ' '.join(cells)))
+
+
+@pytest.mark.parametrize('decoded', [AnswerHead, CallTerms, EndpointRecord])
+def test_page_lists_each_field(decoded: type[msgspec.Struct]) -> None:
+    """Guards against a word that is decoded and believed by nobody."""
+    assert listed_fields(decoded) == set(decoded.__struct_fields__)
