Keep what was sent to limited endpoints by endpoint, in a module of its own

What was sent is RecentSends and HeardSends now; behaviour is as before, no test changed.

What is left is the 20 moments that each refusal looks at, for each endpoint; a fleet that is limited as a whole is where it shows.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/rate_limits.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/rate_limits.py
@@ -17,15 +17,14 @@
 """
 
 import math
-from collections import Counter, deque
 from collections.abc import Container, Iterable
-from itertools import chain, islice, repeat
 
 import msgspec
 
 from ...hashes import stable_part
 from ...ids import EndpointId, EntryId, PeerId
 from ...routing import EndpointLifetime, LimitReport
+from .recent_sends import SLOT_SECONDS, SLOTS, HeardSends, RecentSends
 
 #: How long a limit holds that no answer repeats, in seconds. An endpoint that
 #: is used says it in each answer.
@@ -33,16 +32,12 @@
 #: Spans over which a rate is kept, in seconds: the longer one smooths nothing,
 #: and the shorter one keeps requests from coming all at once.
 WINDOWS = (2.0, 4.0)
-#: Length of the spans of age by which sends are told, in seconds.
-SLOT_SECONDS = 0.25
 #: Longest wait of an entry once there is room, in seconds, and what each entry
 #: adds to it: about the time in which it hears what another has sent.
 _LONGEST_WAIT = 1.0
 _WAIT_PER_ENTRY = 0.03
 #: Time after which the entries wait in another order, in seconds.
 _TURN_SECONDS = 4.0
-_REMEMBERED_SECONDS = max(WINDOWS) + _LONGEST_WAIT
-_SLOTS = round(_REMEMBERED_SECONDS / SLOT_SECONDS)
 #: Rate from which on a limit binds nobody, in requests a second.
 _LARGEST_RATE = 1e6
 #: Age of a word up to which it is told to peers that may not have it, in
@@ -66,24 +61,6 @@
     at: float
 
 
-class HeardSends(msgspec.Struct, frozen=True):
-    """What a peer said that it sent, and when it said so."""
-
-    sends: tuple[int, ...]
-    at: float
-
-    def within(self, seconds: float, now: float) -> int:
-        """Return how many were sent in the last seconds, rather too many."""
-        left = max(0, seconds - (now - self.at))
-        return sum(self.sends[: math.ceil(left / SLOT_SECONDS)])
-
-    def aged(self, now: float) -> list[int]:
-        """Return the same numbers by the age that the sends have now."""
-        passed = int((now - self.at) / SLOT_SECONDS)
-        padded = chain(repeat(0, passed), self.sends, repeat(0))
-        return list(islice(padded, _SLOTS))
-
-
 class RateLimits:
     """Limits that endpoints name, as one entry knows them.
 
@@ -91,6 +68,8 @@
     ----------
     words
         The latest of each endpoint that ever named a limit.
+    own
+        What this entry sent, to any endpoint.
     heard
         What peers sent to these endpoints.
     entries
@@ -116,7 +95,7 @@
         self.words: dict[EndpointLifetime, LimitWord] = {}
         self.heard: dict[EndpointLifetime, dict[PeerId, HeardSends]] = {}
         self.part: float = 1
-        self._sent: deque[tuple[float, EndpointLifetime]] = deque()
+        self.own = RecentSends()
 
     def said(
         self,
@@ -141,10 +120,7 @@
 
         It may name a limit in its very next answer.
         """
-        self._sent.append((now, endpoint))
-        begin = now - _REMEMBERED_SECONDS
-        while self._sent[0][0] < begin:
-            self._sent.popleft()
+        self.own.note(endpoint, now)
 
     def limit(self, endpoint: EndpointLifetime, now: float) -> float | None:
         """Return the limit in force; None if there is none."""
@@ -167,7 +143,7 @@
 
     def seconds_to_room(self, endpoint: EndpointLifetime, now: float) -> float:
         """Return when a request may be sent if no other is before."""
-        waits = (SLOT_SECONDS * slot for slot in range(_SLOTS))
+        waits = (SLOT_SECONDS * slot for slot in range(SLOTS))
         fitting = (
             wait for wait in waits if self.has_room(endpoint, now + wait)
         )
@@ -203,7 +179,7 @@
     ) -> tuple[LimitReport, ...]:
         """Return what peers are to know of some endpoints."""
         return tuple(
-            self._report(lifetime, now, self._own_slots(lifetime, now))
+            self._report(lifetime, now, self.own.by_age(lifetime, now))
             for lifetime in self.words
             if lifetime.endpoint in endpoints
         )
@@ -216,7 +192,7 @@
         self._forget(now)
         found = []
         for lifetime, word in self.words.items():
-            slots = self._own_slots(lifetime, now)
+            slots = self.own.by_age(lifetime, now)
             if any(slots) or now - word.at < _NEWS_SECONDS:
                 found.append(self._report(lifetime, now, slots))
         return tuple(found)
@@ -254,11 +230,9 @@
         seconds: float,
         now: float,
     ) -> int:
-        begin = now - seconds
-        own = [at for at, to in self._sent if to == endpoint]
-        recent = sum(at > begin for at in own)
+        own = self.own.since(endpoint, now - seconds)
         heard = self.heard.get(endpoint, {}).values()
-        return recent + sum(one.within(seconds, now) for one in heard)
+        return own + sum(one.within(seconds, now) for one in heard)
 
     def _report(
         self,
@@ -270,15 +244,6 @@
         age = round(now - word.at, 3)
         return LimitReport(endpoint, word.per_second, age, tuple(slots))
 
-    def _own_slots(self, endpoint: EndpointLifetime, now: float) -> list[int]:
-        """Return the sends of this entry by their age."""
-        found = Counter(
-            int((now - at) / SLOT_SECONDS)
-            for at, to in self._sent
-            if to == endpoint
-        )
-        return [found[slot] for slot in range(_SLOTS)]
-
     def _all_slots(
         self,
         endpoint: EndpointLifetime,
@@ -286,7 +251,7 @@
         left_out: PeerId,
     ) -> list[int]:
         """Return the sends of all entries that are heard but one."""
-        told = [self._own_slots(endpoint, now)]
+        told = [self.own.by_age(endpoint, now)]
         for peer, heard in self.heard.get(endpoint, {}).items():
             if peer != left_out:
                 told.append(heard.aged(now))
