Grant no trial for a moment after another entry is met

Two halves of a fleet meet again; one that hears the other, and not yet what the other has tried, could grant the same request up to three times more. It now waits as after a start, since each entry names what is held once a second.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -256,6 +256,7 @@
         name = PeerId(message.entry)
         if self.membership.hear(peer.address, message.zone, name, now):
             self.log.info('peer_found', peer=name, address=peer.address)
+            self.trials.met(now)
         self.context.peer_heard_at = now
         self.keeper.leaving.hear(message.leaving, message.entry)
         self.newer_settings.compare(peer, message.settings_version)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/trials.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/trials.py
@@ -73,7 +73,7 @@
 
     async def may_try(self, content: ContentDigest) -> bool:
         """Return whether this entry may make the next attempt."""
-        granting = self._granting(content)
+        granting = self.granting(content)
         if granting == self.membership.address:
             number = self._grant(content)
         else:
@@ -107,14 +107,23 @@
             self._steady_since = now
         self._runs_at = now
 
-    def _granting(self, content: ContentDigest) -> str:
+    def met(self, now: float) -> None:
+        """Note that another entry is heard, for the first time or again.
+
+        What goes wrong otherwise: two halves of a fleet meet, and one that has
+        not yet heard what the other half tried grants it once more.
+        """
+        self._steady_since = now
+
+    def granting(self, content: ContentDigest) -> str:
+        """Return the address of the entry that says who may try a request."""
         members = self.membership.members.values()
         entries = [one.address for one in members if not one.is_lost]
         return granting_entry(content, (*entries, self.membership.address))
 
     def _grant(self, content: ContentDigest) -> int:
         """Allow one attempt, if this entry is to say so and knows enough."""
-        if self._granting(content) != self.membership.address:
+        if self.granting(content) != self.membership.address:
             return 0
         now = self.own.clock.monotonic()
         self.runs(now)
