Ask endpoints for rates and rests only where one has named any

A first attempt no longer asks at all whether others are left; only one that failed somewhere does. No behaviour changes; tests of placement, rests and limits green.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/asked_rests.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/asked_rests.py
@@ -64,6 +64,11 @@
     def __init__(self) -> None:
         self.rests: dict[EndpointLifetime, Rest] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no endpoint has asked for any."""
+        return not self.rests
+
     def said(
         self,
         endpoint: EndpointLifetime,
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/rate_limits.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/rate_limits.py
@@ -97,6 +97,11 @@
         self.part: float = 1
         self.own = RecentSends()
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no endpoint names any."""
+        return not self.words
+
     def said(
         self,
         endpoint: EndpointLifetime,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/candidates.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/candidates.py
@@ -48,11 +48,10 @@
         now: float,
     ) -> dict[EndpointId, EndpointRecord]:
         """Return the endpoints that take a request, as far as they said."""
-        return {
-            record.endpoint: record
-            for record in self._registered(service, excluded)
-            if self._takes(record, now)
-        }
+        records = self._registered(service, excluded)
+        if not (self.limits.is_empty and self.rests.is_empty):
+            records = [one for one in records if self._takes(one, now)]
+        return {record.endpoint: record for record in records}
 
     def still_takes(self, record: EndpointRecord, now: float) -> bool:
         """Return whether an endpoint that was chosen may be sent a request.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
@@ -73,8 +73,9 @@
         Refusal
             If there is no place, and none is expected in time.
         """
-        has_others = self._has_taking(excluded)
-        left_out = excluded if has_others else excluded - failed_at
+        left_out = excluded
+        if failed_at and not self._has_taking(excluded):
+            left_out = excluded - failed_at
         if not excluded:
             await self._let_news_in()
         began = self._now()
