--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine.py
@@ -226,3 +226,44 @@
     book = Quarantine()
     book.hear([CrashReport(POISON, start_of('e1'), age)], 10)
     assert not book.book.records
+
+
+@pytest.mark.parametrize(
+    ('alone', 'shared', 'later', 'held'),
+    [
+        (1, 0, 0, 0),
+        (2, 0, 0, HELD_SECONDS),
+        (1, 1, 0, DOUBT_SECONDS),
+        (0, 2, 0, 0),
+        (0, 3, 0, DOUBT_SECONDS),
+        (1, 2, 0, DOUBT_SECONDS),
+        (2, 1, 0, HELD_SECONDS),
+        (0, 0, 2, 0),
+        (0, 0, 3, DOUBT_SECONDS),
+        (0, 4, 0, 9 * DOUBT_SECONDS),
+        (0, 5, 0, 81 * DOUBT_SECONDS),
+        (0, 6, 0, HELD_SECONDS),
+    ],
+)
+def test_for_how_long_a_request_is_held(
+    alone: int,
+    shared: int,
+    later: int,
+    held: float,
+) -> None:
+    """Guards against thresholds whose meeting nobody can foresee.
+
+    Crashes at which it alone had just begun, at which another had as well, and
+    at which it had run for a while.
+    """
+    book = Quarantine()
+    now = float(0)
+    for number in range(alone + shared):
+        now += 1
+        crash(book, f'e{number}', now)
+        if number >= alone:
+            crash(book, f'e{number}', now, BYSTANDER)
+    for number in range(later):
+        now += 1
+        crash(book, f'late-{number}', now, had_just_begun=False)
+    assert book.seconds_left(POISON, now) == held
