--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
@@ -18,23 +18,23 @@
 When many endpoints crash at once the cause is another one, and nothing is
 noted.
 
-For how long a request is held, by the crashes at which it had just begun alone
-and beside others (a share of one half here), and at which it had run for a while:
-
-=====  ======  =====  ====================================================
-alone  shared  later  held
-=====  ======  =====  ====================================================
-1      0       0      not at all: an attempt elsewhere is right
-2      0       0      for long: nothing else can be the cause
-1      1       0      for a moment: the shares are one and a half
-0      2       0      not at all: the shares are one
-any three crashes     for a moment; for long with two alone
-each further one      nine times as long
-=====  ======  =====  ====================================================
+For how long a request is held, by its crashes: those at which it alone had just
+begun, those at which another had as well, and those at which it had run on.
+
+=====  ======  ======  ===================================================
+alone  shared  run on  held
+=====  ======  ======  ===================================================
+1      0       0       not at all: an attempt elsewhere is right
+2      0       0       for long: nothing else can be the cause
+1      1       0       for a moment: the shares are one and a half
+0      2       0       not at all: the shares are one
+three in all           for a moment; for long if it was alone at two
+each one more          nine times as long
+=====  ======  ======  ===================================================
 
 Who is held for a moment may be a bystander, such as a popular call that was
-everywhere. Then it is tried, by one attempt in the whole fleet (see `trials`): a
-bystander is answered, and is free everywhere.
+everywhere. Then it is tried, by one attempt in the whole fleet (see `trials`):
+a bystander is answered, and is free everywhere.
 """
 
 from collections.abc import Iterable
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_quarantine.py
@@ -229,7 +229,7 @@
 
 
 @pytest.mark.parametrize(
-    ('alone', 'shared', 'later', 'held'),
+    ('alone', 'shared', 'run_on', 'held'),
     [
         (1, 0, 0, 0),
         (2, 0, 0, HELD_SECONDS),
@@ -248,7 +248,7 @@
 def test_for_how_long_a_request_is_held(
     alone: int,
     shared: int,
-    later: int,
+    run_on: int,
     held: float,
 ) -> None:
     """Guards against thresholds whose meeting nobody can foresee.
@@ -263,7 +263,7 @@
         crash(book, f'e{number}', now)
         if number >= alone:
             crash(book, f'e{number}', now, BYSTANDER)
-    for number in range(later):
+    for number in range(run_on):
         now += 1
         crash(book, f'late-{number}', now, had_just_begun=False)
     assert book.seconds_left(POISON, now) == held
