--- a/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/runs.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/ledger/runs.py
@@ -25,17 +25,21 @@
 )
 from sycamore_core.transport.ages import MAX_PACKET_AGE
 
-from ..keys.doubt import REMEMBERED_SECONDS
 from .answers import Answer
 from .records import Owner, RunRecord
+from .run_rules import (
+    LONGEST_BUDGET_SECONDS,
+    can_bar,
+    declined,
+    horizon,
+    report_of,
+    unknown_refusal,
+    without_payload,
+)
 
 #: How long a reserved id waits for its request, in seconds. A caller that
 #: reserves is about to send; a minute survives a lost connection and a retry.
 RESERVATION_SECONDS = 60.0
-#: Budget assumed for an id of which only a withdrawal was seen, in seconds:
-#: the longest time limit that settings allow by default.
-LONGEST_BUDGET_SECONDS = 3600.0
-
 #: How long an answer is kept past the deadline of its run, in seconds, for a
 #: caller that lost it with the connection and comes back.
 ANSWER_SECONDS = 30.0
@@ -124,12 +128,12 @@
         """Return why this offer may not run by the rules of the ledger."""
         record = self.records.get(offer.request_id)
         if record is None:
-            return _unknown_refusal(offer)
-        declined = record.declines.get(owner)
-        if declined is not None and offer.attempt <= declined.attempt:
-            return declined
+            return unknown_refusal(offer)
+        earlier = record.declines.get(owner)
+        if earlier is not None and offer.attempt <= earlier.attempt:
+            return earlier
         if record.state is RunState.RESERVED and record.deadline <= now:
-            return _declined(
+            return declined(
                 offer,
                 RefusalReason.RESERVATION_EXPIRED,
                 Execution.NOT_RUN,
@@ -139,7 +143,7 @@
         reason = RefusalReason.WITHDRAWN
         if record.execution is not Execution.NOT_RUN:
             reason = RefusalReason.OUTCOME_UNKNOWN
-        return _declined(offer, reason, record.execution)
+        return declined(offer, reason, record.execution)
 
     def decline(
         self,
@@ -162,16 +166,16 @@
                 attempt=Attempt(0),
                 state=RunState.FAILED,
                 forget_at=now,
-                offer=_without_payload(offer),
+                offer=without_payload(offer),
             )
             self.records[offer.request_id] = record
-        record.forget_at = max(record.forget_at, _horizon(offer, now))
+        record.forget_at = max(record.forget_at, horizon(offer, now))
         execution = record.execution
         if record.in_progress:
             execution = Execution.UNKNOWN
-        declined = _declined(offer, reason, execution, retry_after)
-        record.declines[owner] = declined
-        return declined
+        answer = declined(offer, reason, execution, retry_after)
+        record.declines[owner] = answer
+        return answer
 
     def admit(
         self,
@@ -199,7 +203,7 @@
             state=RunState.ACCEPTED,
             execution=execution,
             deadline=deadline,
-            forget_at=_horizon(offer, now),
+            forget_at=horizon(offer, now),
             offer=offer,
             owner=owner,
             answer=Answer(offer.request_id, offer.attempt),
@@ -239,7 +243,7 @@
         record.answer.end(outcome, reason)
         if record.offer is not None:
             # A prompt may be megabytes, and the record stays for long.
-            record.offer = _without_payload(record.offer)
+            record.offer = without_payload(record.offer)
 
     def withdraw(
         self,
@@ -258,7 +262,7 @@
                 forget_at=now + LONGEST_BUDGET_SECONDS + MAX_PACKET_AGE,
             )
             self.records[request_id] = record
-        elif _can_bar(record, owner):
+        elif can_bar(record, owner):
             self.end(record, Outcome.CANCELLED, RefusalReason.WITHDRAWN)
             record.state = RunState.WITHDRAWN
         return report_of(record, attempt)
@@ -341,78 +345,3 @@
             for request_id, record in self.records.items()
             if record.in_progress or record.forget_at > now
         }
-
-
-def report_of(record: RunRecord, attempt: Attempt) -> RunReport:
-    """Return what an entry may be told of a run.
-
-    `NOT_RUN` only of what is barred; what is accepted may start any moment.
-    """
-    execution = record.execution
-    if execution is Execution.NOT_RUN and record.state is not _BARRED:
-        execution = Execution.UNKNOWN
-    return RunReport(
-        request_id=record.request_id,
-        attempt=attempt,
-        state=record.state,
-        execution=execution,
-    )
-
-
-_BARRED = RunState.WITHDRAWN
-
-
-def _horizon(offer: Offer, now: float) -> float:
-    """Return when no packet about a request can arrive any more.
-
-    An entry that was paused may send an offer long after it posted it, as if
-    it were new. What may not run twice is therefore remembered for the
-    longest budget, and a caller's key until it is too old to be run.
-    """
-    if offer.idempotent:
-        return now + max(offer.budget, 0) + MAX_PACKET_AGE
-    kept = LONGEST_BUDGET_SECONDS + MAX_PACKET_AGE
-    return now + max(kept, REMEMBERED_SECONDS)
-
-
-def _declined(
-    offer: Offer,
-    reason: RefusalReason,
-    execution: Execution,
-    retry_after: float = 0,
-) -> Declined:
-    return Declined(
-        request_id=offer.request_id,
-        attempt=offer.attempt,
-        reason=reason,
-        retry_after=retry_after,
-        execution=execution,
-    )
-
-
-def _without_payload(offer: Offer) -> Offer:
-    fields = {
-        name: getattr(offer, name)
-        for name in Offer.__struct_fields__
-        if name != 'payload'
-    }
-    return Offer(payload=b'', **fields)
-
-
-def _unknown_refusal(offer: Offer) -> Declined | None:
-    if not offer.bound:
-        return None
-    # The reservation was used and forgotten, or ran out long ago. Only the
-    # second would allow to say that it was not run.
-    return _declined(
-        offer,
-        RefusalReason.RESERVATION_EXPIRED,
-        Execution.UNKNOWN,
-    )
-
-
-def _can_bar(record: RunRecord, owner: Owner | None) -> bool:
-    if record.state is RunState.ACCEPTED:
-        return record.owner == owner
-    started = record.execution is not Execution.NOT_RUN
-    return not (started or record.in_progress)
