Let an entry without peers grant its own trials

Found by reading: the grants of the fleet were in force from the making of the mesh on, and their clock is kept by its loop, which runs only where the settings name an address for other entries. An entry without one would never have tried what is in doubt: callers of a bystander refused for fifteen minutes in place of ten seconds.

Evidence: test_entry_that_tells_nobody_grants_its_own_tries, red before, green now.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -87,7 +87,6 @@
             node,
             self.membership,
         )
-        context.trials = self.trials
         self.beat = UpdateBeat(
             context.dispatcher.has_sent,
             self.membership,
@@ -127,6 +126,7 @@
 
     def start(self) -> None:
         """Listen, and greet the seeds."""
+        self.context.trials = self.trials
         try:
             self.node.start()
         except TransportError as error:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_trials.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_trials.py
@@ -10,6 +10,7 @@
 from sycamore_core.routing import CrashReport, EndpointLifetime
 
 from ..trials import FleetGrants, OwnGrants
+from .builders_mesh import entries, running
 
 CONTENT = ContentDigest(b'crashing request')
 ZONE = ZoneId('a')
@@ -147,3 +148,11 @@
         for one in digests
         if grants.fleet.granting(ContentDigest(one)) != 'tcp://own'
     )
+
+
+async def test_entry_that_tells_nobody_grants_its_own_tries() -> None:
+    """Guards against a bystander that is held where entries have no peers."""
+    process = entries(1)[0]
+    assert isinstance(process.context.trials, OwnGrants)
+    async with running([process]):
+        assert process.context.trials is process.mesh.trials
