Send callers of a request that is being tried away for a quarter of a second

Found by reading: where a trial was not granted, or its turn had come, callers were told anything from nought to a second, so that some came back into the same answer at once. The least time is that of endpoints that rest now; doctest.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/return_times.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/return_times.py
@@ -23,9 +23,9 @@
 #: Least expected rest of an outage of the platform, in seconds. A short one is
 #: not noticed by callers; of those that are, most last for several seconds.
 _LEAST_OUTAGE = 1.6
-#: Least time until endpoints that rest, or name a rate, take more, in seconds:
-#: others that were refused come back meanwhile as well.
-_LEAST_LIMIT_SECONDS = 0.25
+#: Least time after which callers of endpoints that rest or name a rate, and of
+#: held requests, come back, in seconds: others that were refused do so as well.
+_LEAST_WAIT = 0.25
 #: Span over which the callers of a held request are spread at least, in
 #: seconds: an attempt of one of them is answered within it.
 _LEAST_HOLD_SPREAD = 1.0
@@ -108,7 +108,7 @@
     >>> after_limit(0.75, CallerTime(left=10, number=0.5))
     0.75
     """
-    return spread(max(_LEAST_LIMIT_SECONDS, seconds), caller)
+    return spread(max(_LEAST_WAIT, seconds), caller)
 
 
 def after_rest(seconds: float, caller: CallerTime) -> float:
@@ -130,7 +130,7 @@
     2.97
     """
     largest = caller.left * _LARGEST_PART
-    soonest = min(max(_LEAST_LIMIT_SECONDS, seconds), largest / (1 + _SPREAD))
+    soonest = min(max(_LEAST_WAIT, seconds), largest / (1 + _SPREAD))
     return soonest * (1 + _SPREAD * caller.number)
 
 
@@ -145,10 +145,12 @@
     --------
     >>> after_hold(10, CallerTime(left=3, number=0.5))
     11.75
-    >>> after_hold(0, CallerTime(left=3, number=1))
-    1.0
+    >>> after_hold(0, CallerTime(left=3, number=0))
+    0.25
     """
-    return seconds + max(_LEAST_HOLD_SPREAD, seconds * _SPREAD) * caller.number
+    soonest = max(_LEAST_WAIT, seconds)
+    span = max(_LEAST_HOLD_SPREAD, soonest * _SPREAD)
+    return soonest + span * caller.number
 
 
 def after_full(stay_seconds: float, caller: CallerTime) -> float:
