--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/crash_book.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/crash_book.py
@@ -56,12 +56,12 @@
             return None
         return record
 
-    def find_held(
+    def find_suspect(
         self,
         content: ContentDigest,
         now: float,
     ) -> CrashRecord | None:
-        """Return what is known of a content that has enough crashes."""
+        """Return what is known of a content that is to be held, or tried."""
         record = self.find(content, now)
         if record is None or not self.has_enough(record):
             return None
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
@@ -126,14 +126,14 @@
 
     def seconds_left(self, content: ContentDigest, now: float) -> float:
         """Return for how long a request will be held back."""
-        record = self.book.find_held(content, now)
+        record = self.book.find_suspect(content, now)
         if record is None:
             return 0
         return max(0, record.last_at + self._held_seconds(record) - now)
 
     def is_in_doubt(self, content: ContentDigest, now: float) -> bool:
         """Return whether a request is to be tried before it is let through."""
-        is_known = self.book.find_held(content, now) is not None
+        is_known = self.book.find_suspect(content, now) is not None
         return is_known and not self.is_held(content, now)
 
     def seconds_to_try(self, content: ContentDigest, now: float) -> float:
