Take out a wake-up that told nobody, and tie the spans of sends to the windows

Found by reading the whole change; no behaviour changes. - A granted trial set has_sent, which wakes the mesh; it sends only what changed at an endpoint, or other news, and a trial is neither. It goes out with the message of the request that follows at once. - With the split of rate_limits, SLOTS had become a bare 20: it was worked out from the windows and the longest wait before. The reason stands there again, and a test holds the two together (it is new; the others keep their assertions).

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/crash_records.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/crash_records.py
@@ -138,7 +138,9 @@
             self._by_endpoint.pop(endpoint, None)
 
     def beside(
-        self, content: ContentDigest, endpoints: Iterable[EndpointLifetime]
+        self,
+        content: ContentDigest,
+        endpoints: Iterable[EndpointLifetime],
     ) -> set[ContentDigest]:
         """Return the other suspects of some crashes."""
         found: set[ContentDigest] = set()
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/rate_limits.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/rate_limits.py
@@ -34,7 +34,7 @@
 WINDOWS = (2.0, 4.0)
 #: Longest wait of an entry once there is room, in seconds, and what each entry
 #: adds to it: about the time in which it hears what another has sent.
-_LONGEST_WAIT = 1.0
+LONGEST_WAIT = 1.0
 _WAIT_PER_ENTRY = 0.03
 #: Time after which the entries wait in another order, in seconds.
 _TURN_SECONDS = 4.0
@@ -219,7 +219,7 @@
 
     def _wait(self, endpoint: EndpointLifetime, now: float) -> float:
         """Return how long after others' sends this entry sends, in seconds."""
-        longest = min(_LONGEST_WAIT, _WAIT_PER_ENTRY * (self.entries - 1))
+        longest = min(LONGEST_WAIT, _WAIT_PER_ENTRY * (self.entries - 1))
         turn = int(now / _TURN_SECONDS)
         return longest * stable_part(f'{self.entry} {endpoint} {turn}')
 
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/recent_sends.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/recent_sends.py
@@ -10,7 +10,8 @@
 
 #: Length of the spans of age by which sends are told, in seconds.
 SLOT_SECONDS = 0.25
-#: Spans by which sends are told.
+#: Spans by which sends are told: the longest window of a limit, and the wait of
+#: an entry beyond it.
 SLOTS = 20
 _REMEMBERED_SECONDS = SLOTS * SLOT_SECONDS
 
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_rate_limits.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_rate_limits.py
@@ -4,7 +4,8 @@
 
 from ....ids import EndpointId, EntryId, PeerId
 from ....routing import LimitReport
-from ..rate_limits import WORD_SECONDS, RateLimits
+from ..rate_limits import LONGEST_WAIT, WINDOWS, WORD_SECONDS, RateLimits
+from ..recent_sends import SLOT_SECONDS, SLOTS
 from .builders_limits import (
     EqualParts,
     LimitedLoad,
@@ -178,3 +179,8 @@
         limits.said(lifetime(number), 1, number)
         limits.everything(number)
     assert len(limits.words) <= WORD_SECONDS + 1
+
+
+def test_sends_are_remembered_for_as_long_as_they_count() -> None:
+    """Guards against a window that is longer than what is known of sends."""
+    assert SLOTS * SLOT_SECONDS >= max(WINDOWS) + LONGEST_WAIT
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
@@ -53,8 +53,6 @@
         if to_try or not await self.context.trials.may_try(content):
             raise self._held(call, to_try)
         self.is_trial = True
-        # The others are told that it is tried.
-        self.context.dispatcher.has_sent.set()
 
     def places_to_avoid(self, call: AttemptCall) -> set[EndpointId]:
         """Return where requests are that are suspected of the same crash."""
