--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
@@ -105,21 +105,26 @@
     return RequestContent(request, WorkspaceId('school')).digest
 
 
-def in_doubt(context: ForwardingContext, body: bytes) -> None:
-    """Have an entry know of crashes whose hold in doubt is just over.
+def doubted_crashes(suspect: ContentDigest) -> list[CrashReport]:
+    """Return crashes of a content whose hold in doubt is just over.
 
     Another request was at each of them.
     """
-    reports = [
+    return [
         CrashReport(
             content,
             EndpointLifetime(EndpointId(f'gone-{number}'), 5),
             DOUBT_SECONDS + 1,
             had_just_begun=True,
         )
-        for content in (digest_of(body), digest_of(b'beside it'))
+        for content in (suspect, digest_of(b'beside it'))
         for number in range(3)
     ]
+
+
+def in_doubt(context: ForwardingContext, body: bytes) -> None:
+    """Have an entry know of a request whose hold in doubt is just over."""
+    reports = doubted_crashes(digest_of(body))
     context.quarantine.hear(reports, context.clock.monotonic())
 
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_asked_rest.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_asked_rest.py
@@ -19,6 +19,7 @@
     snapshot_of,
     whole,
 )
+from .builders_answers import in_turn, is_answered, retry_after
 from .builders_crash import asked_at
 from .builders_engines import ANSWER, HUGE, STREAM, engines
 from .builders_mesh import entries, running
@@ -30,10 +31,14 @@
 SHORT_REST = 0.4
 
 
+def refusal(seconds: float) -> bytes:
+    """Return an answer that asks for rest."""
+    return whole('', 503, f'Not-Run: 1\r\nRest: {seconds}\r\n')
+
+
 def refusing(seconds: float) -> Talk:
     """Return a script that asks for rest with each answer."""
-    extra = f'Not-Run: 1\r\nRest: {seconds}\r\n'
-    return saying(whole('', 503, extra))
+    return saying(refusal(seconds))
 
 
 def resting(name: str = 'e1', seconds: float = LONG_REST) -> RawEndpoint:
@@ -44,17 +49,6 @@
     return RawEndpoint(name, talk or saying(whole()))
 
 
-def is_answered(answer: bytes) -> bool:
-    return answer.startswith(b'HTTP/1.1 200')
-
-
-def retry_after(answer: bytes) -> float:
-    """Return when a caller that was refused is told to come back."""
-    assert answer.startswith(b'HTTP/1.1 503')
-    _, _, rest = answer.partition(b'Retry-After: ')
-    return float(rest.split(b'\r\n')[0])
-
-
 async def test_endpoint_that_asked_for_rest_gets_nothing_meanwhile() -> None:
     """Guards against a full endpoint that gets more as it looks idle."""
     full = resting()
@@ -110,14 +104,7 @@
 
 async def test_endpoint_is_used_again_after_its_rest() -> None:
     """Guards against an endpoint that is lost once it was full."""
-    answers = iter((refusing(SHORT_REST), saying(whole()), saying(whole())))
-
-    async def talk(
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        await next(answers)(reader, writer)
-
+    talk = in_turn(refusal(SHORT_REST), whole(), whole())
     async with entry_before(SAFE, RawEndpoint('e1', talk)) as entry:
         assert not is_answered(await entry.ask())
         assert not is_answered(await entry.ask())
@@ -186,14 +173,7 @@
 
 async def test_failed_replica_is_tried_again_where_all_others_rest() -> None:
     """Guards against a look-up that is lost though its replica lives."""
-    answers = iter((whole('', 500), whole()))
-
-    async def talk(
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        writer.write(next(answers))
-
+    talk = in_turn(whole('', 500), whole())
     failing = RawEndpoint('e1', talk)
     full = resting('e2')
     async with entry_before(SAFE, failing, full) as entry:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
@@ -10,13 +10,13 @@
     PAUSE_SECONDS,
     RawEndpoint,
     entry_before,
-    parse_head,
     route,
     say_nothing,
     saying,
     snapshot_of,
     whole,
 )
+from .builders_answers import is_answered, retry_after
 from .builders_crash import (
     ORDINARY,
     POISON,
@@ -43,15 +43,6 @@
 LONG_SECONDS = 60
 
 
-def is_answered(answer: bytes) -> bool:
-    return answer.startswith(b'HTTP/1.1 200')
-
-
-def retry_after(answer: bytes) -> float:
-    head = answer.partition(b'\r\n\r\n')[0].decode()
-    return float(parse_head(head)['retry-after'])
-
-
 async def test_request_that_crashes_endpoints_is_not_sent_to_all() -> None:
     """Guards against one request that ends endpoint after endpoint."""
     endpoints = fragile(2 * TRIES)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_rate_limits.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_rate_limits.py
@@ -1,7 +1,5 @@
 """Endpoints that name a rate get no more from all entries together."""
 
-import asyncio
-
 from sycamore_core.routing import RouteKind
 
 from .builders import (
@@ -14,6 +12,7 @@
     snapshot_of,
     whole,
 )
+from .builders_answers import in_turn
 from .builders_crash import asked_at
 from .builders_engines import ANSWER, HUGE, STREAM, engines
 from .builders_mesh import entries, running
@@ -49,20 +48,11 @@
 
 async def test_refusal_that_names_no_limit_does_not_end_one() -> None:
     """Guards against a limit that is lifted by an endpoint that is full."""
-    answers = iter(
-        (
-            whole(extra='Limit: 5\r\n'),
-            whole('', 503, 'Not-Run: 1\r\n'),
-            whole(),
-        ),
+    talk = in_turn(
+        whole(extra='Limit: 5\r\n'),
+        whole('', 503, 'Not-Run: 1\r\n'),
+        whole(),
     )
-
-    async def talk(
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        writer.write(next(answers))
-
     endpoint = RawEndpoint('e1', talk)
     async with entry_before(SAFE, endpoint) as entry:
         limits = entry.context.dispatcher.limits
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_runs.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_runs.py
@@ -12,6 +12,7 @@
     saying,
     whole,
 )
+from .builders_answers import in_turn
 
 SAFE = route(RouteKind.SAFE)
 UNSAFE = route(RouteKind.UNSAFE)
@@ -72,14 +73,7 @@
 
 async def test_unsafe_request_that_did_not_run_is_tried_elsewhere() -> None:
     """A full replica says that it has not run a deposit: another one does."""
-    answers = iter((NOT_RUN, whole('recorded')))
-
-    async def talk(
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        writer.write(next(answers))
-
+    talk = in_turn(NOT_RUN, whole('recorded'))
     endpoints = (RawEndpoint('e1', talk), RawEndpoint('e2', talk))
     async with entry_before(UNSAFE, *endpoints) as entry:
         answer = await entry.ask()
@@ -124,14 +118,7 @@
     A guest's look-up that it failed is asked for again there; given up, one
     look-up in seven would be lost for as long as the others are away.
     """
-    answers = iter((whole('busy', 500), whole('found')))
-
-    async def talk(
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        writer.write(next(answers))
-
+    talk = in_turn(whole('busy', 500), whole('found'))
     async with entry_before(SAFE, RawEndpoint('e1', talk)) as entry:
         answer = await entry.ask()
     assert answer.endswith(b'found')
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_trials.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_trials.py
@@ -3,13 +3,13 @@
 from sycamore_core.clock import ManualClock
 from sycamore_core.decisions.direct import Quarantine
 from sycamore_core.decisions.direct.trials import STEADY_SECONDS
-from sycamore_core.ids import ContentDigest, EndpointId, PeerId, ZoneId
+from sycamore_core.ids import ContentDigest, PeerId, ZoneId
 from sycamore_core.membership import Membership
 from sycamore_core.membership.members import NEAR_SILENCE
 from sycamore_core.messages import TrialAnswer, TrialWanted
-from sycamore_core.routing import CrashReport, EndpointLifetime
 
 from ..trials import FleetGrants, OwnGrants
+from .builders_crash import doubted_crashes
 from .builders_mesh import entries, running
 
 CONTENT = ContentDigest(b'crashing request')
@@ -60,16 +60,7 @@
 
     def doubt(self, suspect: ContentDigest = CONTENT) -> None:
         """Know of crashes whose hold in doubt is over."""
-        reports = [
-            CrashReport(
-                content,
-                EndpointLifetime(EndpointId(f'e{number}'), 5),
-                60,
-                had_just_begun=True,
-            )
-            for content in (suspect, ContentDigest(b'ordinary request'))
-            for number in range(3)
-        ]
+        reports = doubted_crashes(suspect)
         self.quarantine.hear(reports, self.clock.monotonic())
 
     def asked_for(self, content: ContentDigest = CONTENT) -> int:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_trials_machine.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_trials_machine.py
@@ -15,20 +15,17 @@
 from sycamore_core.clock import ManualClock
 from sycamore_core.decisions.direct import Quarantine
 from sycamore_core.decisions.direct.trials import MOST_TRIES
-from sycamore_core.ids import ContentDigest, EndpointId, PeerId, ZoneId
+from sycamore_core.ids import ContentDigest, PeerId, ZoneId
 from sycamore_core.membership import Membership
 from sycamore_core.messages import Message, TrialAnswer, TrialWanted
-from sycamore_core.routing import CrashReport, EndpointLifetime
 
 from ..trials import FleetGrants, OwnGrants
+from .builders_crash import doubted_crashes
 
 CONTENT = ContentDigest(b'crashing request')
-FELLOW = ContentDigest(b'ordinary request')
 ENTRIES = 4
 ZONE = ZoneId('a')
 BEAT_SECONDS = 0.5
-#: Beyond the hold of three crashes.
-SINCE_CRASHES = 60.0
 place_of = st.integers(0, ENTRIES - 1)
 
 
@@ -110,16 +107,7 @@
         self.quarantine.hear(sender.quarantine.book.in_turn(now), now)
 
     def know_of_crashes(self) -> None:
-        reports = [
-            CrashReport(
-                content,
-                EndpointLifetime(EndpointId(f'e{number}'), 5),
-                SINCE_CRASHES,
-                had_just_begun=True,
-            )
-            for content in (CONTENT, FELLOW)
-            for number in range(3)
-        ]
+        reports = doubted_crashes(CONTENT)
         self.quarantine.hear(reports, self.clock.monotonic())
 
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_whole_answers.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_whole_answers.py
@@ -20,6 +20,7 @@
     stream_head,
     whole,
 )
+from .builders_answers import in_turn
 
 SAFE = route(RouteKind.SAFE)
 UNSAFE = route(RouteKind.UNSAFE)
@@ -82,14 +83,7 @@
 
     On a kept connection, the next caller would get it for its own.
     """
-    answers = iter((whole('first') + whole('extra'), whole('second')))
-
-    async def talk(
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        writer.write(next(answers))
-
+    talk = in_turn(whole('first') + whole('extra'), whole('second'))
     async with entry_before(SAFE, RawEndpoint('e1', talk)) as entry:
         first = await entry.ask()
         await asyncio.sleep(0.05)
