--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -8,7 +8,14 @@
 
 from .asked_rests import RequestedBackoffs
 from .assignments import assignments_of
-from .attempts import AttemptEnd, AttemptLog, NextStep, next_step
+from .attempts import (
+    AttemptEnd,
+    AttemptLog,
+    NextStep,
+    RetryPermission,
+    next_step,
+    retry_permission,
+)
 from .cells import CellView, KnownEngine, plan_in_cells
 from .engine_harm import Candidate
 from .engine_work import Assignment, EngineWork
@@ -27,7 +34,11 @@
 from .quarantine import Quarantine
 from .rate_limits import RateLimits
 from .read_plan import is_short_request, plan_read
-from .retry_allowance import RetryBudgetLimit, SharedRetryBudget
+from .retry_allowance import (
+    RetryBudgetLimit,
+    RetryBudgetState,
+    SharedRetryBudget,
+)
 from .return_times import (
     CallerTime,
     after_backoff,
@@ -49,6 +60,8 @@
     'UPDATE_INTERVAL_SECONDS',
     'FULL_UPDATE_SECONDS',
     'RetryBudgetLimit',
+    'RetryBudgetState',
+    'RetryPermission',
     'RequestedBackoffs',
     'AttemptEnd',
     'AttemptLog',
@@ -90,5 +103,6 @@
     'plan_in_cells',
     'plan_read',
     'remaining_ms',
+    'retry_permission',
     'with_jitter',
 )
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/attempts.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/attempts.py
@@ -56,6 +56,28 @@
     FAIL = 'fail'
 
 
+class RetryPermission(enum.StrEnum):
+    """Whether a request may be retried after a failed attempt, and why not."""
+
+    #: The retry counts against the retry budget.
+    GRANTED = 'granted'
+    #: Nothing reached an endpoint, so another attempt is not a retry.
+    NOTHING_SENT = 'nothing_sent'
+    #: The retry budget of this entry is used up.
+    BUDGET_SPENT = 'budget_spent'
+    #: The request ran as often as its route permits.
+    ATTEMPTS_SPENT = 'attempts_spent'
+    #: The request may have run and is not idempotent.
+    MAY_HAVE_RUN = 'may_have_run'
+    #: The caller has received a part of an answer that cannot be resumed.
+    ANSWER_HAS_BEGUN = 'answer_has_begun'
+
+    @property
+    def permits(self) -> bool:
+        """Whether the request may be retried."""
+        return self in {RetryPermission.GRANTED, RetryPermission.NOTHING_SENT}
+
+
 class AttemptLog(msgspec.Struct):
     """Outcomes of the attempts of one request so far.
 
@@ -105,6 +127,42 @@
             self.possibly_ran += 1
 
 
+def retry_permission(
+    kind: RouteKind,
+    end: AttemptEnd,
+    attempts: AttemptLog,
+    *,
+    max_attempts: int,
+) -> RetryPermission:
+    """Return whether a request may be retried, leaving out the retry budget.
+
+    Parameters
+    ----------
+    attempts
+        All attempts, including the one that ended.
+    max_attempts
+        Upper bound of the runs of an idempotent request.
+
+    Examples
+    --------
+    >>> log = AttemptLog(sent=1, possibly_ran=1)
+    >>> retry_permission(
+    ...     RouteKind.UNSAFE, AttemptEnd.BROKEN, log, max_attempts=3
+    ... ).value
+    'may_have_run'
+    """
+    is_resumable = kind == RouteKind.RESUMABLE_STREAM
+    if attempts.answer_has_begun and not is_resumable:
+        return RetryPermission.ANSWER_HAS_BEGUN
+    if attempts.may_have_run and not kind.is_idempotent:
+        return RetryPermission.MAY_HAVE_RUN
+    if attempts.may_have_run >= max(max_attempts, 1):
+        return RetryPermission.ATTEMPTS_SPENT
+    if end.was_sent:
+        return RetryPermission.GRANTED
+    return RetryPermission.NOTHING_SENT
+
+
 def next_step(
     kind: RouteKind,
     end: AttemptEnd,
@@ -133,15 +191,13 @@
     ... ).value
     'fail'
     """
-    may_run_again = kind.is_idempotent and attempts.may_have_run < max_attempts
-    none_ran = attempts.may_have_run == 0
-    can_continue = (
-        kind == RouteKind.RESUMABLE_STREAM or not attempts.answer_has_begun
+    permission = retry_permission(
+        kind, end, attempts, max_attempts=max_attempts
     )
-    if may_retry and can_continue and (may_run_again or none_ran):
+    if may_retry and permission.permits:
         return NextStep.RETRY
     if attempts.answer_has_begun:
         return NextStep.FAIL
-    if none_ran:
+    if attempts.may_have_run == 0:
         return NextStep.REFUSE
     return NextStep.RELAY_FAILURE if end == AttemptEnd.FAILED else NextStep.FAIL
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/retry_allowance.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/retry_allowance.py
@@ -38,6 +38,36 @@
 _USABLE_FRACTION = 0.7
 
 
+class RetryBudgetState(msgspec.Struct, frozen=True, kw_only=True):
+    """What a decision of a retry budget is based on.
+
+    Attributes
+    ----------
+    spent
+        Retries in the window.
+    permitted
+        Retries that are permitted in the window.
+    first_attempts
+        First attempts in the window.
+    entries
+        Number of entries by which the slack is divided.
+    """
+
+    spent: int
+    permitted: float
+    first_attempts: int
+    entries: int
+
+    def log_fields(self) -> dict[str, float]:
+        """Return the fields of a log line."""
+        return {
+            'budget_spent': self.spent,
+            'budget_permitted': round(self.permitted, 1),
+            'budget_first_attempts': self.first_attempts,
+            'budget_entries': self.entries,
+        }
+
+
 class SharedRetryBudget:
     """Retries that this entry may send for one service.
 
@@ -92,11 +122,28 @@
         entries
             Number of entries that share the limit.
         """
-        self._drop_expired(now)
         self.max_entries = max(self.max_entries, entries)
-        slack = self.bounds.slack / self.max_entries
+        state = self.state(now, entries)
+        return state.spent + 1 <= state.permitted
+
+    def state(self, now: float, entries: int) -> RetryBudgetState:
+        """Return what the next decision is based on.
+
+        Parameters
+        ----------
+        entries
+            Number of entries that share the limit.
+        """
+        self._drop_expired(now)
+        entries = max(self.max_entries, entries)
+        slack = self.bounds.slack / entries
         max_retries = slack + self.bounds.ratio * len(self.first_attempts)
-        return len(self.retries) + 1 <= max_retries * _USABLE_FRACTION
+        return RetryBudgetState(
+            spent=len(self.retries),
+            permitted=max_retries * _USABLE_FRACTION,
+            first_attempts=len(self.first_attempts),
+            entries=entries,
+        )
 
     def _drop_expired(self, now: float) -> None:
         start = now - self.bounds.window
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -6,7 +6,6 @@
     AttemptEnd,
     AttemptLog,
     NextStep,
-    next_step,
 )
 from sycamore_core.ids import EndpointId
 
@@ -28,6 +27,7 @@
 from .caller import CallerAnswer, CallerRequest
 from .outcome import RequestOutcome
 from .refusals import Refusal
+from .retry_control import RetryControl
 
 _MS = 1000.0
 
@@ -39,6 +39,8 @@
     ----------
     attempts
         Results of the attempts so far.
+    retries
+        Decides whether a failed attempt is followed by another.
     call
         The admitted request; None if it was not admitted.
     excluded
@@ -66,6 +68,7 @@
         self.request = request
         self.answer = answer
         self.attempts = AttemptLog()
+        self.retries = RetryControl(context, self.attempts)
         self.decisions = DecisionLog(context)
         self.crashes = CrashWatch(context)
         self.excluded: set[EndpointId] = set()
@@ -117,9 +120,7 @@
     async def _attempt_until_answered(self, call: AdmittedRequest) -> None:
         relay = AnswerRelay(self.answer, call.route, self._record_first_event)
         placer = Placer(self.context, call)
-        self.context.allowance(call.service.service).record_first_attempt(
-            self._now()
-        )
+        self.retries.record_first_attempt(call)
         if call.service.engine is not None:
             dispatcher = self.context.dispatcher
             dispatcher.record_arrival(
@@ -200,7 +201,8 @@
         self.attempts.answer_has_begun = self.answer.has_begun
         await self.crashes.handle_failed_attempt(call, attempt, error)
         failed_endpoint = self._exclude(attempt, error)
-        step = self._next_step(call, error.end)
+        decision = self.retries.decide(call, error.end)
+        step = decision.step
         if isinstance(error, EndpointEndedError):
             self._log_ended(attempt, error)
         self.context.log.info(
@@ -215,9 +217,11 @@
             events=relay.last_event_id,
             content=call.content.digest_for_log(error.end),
             step=step,
+            retry=decision.permission,
+            **decision.budget.log_fields(),
         )
         if step == NextStep.RETRY:
-            self.context.metrics.retries.add(error.end)
+            self.context.metrics.retries.count(error.end)
             return False
         if step == NextStep.REFUSE:
             caller_time = call.caller_time(self._now())
@@ -278,33 +282,6 @@
         possible_runs = self.attempts.may_have_run + 1
         return is_idempotent and possible_runs < call.route.max_attempts
 
-    def _next_step(self, call: AdmittedRequest, end: AttemptEnd) -> NextStep:
-        now = self._now()
-        kind = call.route.kind
-        step = next_step(
-            kind,
-            end,
-            self.attempts,
-            may_retry=True,
-            max_attempts=call.route.max_attempts,
-        )
-        if step != NextStep.RETRY:
-            return step
-        budget = self.context.allowance(call.service.service)
-        # Without a connection, nothing reached an endpoint. Another attempt
-        # does not count as a retry then.
-        if not end.was_sent or budget.try_acquire(
-            now, self.context.entry_count
-        ):
-            return step
-        return next_step(
-            kind,
-            end,
-            self.attempts,
-            may_retry=False,
-            max_attempts=call.route.max_attempts,
-        )
-
     def _record_first_event(self) -> None:
         elapsed = self._now() - self.request.arrived_at
         self.first_event_ms = elapsed * _MS
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
@@ -6,6 +6,7 @@
 from sycamore_core.clock import Clock
 from sycamore_core.decisions.direct import (
     Quarantine,
+    RetryBudgetState,
     SharedRetryBudget,
     SuspectLocations,
     is_isolated,
@@ -108,6 +109,8 @@
         self.metrics.count_draining = self.running.in_evacuated_zones
         self.flow.apply_memory(self.settings.memory_bytes)
         self.metrics.slow_readers = self.flow.cuts
+        self.metrics.retries.left.read = self._retries_left
+        self.metrics.retries.entries.read = self._retry_entries
         self.pool.flow = self.flow
         self.keeper.ended.on_end.append(self.pool.close_endpoint)
         self._add_overload_control()
@@ -156,6 +159,24 @@
             self.allowances[service] = budget
         return budget
 
+    def _retries_left(self) -> dict[str, float]:
+        states = self._budget_states()
+        return {
+            service: max(0, state.permitted - state.spent)
+            for service, state in states.items()
+        }
+
+    def _retry_entries(self) -> dict[str, float]:
+        states = self._budget_states()
+        return {service: state.entries for service, state in states.items()}
+
+    def _budget_states(self) -> dict[ServiceId, RetryBudgetState]:
+        now = self.clock.monotonic()
+        return {
+            service: budget.state(now, self.entry_count)
+            for service, budget in self.allowances.items()
+        }
+
     def _add_overload_control(self) -> None:
         """Connect the queues with the shares and the admission control."""
         self.shares = EntryShares(self.keeper, self.clock, self.metrics)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -42,6 +42,7 @@
 from ..context import ForwardingContext
 from ..crashes import CrashWatch
 from ..trials import FleetTrialGrants, LocalTrialGrants
+from .entry_count import EntryCount
 from .newer_settings import NewerSettings
 from .update_schedule import UpdateSchedule
 from .update_sender import UpdateSender
@@ -63,6 +64,8 @@
         Exchanges configurations with peers.
     crashes
         Applies reports of peers on endpoints that crashed.
+    entry_count
+        Tells the components of this entry how many entries there are.
     trials
         Grants the trials of suspect requests.
     schedule
@@ -83,6 +86,7 @@
         self.sender = UpdateSender(node, self.membership, self.writer)
         self.newer_settings = NewerSettings(context.keeper)
         self.crashes = CrashWatch(context)
+        self.entry_count = EntryCount(context, self.membership)
         self.trials = FleetTrialGrants(
             LocalTrialGrants(context.quarantine, context.clock),
             node,
@@ -321,7 +325,7 @@
                 address=lost.address,
                 zone=lost.zone,
             )
-        self.context.entry_count = self.membership.expected_count
+        self.entry_count.update(now)
         limits = self.context.dispatcher.limits
         limits.reporting_fraction = self.membership.reporting_fraction
         limits.entry_count = len(self.membership.own_cell_addresses()) + 1
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
@@ -11,6 +11,7 @@
 from tornado.httputil import ResponseStartLine
 
 from .operator_pages import OperatorPage, PageResponse
+from .retry_metrics import RetryMetrics
 
 #: Upper bounds of the bands of prompt lengths, in tokens: a chat request, a
 #: briefing, and a prompt that one engine reads within a few seconds. Longer
@@ -34,8 +35,10 @@
 
     Attributes
     ----------
-    refusals, retries, outcomes
-        Counts of refusals and retries by reason, and of requests by outcome.
+    refusals, outcomes
+        Counts of refusals by reason, and of requests by outcome.
+    retries
+        Metrics of retries and of the retry budget.
     held_attempts
         Counts of silent attempts that stayed because the fleet was full, by
         route.
@@ -59,7 +62,7 @@
     def __init__(self, process: str = 'entry') -> None:
         self.process = process
         self.refusals = Tally('reason')
-        self.retries = Tally('reason')
+        self.retries = RetryMetrics()
         self.outcomes = Tally('end')
         self.held_attempts = Tally('route')
         self.unknown_headers = Tally('name')
@@ -105,6 +108,7 @@
         return self.load_metrics().page()
 
     def _export(self, metrics: Metrics) -> None:
+        self.retries.export(metrics)
         for name, tally in self._tallies().items():
             metrics.export_tally(name, tally)
         for gauge in (self.engine_time, self.memory):
@@ -120,7 +124,6 @@
         """Return the exported counts by the names of their counters."""
         return {
             'forwarding_refusals': self.refusals,
-            'forwarding_retries': self.retries,
             'forwarded_requests': self.outcomes,
             'unknown_headers': self.unknown_headers,
             'ended_attempts': self.ended_attempts,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -139,7 +139,15 @@
             self._reload_when_changed(_event_for_signals(signal.SIGHUP))
         )
         settings = self.context.settings
-        self.log.info('started', entry=settings.name, zone=settings.zone)
+        limit = settings.allowance
+        self.log.info(
+            'started',
+            entry=settings.name,
+            zone=settings.zone,
+            retry_ratio=limit.ratio,
+            retry_slack=limit.slack,
+            retry_window_seconds=limit.window,
+        )
         callers = self._serve_callers()
         ready = self._serve_operators()
         self.start_tasks()
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/retry_metrics.py
@@ -0,0 +1,50 @@
+"""Metrics of retries and of the retry budget."""
+
+from sycamore_core.decisions.direct import AttemptEnd, RetryPermission
+from sycamore_core.telemetry import Metrics
+from sycamore_core.telemetry.gauges import LabelledGauge
+from sycamore_core.telemetry.tallies import Tally
+
+
+class RetryMetrics:
+    """Counts of retries, and the state of the retry budgets.
+
+    Attributes
+    ----------
+    reasons
+        Counts of retries by the end of the attempt before.
+    permissions
+        Counts of failed attempts by whether a retry was permitted.
+    left, entries
+        Retries that the budget permits now, and number of entries that share
+        it, by service.
+    """
+
+    def __init__(self) -> None:
+        self.reasons = Tally('reason')
+        self.permissions = Tally('permission')
+        self.left = LabelledGauge(
+            'retries_left',
+            'service',
+            'Retries that the budget of this entry permits now, by service',
+        )
+        self.entries = LabelledGauge(
+            'retry_budget_entries',
+            'service',
+            'Entries by which the retry budget is divided, by service',
+        )
+
+    def count(self, reason: AttemptEnd) -> None:
+        """Count a retry by the end of the attempt before it."""
+        self.reasons.add(reason)
+
+    def count_permission(self, permission: RetryPermission) -> None:
+        """Count a failed attempt by whether it may be retried."""
+        self.permissions.add(permission)
+
+    def export(self, metrics: Metrics) -> None:
+        """Add these metrics to the page."""
+        metrics.export_tally('forwarding_retries', self.reasons)
+        metrics.export_tally('forwarding_retry_permissions', self.permissions)
+        metrics.export_labelled_gauge(self.left)
+        metrics.export_labelled_gauge(self.entries)
