Show shares of the retry budget that are too large without contact

What callers saw: the same rule as with restarts, but without any start in the window. The number of entries is 1 until the first update of the membership, lost peers are not counted, and the largest number is remembered by service, from its first retry on.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget_replay.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget_replay.py
@@ -5,12 +5,22 @@
 IN_SERIES = (16, 18, 20, 22, 24, 26, 28, 30, 32, 34)
 
 
+def knows_nobody(entry: int, process_seconds: float, entries: int) -> int:
+    return 0
+
+
 def test_retries_stay_within_the_limit_while_entries_restart() -> None:
     """Guards against restarts in series, each of which brings a new share."""
     result = replay(FailingLoad(restarts=IN_SERIES))
     assert result.largest_excess(LIMIT) <= 0
 
 
+def test_retries_stay_within_the_limit_of_entries_that_start_alone() -> None:
+    """Guards against entries that start cut off, each with the whole slack."""
+    result = replay(FailingLoad(restarts=(14,), known=knows_nobody))
+    assert result.largest_excess(LIMIT) <= 0
+
+
 def test_retries_of_a_steady_fleet_stay_within_the_limit() -> None:
     result = replay(FailingLoad())
     assert result.largest_excess(LIMIT) <= 0
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_retry_budget.py
@@ -0,0 +1,44 @@
+"""How many entries an entry divides the operator's limit on retries by."""
+
+from sycamore_core.ids import PeerId, ServiceId, ZoneId
+
+from ..process import ForwardingProcess
+from .builders_mesh import entries
+
+LATE_SERVICE = ServiceId('late')
+
+
+def grant_retries(process: ForwardingProcess) -> int:
+    """Return how many retries an entry grants now for one service."""
+    context = process.context
+    budget = context.allowance(LATE_SERVICE)
+    now = context.clock.monotonic()
+    granted = 0
+    while granted < 1000 and budget.try_acquire(now, context.entry_count):
+        granted += 1
+    return granted
+
+
+async def test_entry_without_contact_takes_no_share() -> None:
+    """Guards against an entry that starts cut off and takes the whole slack."""
+    _, second = entries(2)
+    assert grant_retries(second) <= 1
+    await second.close()
+
+
+async def test_first_retry_for_a_service_counts_lost_entries() -> None:
+    """Guards against shares that grow while the other entries are cut off."""
+    first, second = entries(2)
+    mesh = first.mesh
+    now = first.context.clock.monotonic()
+    for name in ('a', 'b', 'c'):
+        address = f'tcp://{name}'
+        mesh.membership.mark_alive(address, ZoneId('a'), PeerId(name), now)
+    mesh.entry_count.update(now)
+    now += 10
+    mesh.membership.expire(now)
+    mesh.entry_count.update(now)
+    slack = first.context.settings.allowance.slack
+    assert grant_retries(first) <= slack / 4
+    await first.close()
+    await second.close()
