Show retries that a link holds back and delivers beside newer ones

What callers saw: the same rule, with each entry within its share by its own count. A retry is counted when it is decided, the limit counts arrivals.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget_replay.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget_replay.py
@@ -9,6 +9,10 @@
     return 0
 
 
+def held_until_18(at: float) -> float:
+    return 18 if 15 <= at < 18 else at
+
+
 def test_retries_stay_within_the_limit_while_entries_restart() -> None:
     """Guards against restarts in series, each of which brings a new share."""
     result = replay(FailingLoad(restarts=IN_SERIES))
@@ -21,6 +25,12 @@
     assert result.largest_excess(LIMIT) <= 0
 
 
+def test_retries_held_on_their_way_stay_within_the_limit() -> None:
+    """Guards against retries that a link delivers late, beside newer ones."""
+    result = replay(FailingLoad(arrives_at=held_until_18))
+    assert result.largest_excess(LIMIT) <= 0
+
+
 def test_retries_of_a_steady_fleet_stay_within_the_limit() -> None:
     result = replay(FailingLoad())
     assert result.largest_excess(LIMIT) <= 0
