Divide the retry budget by all entries that were ever known

What callers saw: a service got more retries than the operator allows, with or without a start in the window. Cause: entries divided the slack by the peers that they heard at that moment: by 1 before the first update of the membership, by fewer while peers were lost, and the largest number was kept by service, from its first retry on.

FleetSize keeps the largest number for the whole process: members including lost ones, seeds, and what peers report, since an entry that starts in a partition cannot find the other side by itself. Before any contact the number is unknown and the slack is not used. The number only grows, so reports need no order. An entry without peers is known to be alone.

Entries of tests start a window earlier, as the budget of a fresh process will be empty.

Not chosen: forgetting entries after a while, which lets each side of a long partition take the whole limit. The price is a smaller share after a fleet has shrunk, until processes restart.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -20,6 +20,7 @@
 from .engine_harm import Candidate
 from .engine_work import Assignment, EngineWork
 from .failures import FailureTracker
+from .fleet_size import FleetSize
 from .isolation import is_isolated
 from .load_registry import (
     FULL_UPDATE_SECONDS,
@@ -70,6 +71,7 @@
     'CellView',
     'EngineWork',
     'FailureTracker',
+    'FleetSize',
     'KnownEngine',
     'LoadRegistry',
     'NextStep',
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/retry_allowance.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/retry_allowance.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from .fleet_size import FleetSize
+
 
 class RetryBudgetLimit(msgspec.Struct, frozen=True, kw_only=True):
     """The operator's limit on retries, for all entries together.
@@ -50,15 +52,21 @@
     first_attempts
         First attempts in the window.
     entries
-        Number of entries by which the slack is divided.
+        Number of entries by which the slack is divided; None if the entry does
+        not know them, and the slack is not used.
     """
 
     spent: int
     permitted: float
     first_attempts: int
-    entries: int
+    entries: int | None
+
+    @property
+    def left(self) -> float:
+        """Number of retries left."""
+        return max(0, self.permitted - self.spent)
 
-    def log_fields(self) -> dict[str, float]:
+    def log_fields(self) -> dict[str, float | None]:
         """Return the fields of a log line."""
         return {
             'budget_spent': self.spent,
@@ -79,64 +87,55 @@
         Times of the first attempts in the window.
     retries
         Times of the retries in the window.
-    max_entries
-        Largest number of entries seen so far.
+    fleet
+        Number of entries that share the limit.
+    started_at
+        When the process of the entry started, in seconds.
 
     Examples
     --------
-    >>> budget = SharedRetryBudget(RetryBudgetLimit(ratio=0, slack=4))
-    >>> [budget.try_acquire(now=0, entries=2) for _ in range(2)]
+    >>> fleet = FleetSize()
+    >>> fleet.observe(2, is_discovered=True)
+    >>> bounds = RetryBudgetLimit(ratio=0, slack=4)
+    >>> budget = SharedRetryBudget(bounds, fleet, started_at=0)
+    >>> [budget.try_acquire(now=0) for _ in range(2)]
     [True, False]
     """
 
-    def __init__(self, bounds: RetryBudgetLimit) -> None:
+    def __init__(
+        self,
+        bounds: RetryBudgetLimit,
+        fleet: FleetSize,
+        started_at: float,
+    ) -> None:
         self.bounds = bounds
+        self.fleet = fleet
+        self.started_at = started_at
         self.first_attempts: deque[float] = deque()
         self.retries: deque[float] = deque()
-        self.max_entries = 1
 
     def record_first_attempt(self, now: float) -> None:
         """Record the first attempt of a request."""
         self.first_attempts.append(now)
         self._drop_expired(now)
 
-    def try_acquire(self, now: float, entries: int) -> bool:
-        """Consume one retry of the budget; return whether one was left.
-
-        Parameters
-        ----------
-        entries
-            Number of entries that share the limit. The largest number seen so
-            far is used, because unreachable entries may still send retries.
-        """
-        has_capacity = self.has_capacity(now, entries)
+    def try_acquire(self, now: float) -> bool:
+        """Consume one retry of the budget; return whether one was left."""
+        has_capacity = self.has_capacity(now)
         if has_capacity:
             self.retries.append(now)
         return has_capacity
 
-    def has_capacity(self, now: float, entries: int) -> bool:
-        """Return whether a retry would be permitted, without consuming it.
-
-        Parameters
-        ----------
-        entries
-            Number of entries that share the limit.
-        """
-        self.max_entries = max(self.max_entries, entries)
-        state = self.state(now, entries)
+    def has_capacity(self, now: float) -> bool:
+        """Return whether a retry would be permitted, without consuming it."""
+        state = self.state(now)
         return state.spent + 1 <= state.permitted
 
-    def state(self, now: float, entries: int) -> RetryBudgetState:
-        """Return what the next decision is based on.
-
-        Parameters
-        ----------
-        entries
-            Number of entries that share the limit.
-        """
+    def state(self, now: float) -> RetryBudgetState:
+        """Return what the next decision is based on."""
         self._drop_expired(now)
-        entries = max(self.max_entries, entries)
-        slack = self.bounds.slack / entries
+        entries = self.fleet.divisor
+        slack = 0 if entries is None else self.bounds.slack / entries
         max_retries = slack + self.bounds.ratio * len(self.first_attempts)
         return RetryBudgetState(
             spent=len(self.retries),
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/builders_budgets.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/builders_budgets.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..fleet_size import FleetSize
 from ..retry_allowance import RetryBudgetLimit, SharedRetryBudget
 
 LIMIT = RetryBudgetLimit(ratio=0.2, slack=102, window=10)
@@ -56,13 +57,15 @@
 
     def __init__(self, limit: RetryBudgetLimit, started_at: float) -> None:
         super().__init__(limit, started_at)
-        self.budget = SharedRetryBudget(limit)
+        self.fleet = FleetSize()
+        self.budget = SharedRetryBudget(limit, self.fleet, started_at)
 
     def record_first_attempt(self, now: float) -> None:
         self.budget.record_first_attempt(now)
 
     def may_retry(self, now: float, entries: int) -> bool:
-        return self.budget.try_acquire(now, max(1, entries))
+        self.fleet.observe(entries, is_discovered=entries > 0)
+        return self.budget.try_acquire(now)
 
 
 def knows_all(entry: int, process_seconds: float, entries: int) -> int:
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_attempts.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_attempts.py
@@ -6,6 +6,7 @@
 
 from ....routing import RouteKind
 from ..attempts import AttemptEnd, AttemptLog, NextStep, next_step
+from ..fleet_size import FleetSize
 from ..retry_allowance import RetryBudgetLimit, SharedRetryBudget
 
 KINDS = st.sampled_from(RouteKind)
@@ -110,14 +111,16 @@
     test checks one entry against its share of the limit.
     """
     bounds = RetryBudgetLimit(ratio=0.2, slack=100, window=10)
-    budget = SharedRetryBudget(bounds)
+    fleet = FleetSize()
+    fleet.observe(entries, is_discovered=True)
+    budget = SharedRetryBudget(bounds, fleet, started_at=-100)
     now = float(0)
     retried: list[float] = []
     for _ in range(first_attempts):
         budget.record_first_attempt(now)
     for gap in gaps:
         now += gap
-        if budget.try_acquire(now, entries):
+        if budget.try_acquire(now):
             retried.append(now)
     for moment in retried:
         start = moment - bounds.window
--- a/packages/sycamore-core/src/sycamore_core/messages/entries.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/entries.py
@@ -62,6 +62,9 @@
         Resources that workspaces use through the sender.
     paces
         Engines that the sender measures as slow.
+    known_entries
+        Number of entries that the sender knows, itself and lost entries
+        included; 0 if it is not reported.
     """
 
     entry: EntryId
@@ -83,6 +86,7 @@
     waiting: tuple[WaitingReport, ...] = ()
     usage: tuple[WorkspaceUsage, ...] = ()
     paces: tuple[PaceReport, ...] = ()
+    known_entries: int = 0
 
 
 class CellSummary(BaseMessage, frozen=True):
@@ -120,6 +124,9 @@
         Resources that workspaces use through the cell.
     paces
         Engines that the sender measures as slow.
+    known_entries
+        Number of entries that the sender knows, itself and lost entries
+        included; 0 if it is not reported.
     """
 
     entry: EntryId
@@ -138,6 +145,7 @@
     waiting: tuple[WaitingReport, ...] = ()
     usage: tuple[WorkspaceUsage, ...] = ()
     paces: tuple[PaceReport, ...] = ()
+    known_entries: int = 0
 
 
 class TrialWanted(BaseMessage, frozen=True):
--- a/packages/sycamore-core/src/sycamore_core/telemetry/gauges.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/gauges.py
@@ -26,6 +26,7 @@
     WAITING = 'sycamore_requests_waiting'
     RUNNING = 'sycamore_requests_running'
     PEERS = 'sycamore_peers'
+    RETRY_ENTRIES = 'sycamore_retry_budget_entries'
 
 
 #: Help texts of the gauges.
@@ -40,6 +41,9 @@
         Gauge.WAITING: 'Requests that wait to be offered or to start',
         Gauge.RUNNING: 'Requests in progress',
         Gauge.PEERS: 'Other processes heard of lately',
+        Gauge.RETRY_ENTRIES: (
+            'Entries by which the retry budget is divided; 0 if unknown'
+        ),
     },
 )
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/retry_control.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/retry_control.py
@@ -48,7 +48,7 @@
     def decide(self, call: AdmittedRequest, end: AttemptEnd) -> RetryDecision:
         """Decide on the step after an attempt; count the decision."""
         budget = self.context.allowance(call.service.service)
-        state = budget.state(self._now(), self.context.entry_count)
+        state = budget.state(self._now())
         permission = self._permission(call, end)
         self.context.metrics.retries.count_permission(permission)
         step = next_step(
@@ -74,7 +74,7 @@
         if permission != RetryPermission.GRANTED:
             return permission
         budget = self.context.allowance(call.service.service)
-        if budget.try_acquire(self._now(), self.context.entry_count):
+        if budget.try_acquire(self._now()):
             return permission
         return RetryPermission.BUDGET_SPENT
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
@@ -5,8 +5,8 @@
 
 from sycamore_core.clock import Clock
 from sycamore_core.decisions.direct import (
+    FleetSize,
     Quarantine,
-    RetryBudgetState,
     SharedRetryBudget,
     SuspectLocations,
     is_isolated,
@@ -43,6 +43,10 @@
     entry_count
         Number of entries that send updates or are named by peers, this entry
         included.
+    fleet_size
+        Number of entries among which the operator's limits are divided.
+    started_at
+        When this entry was created, on the monotonic clock, in seconds.
     last_peer_message_at
         When the last message of a peer arrived, on the monotonic clock, in
         seconds.
@@ -80,6 +84,8 @@
     log: Log
     is_stopping: bool = False
     entry_count: int = 1
+    fleet_size: FleetSize = dataclasses.field(default_factory=FleetSize)
+    started_at: float = dataclasses.field(init=False)
     last_peer_message_at: float | None = None
     peer_reports: list[PeerReport] = dataclasses.field(init=False)
     background: set[asyncio.Task[None]] = dataclasses.field(
@@ -103,6 +109,9 @@
     flow: FlowControl = dataclasses.field(default_factory=FlowControl)
 
     def __post_init__(self) -> None:
+        self.started_at = self.clock.monotonic()
+        if not self.settings.peers:
+            self.fleet_size.observe(1, is_discovered=True)
         self.unknown_headers = UnknownHeaders(self.metrics, self.log)
         self.trials = LocalTrialGrants(self.quarantine, self.clock)
         self.running = RunningRequests(self.keeper.evacuation)
@@ -110,7 +119,7 @@
         self.flow.apply_memory(self.settings.memory_bytes)
         self.metrics.slow_readers = self.flow.cuts
         self.metrics.retries.left.read = self._retries_left
-        self.metrics.retries.entries.read = self._retry_entries
+        self.metrics.retries.fleet = self.fleet_size
         self.pool.flow = self.flow
         self.keeper.ended.on_end.append(self.pool.close_endpoint)
         self._add_overload_control()
@@ -155,25 +164,18 @@
         """Return the shared retry budget of a service."""
         budget = self.allowances.get(service)
         if budget is None:
-            budget = SharedRetryBudget(self.settings.allowance)
+            budget = SharedRetryBudget(
+                self.settings.allowance,
+                self.fleet_size,
+                self.started_at,
+            )
             self.allowances[service] = budget
         return budget
 
     def _retries_left(self) -> dict[str, float]:
-        states = self._budget_states()
-        return {
-            service: max(0, state.permitted - state.spent)
-            for service, state in states.items()
-        }
-
-    def _retry_entries(self) -> dict[str, float]:
-        states = self._budget_states()
-        return {service: state.entries for service, state in states.items()}
-
-    def _budget_states(self) -> dict[ServiceId, RetryBudgetState]:
         now = self.clock.monotonic()
         return {
-            service: budget.state(now, self.entry_count)
+            service: budget.state(now).left
             for service, budget in self.allowances.items()
         }
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
@@ -171,7 +171,7 @@
         if self.has_event or service.engine is None:
             return True
         budget = self.context.allowance(service.service)
-        return budget.has_capacity(self._now(), self.context.entry_count)
+        return budget.has_capacity(self._now())
 
     def _is_worth_moving(self) -> bool:
         """Return whether it is useful to move to another endpoint.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_count.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_count.py
@@ -7,7 +7,13 @@
 
 
 class EntryCount:
-    """Updates the number of entries that one entry believes in."""
+    """Updates the number of entries that one entry believes in.
+
+    Attributes
+    ----------
+    known
+        Entries that are known, including this one and those that are lost.
+    """
 
     def __init__(
         self,
@@ -17,7 +23,7 @@
         self.context = context
         self.membership = membership
         self.log = Log('mesh')
-        self._created_at = context.clock.monotonic()
+        self.known = 1
 
     def update(self, now: float) -> None:
         """Take the number from the membership; log each change.
@@ -27,7 +33,11 @@
         now
             Monotonic time, in seconds.
         """
-        count = self.membership.expected_count
+        membership = self.membership
+        seeds = self.context.settings.seeds
+        self.known = len({*membership.members, *seeds, membership.address})
+        self._observe(self.known, is_discovered=has_contact(membership, seeds))
+        count = membership.expected_count
         previous = self.context.entry_count
         self.context.entry_count = count
         if count != previous:
@@ -35,6 +45,32 @@
                 'entries_counted',
                 entries=count,
                 previous=previous,
-                lost=len(self.membership.members) + 1 - count,
-                process_seconds=round(now - self._created_at, 3),
+                lost=len(membership.members) + 1 - count,
+                process_seconds=round(now - self.context.started_at, 3),
             )
+
+    def apply_report(self, known_entries: int) -> None:
+        """Apply the number of entries that a peer knows."""
+        self._observe(known_entries, is_discovered=False)
+
+    def _observe(self, entries: int, *, is_discovered: bool) -> None:
+        """Update the number by which limits are divided; log its changes."""
+        size = self.context.fleet_size
+        previous = size.divisor
+        size.observe(entries, is_discovered=is_discovered)
+        if size.divisor != previous:
+            self.log.info(
+                'limits_divided',
+                entries=size.divisor,
+                previous=previous,
+            )
+
+
+def has_contact(membership: Membership, seeds: tuple[str, ...]) -> bool:
+    """Return whether an entry knows another one, or is the only one.
+
+    An entry that has discovered no other, although there are seeds, is most
+    likely not alone. Without this, all entries that start together would each
+    use the whole limit.
+    """
+    return bool(membership.members) or not membership.seeds_to_contact(seeds)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -42,7 +42,8 @@
 from ..context import ForwardingContext
 from ..crashes import CrashWatch
 from ..trials import FleetTrialGrants, LocalTrialGrants
-from .entry_count import EntryCount
+from .entry_count import EntryCount, has_contact
+from .entry_count_report import EntryCountReport
 from .newer_settings import NewerSettings
 from .update_schedule import UpdateSchedule
 from .update_sender import UpdateSender
@@ -87,6 +88,7 @@
         self.newer_settings = NewerSettings(context.keeper)
         self.crashes = CrashWatch(context)
         self.entry_count = EntryCount(context, self.membership)
+        context.peer_reports.append(EntryCountReport(self.entry_count))
         self.trials = FleetTrialGrants(
             LocalTrialGrants(context.quarantine, context.clock),
             node,
@@ -348,12 +350,7 @@
 def _discovered_fraction(
     membership: Membership, seeds: tuple[str, ...]
 ) -> float:
-    """Return the fraction of the entries that are known and not lost.
-
-    An entry that has discovered no other, although there are seeds, is most
-    likely not alone. Without this, all entries that start together would each
-    use the whole rate of cold endpoints.
-    """
-    if not membership.members and membership.seeds_to_contact(seeds):
+    """Return the fraction of the entries that are known and not lost."""
+    if not has_contact(membership, seeds):
         return 0
     return membership.reporting_fraction
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/retry_metrics.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/retry_metrics.py
@@ -1,7 +1,11 @@
 """Metrics of retries and of the retry budget."""
 
-from sycamore_core.decisions.direct import AttemptEnd, RetryPermission
-from sycamore_core.telemetry import Metrics
+from sycamore_core.decisions.direct import (
+    AttemptEnd,
+    FleetSize,
+    RetryPermission,
+)
+from sycamore_core.telemetry import Gauge, Metrics
 from sycamore_core.telemetry.gauges import LabelledGauge
 from sycamore_core.telemetry.tallies import Tally
 
@@ -15,9 +19,10 @@
         Counts of retries by the end of the attempt before.
     permissions
         Counts of failed attempts by whether a retry was permitted.
-    left, entries
-        Retries that the budget permits now, and number of entries that share
-        it, by service.
+    left
+        Retries that the budget permits now, by service.
+    fleet
+        Number of entries that share the budget.
     """
 
     def __init__(self) -> None:
@@ -28,11 +33,7 @@
             'service',
             'Retries that the budget of this entry permits now, by service',
         )
-        self.entries = LabelledGauge(
-            'retry_budget_entries',
-            'service',
-            'Entries by which the retry budget is divided, by service',
-        )
+        self.fleet = FleetSize()
 
     def count(self, reason: AttemptEnd) -> None:
         """Count a retry by the end of the attempt before it."""
@@ -47,4 +48,6 @@
         metrics.export_tally('forwarding_retries', self.reasons)
         metrics.export_tally('forwarding_retry_permissions', self.permissions)
         metrics.export_labelled_gauge(self.left)
-        metrics.export_labelled_gauge(self.entries)
+        metrics.export_gauge(
+            Gauge.RETRY_ENTRIES, lambda: self.fleet.divisor or 0
+        )
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
@@ -422,7 +422,10 @@
     served: Route,
     *endpoints: RawEndpoint,
 ) -> AsyncIterator[TestEntry]:
-    """Run an entry in front of endpoints of the route's service."""
+    """Run an entry in front of endpoints of the route's service.
+
+    It started some time ago, so that its retry budget has been filled.
+    """
     snapshot = await snapshot_of(served, endpoints)
     clock = SystemClock()
     keeper = FleetKeeper(FixedFeed(snapshot), clock)
@@ -446,6 +449,7 @@
         metrics=ForwardingMetrics(),
         log=Log('forwarding'),
     )
+    context.started_at -= context.settings.allowance.window
     entry = TestEntry(context)
     entry.server.listen(0, HOST)
     keeping = asyncio.create_task(keeper.run())
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_retry_budget.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_retry_budget.py
@@ -1,9 +1,11 @@
 """How many entries an entry divides the operator's limit on retries by."""
 
+import asyncio
+
 from sycamore_core.ids import PeerId, ServiceId, ZoneId
 
 from ..process import ForwardingProcess
-from .builders_mesh import entries
+from .builders_mesh import entries, running
 
 LATE_SERVICE = ServiceId('late')
 
@@ -14,7 +16,7 @@
     budget = context.allowance(LATE_SERVICE)
     now = context.clock.monotonic()
     granted = 0
-    while granted < 1000 and budget.try_acquire(now, context.entry_count):
+    while granted < 1000 and budget.try_acquire(now):
         granted += 1
     return granted
 
@@ -42,3 +44,16 @@
     assert grant_retries(first) <= slack / 4
     await first.close()
     await second.close()
+
+
+async def test_entry_counts_the_entries_that_its_peers_have_lost() -> None:
+    """Guards against a start in a partition, with shares for one side only."""
+    first, second = entries(2)
+    now = first.context.clock.monotonic()
+    lost = 'tcp://127.0.0.1:9'
+    first.mesh.membership.add(ZoneId('a'), (lost,), now - 10)
+    async with running([first, second]):
+        async with asyncio.timeout(5):
+            while second.context.fleet_size.divisor != 3:
+                await asyncio.sleep(0.02)
+    assert lost not in second.mesh.membership.members
