Use no part of an endpoint's rate before contact with the fleet

RateLimits had a reporting fraction of 1 until the first update and 1 again without members. It now gets the fraction that the limits of cold endpoints already had, 0 before any contact, with which an entry sends one request in two seconds. EntryCount hands out all numbers of entries, so that the mesh no longer knows the limits.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_count.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_count.py
@@ -7,7 +7,7 @@
 
 
 class EntryCount:
-    """Updates the number of entries that one entry believes in.
+    """Tells the components of one entry how many entries there are.
 
     Attributes
     ----------
@@ -24,9 +24,10 @@
         self.membership = membership
         self.log = Log('mesh')
         self.known = 1
+        self._update_fractions()
 
     def update(self, now: float) -> None:
-        """Take the number from the membership; log each change.
+        """Take the numbers from the membership; log changes.
 
         Parameters
         ----------
@@ -37,6 +38,8 @@
         seeds = self.context.settings.seeds
         self.known = len({*membership.members, *seeds, membership.address})
         self._observe(self.known, is_discovered=has_contact(membership, seeds))
+        self._update_fractions()
+        self._update_limits()
         count = membership.expected_count
         previous = self.context.entry_count
         self.context.entry_count = count
@@ -53,6 +56,27 @@
         """Apply the number of entries that a peer knows."""
         self._observe(known_entries, is_discovered=False)
 
+    def _update_fractions(self) -> None:
+        """Update the part of the rates of endpoints that is used."""
+        seeds = self.context.settings.seeds
+        fraction: float = 0
+        if has_contact(self.membership, seeds):
+            fraction = self.membership.reporting_fraction
+        dispatcher = self.context.dispatcher
+        dispatcher.limits.reporting_fraction = fraction
+        dispatcher.cold.limits.reporting_fraction = fraction
+
+    def _update_limits(self) -> None:
+        """Update the numbers by which requests and reads are spaced."""
+        membership = self.membership
+        cell_count = len(membership.own_cell_addresses()) + 1
+        dispatcher = self.context.dispatcher
+        dispatcher.limits.entry_count = cell_count
+        dispatcher.cold.limits.entry_count = cell_count
+        dispatcher.cold.limits.fleet_count = len(membership.members) + 1
+        read_limit = self.context.keeper.read_limit
+        read_limit.entries = membership.expected_count
+
     def _observe(self, entries: int, *, is_discovered: bool) -> None:
         """Update the number by which limits are divided; log its changes."""
         size = self.context.fleet_size
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -42,7 +42,7 @@
 from ..context import ForwardingContext
 from ..crashes import CrashWatch
 from ..trials import FleetTrialGrants, LocalTrialGrants
-from .entry_count import EntryCount, has_contact
+from .entry_count import EntryCount
 from .entry_count_report import EntryCountReport
 from .newer_settings import NewerSettings
 from .update_schedule import UpdateSchedule
@@ -111,9 +111,6 @@
         self._incarnations: dict[str, Incarnation] = {}
         self._next_full_at: float = 0
         self._last_sent: tuple[object, ...] = ()
-        context.dispatcher.cold.limits.reporting_fraction = (
-            _discovered_fraction(self.membership, context.settings.seeds)
-        )
         node.serve_peer = self.serve
 
     @classmethod
@@ -163,7 +160,7 @@
             changed = self.registry.pop_changed()
             if now >= self._next_full_at or self._pop_other_changes():
                 self._next_full_at = now + FULL_UPDATE_SECONDS
-                self._update_membership(now)
+                self.update_membership()
                 self.introduce_to_seeds()
                 self.sender.send_full(now)
                 self.schedule.record_update(now)
@@ -176,6 +173,28 @@
         while True:
             self._handle(peer, await peer.inbound.get())
 
+    def update_membership(self) -> None:
+        """Expire silent members and update the number of entries and cells."""
+        now = self.clock.monotonic()
+        for lost in self.membership.expire(now):
+            self.registry.remove_peer(lost.name)
+            for report in self.context.peer_reports:
+                report.remove_peer(lost.name)
+            self.log.warning(
+                'peer_lost',
+                peer=lost.name,
+                address=lost.address,
+                zone=lost.zone,
+            )
+        self.entry_count.update(now)
+        cells = self.membership.cells
+        if cells != self.context.dispatcher.cells.zones:
+            self.log.info('cells_changed', zones=sorted(cells))
+        self.context.dispatcher.cells = CellView(
+            zone=self.membership.zone,
+            zones=cells,
+        )
+
     def _handle(self, peer: Peer, message: Message) -> None:
         if isinstance(message, CompressedMessage):
             message = self._decompress(message)
@@ -314,43 +333,3 @@
         is_own_cell = self.membership.is_own_cell(update.zone)
         if update.is_introduction or (is_new and is_own_cell):
             peer.post(self.writer.introduction(now))
-
-    def _update_membership(self, now: float) -> None:
-        """Expire silent members and update the number of entries and cells."""
-        for lost in self.membership.expire(now):
-            self.registry.remove_peer(lost.name)
-            for report in self.context.peer_reports:
-                report.remove_peer(lost.name)
-            self.log.warning(
-                'peer_lost',
-                peer=lost.name,
-                address=lost.address,
-                zone=lost.zone,
-            )
-        self.entry_count.update(now)
-        limits = self.context.dispatcher.limits
-        limits.reporting_fraction = self.membership.reporting_fraction
-        limits.entry_count = len(self.membership.own_cell_addresses()) + 1
-        cold_limits = self.context.dispatcher.cold.limits
-        cold_limits.reporting_fraction = _discovered_fraction(
-            self.membership, self.context.settings.seeds
-        )
-        cold_limits.entry_count = limits.entry_count
-        cold_limits.fleet_count = len(self.membership.members) + 1
-        self.keeper.read_limit.entries = self.membership.expected_count
-        cells = self.membership.cells
-        if cells != self.context.dispatcher.cells.zones:
-            self.log.info('cells_changed', zones=sorted(cells))
-        self.context.dispatcher.cells = CellView(
-            zone=self.membership.zone,
-            zones=cells,
-        )
-
-
-def _discovered_fraction(
-    membership: Membership, seeds: tuple[str, ...]
-) -> float:
-    """Return the fraction of the entries that are known and not lost."""
-    if not has_contact(membership, seeds):
-        return 0
-    return membership.reporting_fraction
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_retry_budget.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_shared_limits.py
@@ -1,10 +1,11 @@
-"""How many entries an entry divides the operator's limit on retries by."""
+"""How many entries an entry divides the limits of the fleet by."""
 
 import asyncio
 
 from sycamore_core.ids import PeerId, ServiceId, ZoneId
 
 from ..process import ForwardingProcess
+from .builders import ENDPOINT
 from .builders_mesh import entries, running
 
 LATE_SERVICE = ServiceId('late')
@@ -57,3 +58,21 @@
             while second.context.fleet_size.divisor != 3:
                 await asyncio.sleep(0.02)
     assert lost not in second.mesh.membership.members
+
+
+async def test_entry_without_contact_takes_no_rate_of_an_endpoint() -> None:
+    """Guards against entries that each use the whole rate of an endpoint.
+
+    They start cut off from each other, and an endpoint names its rate to each.
+    """
+    _, second = entries(2)
+    second.mesh.update_membership()
+    limits = second.context.dispatcher.limits
+    now = second.context.clock.monotonic()
+    limits.said(ENDPOINT.lifetime, 5, now)
+    granted = 0
+    while granted < 100 and limits.has_room(ENDPOINT.lifetime, now):
+        limits.sent(ENDPOINT.lifetime, now)
+        granted += 1
+    assert granted == 1
+    await second.close()
