--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_count.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_count.py
@@ -74,8 +74,9 @@
         dispatcher.limits.entry_count = cell_count
         dispatcher.cold.limits.entry_count = cell_count
         dispatcher.cold.limits.fleet_count = len(membership.members) + 1
+        # Lost entries may still read.
         read_limit = self.context.keeper.read_limit
-        read_limit.entries = membership.expected_count
+        read_limit.entries = self.context.fleet_size.largest
 
     def _observe(self, entries: int, *, is_discovered: bool) -> None:
         """Update the number by which limits are divided; log its changes."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_shared_limits.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_shared_limits.py
@@ -76,3 +76,22 @@
         granted += 1
     assert granted == 1
     await second.close()
+
+
+async def test_entry_that_lost_its_peers_reads_no_more_often() -> None:
+    """Guards against a platform that refuses the reads of a split fleet.
+
+    Each entry would read as often as all of them together may.
+    """
+    first, second = entries(2)
+    mesh = first.mesh
+    now = first.context.clock.monotonic()
+    for number in range(30):
+        address = f'tcp://{number}'
+        peer = PeerId(address)
+        mesh.membership.mark_alive(address, ZoneId('a'), peer, now - 10)
+    mesh.update_membership()
+    assert first.context.keeper.read_limit.entries == 31
+    assert mesh.membership.expected_count == 1
+    await first.close()
+    await second.close()
