--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -35,7 +35,7 @@
 from .quarantine import Quarantine
 from .rate_limits import RateLimits
 from .read_plan import is_short_request, plan_read
-from .retry_allowance import (
+from .retry_budget import (
     RetryBudgetLimit,
     RetryBudgetState,
     SharedRetryBudget,
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/retry_allowance.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/retry_budget.py
@@ -66,7 +66,7 @@
     window: float = 10
 
     @property
-    def earned(self) -> float:
+    def earned_per_request(self) -> float:
         """Return the retries that one first attempt earns."""
         return self.ratio / 2
 
@@ -82,8 +82,8 @@
     def reserve_rate(self, entries: int) -> float:
         """Return the retries per second by which a reserve is filled.
 
-        What is filled in during a window and the longest delay before it may
-        arrive in that window.
+        Retries of a window may be decided in it or in the longest delay before
+        it, so that what is filled in during both may arrive in that window.
         """
         filled = self._share(entries) * (1 - _CAPACITY_FRACTION)
         return filled / (self.window * (1 + MAX_DELAY_FRACTION))
@@ -168,8 +168,7 @@
         self.reserve: float = 0
         self.filled_at = started_at
         self._first_attempts: deque[float] = deque()
-        # First attempts at the front of the queue that are used up; the last
-        # of them in part.
+        # Part of the oldest first attempt whose retries are used, below 1.
         self._used: float = 0
 
     def record_first_attempt(self, now: float) -> None:
@@ -204,7 +203,9 @@
 
     @property
     def _earned(self) -> float:
-        return self.bounds.earned * (len(self._first_attempts) - self._used)
+        return self.bounds.earned_per_request * (
+            len(self._first_attempts) - self._used
+        )
 
     @property
     def _capacity(self) -> float:
@@ -216,7 +217,7 @@
         earned = min(1, self._earned)
         self.reserve = max(0, self.reserve - (1 - earned))
         if earned:
-            self._used += earned / self.bounds.earned
+            self._used += earned / self.bounds.earned_per_request
         while self._used >= 1:
             self._first_attempts.popleft()
             self._used -= 1
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/builders_budgets.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/builders_budgets.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ..fleet_size import FleetSize
-from ..retry_allowance import RetryBudgetLimit, SharedRetryBudget
+from ..retry_budget import RetryBudgetLimit, SharedRetryBudget
 
 LIMIT = RetryBudgetLimit(ratio=0.2, slack=102, window=10)
 #: Time from a request to its failure, in seconds.
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_attempts.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_attempts.py
@@ -7,7 +7,7 @@
 from ....routing import RouteKind
 from ..attempts import AttemptEnd, AttemptLog, NextStep, next_step
 from ..fleet_size import FleetSize
-from ..retry_allowance import RetryBudgetLimit, SharedRetryBudget
+from ..retry_budget import RetryBudgetLimit, SharedRetryBudget
 
 KINDS = st.sampled_from(RouteKind)
 ENDS = st.sampled_from([end for end in AttemptEnd if end != 'answered'])
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ..fleet_size import FleetSize
-from ..retry_allowance import RetryBudgetLimit, SharedRetryBudget
+from ..retry_budget import RetryBudgetLimit, SharedRetryBudget
 from .builders_budgets import BudgetResult
 
 WITHOUT_SLACK = RetryBudgetLimit(ratio=0.2, slack=0, window=10)
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget_machine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget_machine.py
@@ -11,7 +11,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
 from ..fleet_size import FleetSize
-from ..retry_allowance import (
+from ..retry_budget import (
     MAX_DELAY_FRACTION,
     RetryBudgetLimit,
     SharedRetryBudget,
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget_replay.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget_replay.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ..retry_allowance import RetryBudgetLimit
+from ..retry_budget import RetryBudgetLimit
 from .builders_budgets import LIMIT, FailingLoad, replay
 
 #: Failed attempts that the budget may end where few attempts fail.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/retry_control.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/retry_control.py
@@ -42,12 +42,12 @@
 
     def record_first_attempt(self, call: AdmittedRequest) -> None:
         """Record the request in the retry budget of its service."""
-        budget = self.context.allowance(call.service.service)
+        budget = self.context.retry_budget(call.service.service)
         budget.record_first_attempt(self._now())
 
     def decide(self, call: AdmittedRequest, end: AttemptEnd) -> RetryDecision:
         """Decide on the step after an attempt; count the decision."""
-        budget = self.context.allowance(call.service.service)
+        budget = self.context.retry_budget(call.service.service)
         state = budget.state(self._now())
         permission = self._permission(call, end)
         self.context.metrics.retries.count_permission(permission)
@@ -73,7 +73,7 @@
         )
         if permission != RetryPermission.GRANTED:
             return permission
-        budget = self.context.allowance(call.service.service)
+        budget = self.context.retry_budget(call.service.service)
         if budget.try_acquire(self._now()):
             return permission
         return RetryPermission.BUDGET_SPENT
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
@@ -91,7 +91,7 @@
     background: set[asyncio.Task[None]] = dataclasses.field(
         default_factory=set,
     )
-    allowances: dict[ServiceId, SharedRetryBudget] = dataclasses.field(
+    retry_budgets: dict[ServiceId, SharedRetryBudget] = dataclasses.field(
         default_factory=dict,
     )
     quarantine: Quarantine = dataclasses.field(default_factory=Quarantine)
@@ -157,26 +157,26 @@
         self.flow.apply_memory(settings.memory_bytes)
         self.keeper.read_limit.change_seconds = settings.change_seconds
         self.dispatcher.cold.rate = settings.cold_rate
-        for budget in self.allowances.values():
-            budget.bounds = settings.allowance
+        for budget in self.retry_budgets.values():
+            budget.bounds = settings.retry_limit
 
-    def allowance(self, service: ServiceId) -> SharedRetryBudget:
+    def retry_budget(self, service: ServiceId) -> SharedRetryBudget:
         """Return the shared retry budget of a service."""
-        budget = self.allowances.get(service)
+        budget = self.retry_budgets.get(service)
         if budget is None:
             budget = SharedRetryBudget(
-                self.settings.allowance,
+                self.settings.retry_limit,
                 self.fleet_size,
                 self.started_at,
             )
-            self.allowances[service] = budget
+            self.retry_budgets[service] = budget
         return budget
 
     def _retries_left(self) -> dict[str, float]:
         now = self.clock.monotonic()
         return {
             service: budget.state(now).left
-            for service, budget in self.allowances.items()
+            for service, budget in self.retry_budgets.items()
         }
 
     def _add_overload_control(self) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
@@ -170,7 +170,7 @@
         service = self.call.service
         if self.has_event or service.engine is None:
             return True
-        budget = self.context.allowance(service.service)
+        budget = self.context.retry_budget(service.service)
         return budget.has_capacity(self._now())
 
     def _is_worth_moving(self) -> bool:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -139,7 +139,7 @@
             self._reload_when_changed(_event_for_signals(signal.SIGHUP))
         )
         settings = self.context.settings
-        limit = settings.allowance
+        limit = settings.retry_limit
         self.log.info(
             'started',
             entry=settings.name,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/settings.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/settings.py
@@ -44,7 +44,7 @@
     seeds
         Addresses of a few peers, through which the entries discover one
         another.
-    allowance
+    retry_limit
         The operator's limit on retries.
     stop_seconds
         Time from the stop signal until the process is killed, in seconds.
@@ -71,7 +71,7 @@
     peers: str = ''
     metrics: str = ''
     seeds: tuple[str, ...] = ()
-    allowance: RetryBudgetLimit = RetryBudgetLimit()
+    retry_limit: RetryBudgetLimit = RetryBudgetLimit()
     stop_seconds: float = 8
     change_seconds: float = CHANGE_SECONDS
     evacuate_seconds: float | None = None
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
@@ -449,7 +449,7 @@
         metrics=ForwardingMetrics(),
         log=Log('forwarding'),
     )
-    context.started_at -= context.settings.allowance.window
+    context.started_at -= context.settings.retry_limit.window
     entry = TestEntry(context)
     entry.server.listen(0, HOST)
     keeping = asyncio.create_task(keeper.run())
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_ended.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_ended.py
@@ -93,7 +93,7 @@
     fleet = pair()
     async with running_entry(SAFE, *fleet) as entry, asked(entry) as answer:
         first = await first_asked(fleet)
-        budget = entry.context.allowance(SERVICE)
+        budget = entry.context.retry_budget(SERVICE)
         budget.bounds = RetryBudgetLimit(ratio=0, slack=0, window=10)
         restart(entry, first)
         assert (await answer_at_once(answer)).startswith(FAILED)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
@@ -137,7 +137,7 @@
     late = RawEndpoint('e1', answer_after_short_delay)
     idle = RawEndpoint('e2', answer_at_once)
     async with running_entry(STREAM, late, idle) as entry:
-        budget = entry.context.allowance(MODEL)
+        budget = entry.context.retry_budget(MODEL)
         budget.bounds = RetryBudgetLimit(ratio=0, slack=0)
         start_long_prompt(entry, 'e2')
         asking = asyncio.create_task(entry.ask(Prompt='4000'))
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_shared_limits.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_shared_limits.py
@@ -14,7 +14,7 @@
 def grant_retries(process: ForwardingProcess) -> int:
     """Return how many retries an entry grants now for one service."""
     context = process.context
-    budget = context.allowance(LATE_SERVICE)
+    budget = context.retry_budget(LATE_SERVICE)
     now = context.clock.monotonic()
     granted = 0
     while granted < 1000 and budget.try_acquire(now):
@@ -41,7 +41,7 @@
     now += 10
     mesh.membership.expire(now)
     mesh.entry_count.update(now)
-    slack = first.context.settings.allowance.slack
+    slack = first.context.settings.retry_limit.slack
     assert grant_retries(first) <= slack / 4
     await first.close()
     await second.close()
