--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/builders_budgets.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/builders_budgets.py
@@ -3,11 +3,11 @@
 import abc
 import bisect
 import heapq
-import random
 from collections.abc import Callable
 
 import msgspec
 
+from ....hashes import stable_fraction
 from ..fleet_size import FleetSize
 from ..retry_budget import RetryBudgetLimit, SharedRetryBudget
 
@@ -156,7 +156,7 @@
     ) -> None:
         self.policy = policy
         self.load = load
-        self.random = random.Random(load.seed)
+        self.draws = 0
         self.wanted = 0
         self.retries: list[float] = []
         self.processes = [policy(load.limit, 0) for _ in range(load.entries)]
@@ -182,7 +182,7 @@
         number = int(load.requests_per_s * load.seconds)
         for entry in range(load.entries):
             for _ in range(number):
-                at = self.random.uniform(0, load.seconds)
+                at = self._draw() * load.seconds
                 self._events.append((at, entry, 0))
         heapq.heapify(self._events)
         return sorted(at for at, _, _ in self._events)
@@ -216,7 +216,13 @@
     def _fails(self, now: float) -> bool:
         load = self.load
         is_failing = load.fails_from <= now < load.fails_to
-        return is_failing and self.random.random() < load.failing
+        return is_failing and self._draw() < load.failing
+
+    def _draw(self) -> float:
+        """Return the next pseudorandom number from 0 to 1."""
+        self.draws += 1
+        seed = self.load.seed
+        return stable_fraction(f'{seed} {self.draws}')
 
 
 def replay(
