--- a/packages/sycamore-core/src/sycamore_core/telemetry/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/__init__.py
@@ -1,16 +1,21 @@
 """JSON logs, Prometheus metrics and attainment of the targets."""
 
 from .attainment import Attainment, AttainmentKey, AttainmentRow
+from .event_loop import EventLoopWatch
 from .gauges import Gauge
 from .logs import Log, start_logging
 from .metrics import Metrics
+from .process_times import DelayCause, ProcessTimes
 
 __all__ = (
     'Attainment',
     'AttainmentKey',
     'AttainmentRow',
+    'DelayCause',
+    'EventLoopWatch',
     'Gauge',
     'Log',
     'Metrics',
+    'ProcessTimes',
     'start_logging',
 )
--- a/packages/sycamore-core/src/sycamore_core/telemetry/histograms.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/histograms.py
@@ -50,6 +50,16 @@
             'How many times longer a request took than alone, by band',
             SLOWDOWN_BOUNDS,
         )
+        self._event_loop_late = _histogram(
+            meter,
+            'sycamore_event_loop_late_seconds',
+            'How late the event loop of the process was',
+            DURATION_BOUNDS,
+        )
+
+    def event_loop_late(self, seconds: float) -> None:
+        """Record how late the event loop was, in seconds."""
+        self._event_loop_late.record(seconds)
 
     def first_token(self, band: PromptBand, seconds: float) -> None:
         """Record a time to first token, in seconds."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
@@ -12,6 +12,7 @@
 
 from .operator_pages import OperatorPage, PageResponse
 from .retry_metrics import RetryMetrics
+from .suspect_metrics import SuspectMetrics
 
 #: Upper bounds of the bands of prompt lengths, in tokens: a chat request, a
 #: briefing, and a prompt that one engine reads within a few seconds. Longer
@@ -39,6 +40,8 @@
         Counts of refusals by reason, and of requests by outcome.
     retries
         Metrics of retries and of the retry budget.
+    suspects
+        Metrics of requests that may crash endpoints.
     held_attempts
         Counts of silent attempts that stayed because the fleet was full, by
         route.
@@ -63,6 +66,7 @@
         self.process = process
         self.refusals = Tally('reason')
         self.retries = RetryMetrics()
+        self.suspects = SuspectMetrics()
         self.outcomes = Tally('end')
         self.held_attempts = Tally('route')
         self.unknown_headers = Tally('name')
@@ -84,6 +88,7 @@
         self._buffered: deque[tuple[PromptBand, float]] = deque(
             maxlen=MAX_BUFFERED_TIMES
         )
+        self._buffered_lateness: deque[float] = deque(maxlen=MAX_BUFFERED_TIMES)
         self._metrics: Metrics | None = None
 
     def observe_first_event(self, prompt_tokens: int, seconds: float) -> None:
@@ -94,6 +99,13 @@
         else:
             self._metrics.first_token(band, seconds)
 
+    def observe_lateness(self, seconds: float) -> None:
+        """Record how late the event loop of the process was."""
+        if self._metrics is None:
+            self._buffered_lateness.append(seconds)
+        else:
+            self._metrics.times.event_loop_late(seconds)
+
     def load_metrics(self) -> Metrics:
         """Return the exporter; create it on first use."""
         if self._metrics is None:
@@ -101,6 +113,8 @@
             self._export(self._metrics)
             for band, seconds in self._buffered:
                 self._metrics.first_token(band, seconds)
+            for late_seconds in self._buffered_lateness:
+                self._metrics.times.event_loop_late(late_seconds)
         return self._metrics
 
     def render(self) -> bytes:
@@ -109,6 +123,7 @@
 
     def _export(self, metrics: Metrics) -> None:
         self.retries.export(metrics)
+        self.suspects.export(metrics)
         for name, tally in self._tallies().items():
             metrics.export_tally(name, tally)
         for gauge in (self.engine_time, self.memory):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -10,7 +10,7 @@
 from sycamore_core.clock import SystemClock
 from sycamore_core.errors import SettingsError
 from sycamore_core.messages import PeerKeys
-from sycamore_core.telemetry import Log
+from sycamore_core.telemetry import EventLoopWatch, Log, ProcessTimes
 from tornado.httpserver import HTTPServer
 
 from .callers.caller import (
@@ -73,6 +73,9 @@
         self.connections = CallerConnections(
             self, context.clock.monotonic, context.flow
         )
+        self.loop_watch = EventLoopWatch(
+            context.clock, self.log, context.metrics.observe_lateness
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     @classmethod
@@ -140,6 +143,7 @@
         )
         settings = self.context.settings
         limit = settings.retry_limit
+        times = ProcessTimes.read()
         self.log.info(
             'started',
             entry=settings.name,
@@ -147,6 +151,10 @@
             retry_ratio=limit.ratio,
             retry_slack=limit.slack,
             retry_window_seconds=limit.window,
+            start_seconds=round(times.age_seconds, 3),
+            cpu_seconds=round(times.cpu_seconds, 3),
+            queued_seconds=round(times.queued_seconds, 3),
+            major_faults=times.major_faults,
         )
         callers = self._serve_callers()
         ready = self._serve_operators()
@@ -164,6 +172,7 @@
         self._start_task(self.context.keeper.run())
         self._start_task(self.context.keeper.expire())
         self._start_task(self._sweep())
+        self._start_task(self.loop_watch.run())
 
     def reload(self, *, asked: bool) -> None:
         """Read the settings again; keep the current ones if that fails.
