Say why a trial is denied, and name attempts that are given up

A denial has a reason, also from the entry that grants (a field more in `TrialAnswer`, empty from older entries), and is counted by it. `attempt_abandoned` names endpoint and content of an attempt that was given up while its request had been sent and its answer had not ended. No decision changes: `may_grant` returns the reason in place of a truth value.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -52,7 +52,12 @@
 )
 from .shared_sends import SharedSends
 from .suspect_places import SuspectLocations
-from .trials import granting_entry, may_grant
+from .trials import (
+    TrialDecision,
+    TrialDenial,
+    denial_by_state,
+    granting_entry,
+)
 from .update_pace import UPDATE_INTERVAL_SECONDS, UpdateRateLimit
 from .worth import is_worth_reading
 
@@ -85,6 +90,8 @@
     'Assignment',
     'SuspectLocations',
     'ShortRequestMeter',
+    'TrialDecision',
+    'TrialDenial',
     'UpdateRateLimit',
     'after_full',
     'after_quarantine',
@@ -95,12 +102,12 @@
     'assignments_of',
     'choose_plain',
     'count_requests',
+    'denial_by_state',
     'granting_entry',
     'is_isolated',
     'is_overdue',
     'is_short_request',
     'is_worth_reading',
-    'may_grant',
     'next_step',
     'plan_in_cells',
     'plan_read',
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/quarantine.py
@@ -57,7 +57,7 @@
     QUARANTINE_SECONDS,
     CrashRegistry,
 )
-from .trials import seconds_to_trial
+from .trials import TrialDecision, TrialDenial, seconds_to_trial
 
 #: Number of crashes with a content as the only suspect after which the content
 #: counts as the certain cause. One crash does not suffice: another entry may
@@ -171,13 +171,21 @@
         int
             Number of the trial, from 1; 0 if none is granted.
         """
+        return self.decide_trial(content, now).number
+
+    def decide_trial(self, content: ContentDigest, now: float) -> TrialDecision:
+        """Grant a trial of a suspect content, or say why not."""
         if not self.is_in_doubt(content, now):
-            return 0
-        if self.seconds_to_trial(content, now):
-            return 0
-        number = self.book.records[content].tries + 1
+            return TrialDecision(denial=TrialDenial.NOT_IN_DOUBT)
+        record = self.book.records[content]
+        seconds = seconds_to_trial(record, now)
+        if seconds is None:
+            return TrialDecision(denial=TrialDenial.SPENT)
+        if seconds:
+            return TrialDecision(denial=TrialDenial.IN_PROGRESS)
+        number = record.tries + 1
         self.record_trial(content, number, now)
-        return number
+        return TrialDecision(number)
 
     def record_trial(
         self, content: ContentDigest, number: int, now: float
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/trials.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/trials.py
@@ -17,8 +17,11 @@
 started, was suspended, or receives reports from at most half of the entries.
 """
 
+import enum
 from collections.abc import Iterable
 
+import msgspec
+
 from ...hashes import stable_hash
 from ...ids import ContentDigest
 from .crash_records import CrashRecord
@@ -36,6 +39,43 @@
 _QUORUM_FRACTION = 0.5
 
 
+class TrialDenial(enum.StrEnum):
+    """Why a trial is not granted."""
+
+    #: The granting entry knows of no reason to suspect the request, or its
+    #: quarantine is not over there.
+    NOT_IN_DOUBT = 'not_in_doubt'
+    #: The last trial may still be in progress.
+    IN_PROGRESS = 'in_progress'
+    #: All trials have been made.
+    SPENT = 'spent'
+    #: The asked entry knows another one that grants the trials.
+    OTHER_ENTRY_GRANTS = 'other_entry_grants'
+    #: The granting entry has just started, was suspended, or heard a peer join.
+    INTERRUPTED = 'interrupted'
+    #: The granting entry receives reports from too few entries.
+    NO_QUORUM = 'no_quorum'
+    #: The granting entry has not answered in time.
+    NO_ANSWER = 'no_answer'
+    #: Another caller of this entry waits for the answer about the request.
+    ALREADY_REQUESTED = 'already_requested'
+
+
+class TrialDecision(msgspec.Struct, frozen=True):
+    """Whether a trial is granted.
+
+    Attributes
+    ----------
+    number
+        Number of the trial, from 1; 0 if it is denied.
+    denial
+        Reason of a denial; empty if there is none, or none is known.
+    """
+
+    number: int = 0
+    denial: TrialDenial | str = ''
+
+
 def granting_entry(content: ContentDigest, entries: Iterable[str]) -> str:
     """Return the entry that grants the trials of a request.
 
@@ -51,8 +91,10 @@
     )
 
 
-def may_grant(uninterrupted_seconds: float, reachable_fraction: float) -> bool:
-    """Return whether an entry has enough information to grant trials.
+def denial_by_state(
+    uninterrupted_seconds: float, reachable_fraction: float
+) -> TrialDenial | None:
+    """Return why an entry has too little information to grant trials.
 
     Parameters
     ----------
@@ -64,13 +106,16 @@
 
     Examples
     --------
-    >>> may_grant(10, 1), may_grant(10, 0.5), may_grant(1, 1)
-    (True, False, False)
+    >>> denial_by_state(10, 0.5).value, denial_by_state(1, 1).value
+    ('no_quorum', 'interrupted')
+    >>> denial_by_state(10, 1) is None
+    True
     """
-    return (
-        uninterrupted_seconds >= MIN_UNINTERRUPTED_SECONDS
-        and reachable_fraction > _QUORUM_FRACTION
-    )
+    if reachable_fraction <= _QUORUM_FRACTION:
+        return TrialDenial.NO_QUORUM
+    if uninterrupted_seconds < MIN_UNINTERRUPTED_SECONDS:
+        return TrialDenial.INTERRUPTED
+    return None
 
 
 def seconds_to_trial(record: CrashRecord, now: float) -> float | None:
--- a/packages/sycamore-core/src/sycamore_core/messages/entries.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/entries.py
@@ -161,10 +161,13 @@
     ----------
     number
         Number of trials including the granted one; 0 if the trial is denied.
+    denial
+        Reason of a denial; empty if the sender gives none.
     """
 
     content: ContentDigest
     number: int
+    denial: str = ''
 
 
 class CompressedMessage(BaseMessage, frozen=True):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -154,7 +154,7 @@
         attempt = Attempt(watch)
         self.attempts.begin()
         try:
-            with self.crashes.track_attempt(self.last_endpoint, call):
+            with self.crashes.track_attempt(attempt):
                 await attempt.run(relay)
         except AttemptError as error:
             return await self._handle_failure(call, attempt, error, relay)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
@@ -12,11 +12,15 @@
 from .calls import AdmittedRequest
 from .context import ForwardingContext
 from .endpoints.attempt import Attempt
-from .errors import AttemptError
+from .errors import AttemptError, CallerDisconnectedError
 
 #: Longest time that a request waits for the crash probe of its endpoint, in
 #: seconds: several round trips within a region.
 _CRASH_PROBE_TIMEOUT_SECONDS = 0.03
+#: Ends of attempts after which the endpoint may still run the request.
+_ABANDONED_ENDS = frozenset((AttemptEnd.SILENT, AttemptEnd.ENDED))
+#: How an attempt ended at the time limit, or as its caller left.
+_CANCELLED = 'cancelled'
 
 
 class CrashWatch:
@@ -66,22 +70,14 @@
         return self.context.suspect_places.endpoints_with_any(suspects)
 
     @contextlib.contextmanager
-    def track_attempt(
-        self,
-        endpoint: EndpointId,
-        call: AdmittedRequest,
-    ) -> Iterator[None]:
-        """Record that an endpoint runs a possible suspect in this attempt."""
-        if not self._may_be_suspect(call):
-            yield
-            return
-        places = self.context.suspect_places
-        content = call.content.digest
-        places.begin(content, endpoint)
+    def track_attempt(self, attempt: Attempt) -> Iterator[None]:
+        """Record where the request runs, and whether it may go on there."""
         try:
-            yield
-        finally:
-            places.end(content, endpoint)
+            with self._track_place(attempt):
+                yield
+        except BaseException as error:
+            self._log_abandoned(attempt, error)
+            raise
 
     def record_answer(self, call: AdmittedRequest) -> None:
         """Record that the request got a complete answer."""
@@ -116,6 +112,39 @@
             self.quarantine.handle_reports(reports, self._now()), peer
         )
 
+    @contextlib.contextmanager
+    def _track_place(self, attempt: Attempt) -> Iterator[None]:
+        """Record that an endpoint runs a possible suspect in an attempt."""
+        if not self._may_be_suspect(attempt.call):
+            yield
+            return
+        places = self.context.suspect_places
+        content = attempt.call.content.digest
+        endpoint = attempt.placement.primary.endpoint
+        places.begin(content, endpoint)
+        try:
+            yield
+        finally:
+            places.end(content, endpoint)
+
+    def _log_abandoned(self, attempt: Attempt, error: BaseException) -> None:
+        """Log that an endpoint may still run a request that was given up."""
+        how = _how_abandoned(error)
+        if not how or not attempt.scope.is_unanswered:
+            return
+        metrics = self.context.metrics.suspects
+        metrics.abandoned_attempts.add(how)
+        lifetime = attempt.placement.primary.lifetime
+        self.context.log.info(
+            'attempt_abandoned',
+            request_id=attempt.call.request_id,
+            endpoint=lifetime.endpoint,
+            started_ms=lifetime.started_ms,
+            content=attempt.call.content.digest.hex(),
+            how=how,
+            had_just_begun=attempt.watch.had_just_begun,
+        )
+
     async def _probe_endpoint(
         self, call: AdmittedRequest, attempt: Attempt
     ) -> None:
@@ -188,3 +217,12 @@
 
     def _now(self) -> float:
         return self.context.clock.monotonic()
+
+
+def _how_abandoned(error: BaseException) -> str:
+    """Return how an attempt ended if its endpoint may go on with it."""
+    if isinstance(error, AttemptError):
+        return error.end if error.end in _ABANDONED_ENDS else ''
+    if isinstance(error, CallerDisconnectedError):
+        return error.label
+    return _CANCELLED if isinstance(error, asyncio.CancelledError) else ''
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
@@ -48,6 +48,11 @@
         """Return how the attempt ends, if it ends now."""
         return AttemptEnd.NOT_SENT if self.channel is None else AttemptEnd.ENDED
 
+    @property
+    def is_unanswered(self) -> bool:
+        """Whether the request was sent and its answer has not ended."""
+        return self.channel is not None and not self.channel.is_complete
+
     def end_with(self, end: LifetimeEnd) -> None:
         """End the attempt, unless its answer has been received completely.
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -93,6 +93,7 @@
             LocalTrialGrants(context.quarantine, context.clock),
             node,
             self.membership,
+            context.metrics.suspects.trial_denials,
         )
         self.schedule = UpdateSchedule(
             context.dispatcher.has_unsent_load,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/trials.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/trials.py
@@ -7,13 +7,16 @@
 from sycamore_core.clock import Clock
 from sycamore_core.decisions.direct import (
     Quarantine,
+    TrialDecision,
+    TrialDenial,
+    denial_by_state,
     granting_entry,
-    may_grant,
 )
 from sycamore_core.ids import ContentDigest
 from sycamore_core.membership import Membership
 from sycamore_core.messages import TrialAnswer, TrialWanted
 from sycamore_core.telemetry import Log
+from sycamore_core.telemetry.tallies import Tally
 from sycamore_core.transport import Node, Peer
 
 #: Longest wait for the answer of a peer, in seconds. A connection to a peer in
@@ -41,11 +44,11 @@
 
     async def request_trial(self, content: ContentDigest) -> bool:
         """Return whether this entry may make the next attempt."""
-        return self.grant(content) > 0
+        return self.decide(content).number > 0
 
-    def grant(self, content: ContentDigest) -> int:
-        """Return the number of the granted trial; 0 if none is due now."""
-        return self.quarantine.grant_trial(content, self.clock.monotonic())
+    def decide(self, content: ContentDigest) -> TrialDecision:
+        """Grant a trial if one is due now."""
+        return self.quarantine.decide_trial(content, self.clock.monotonic())
 
 
 class FleetTrialGrants(TrialGrants):
@@ -57,6 +60,8 @@
     ----------
     pending
         Requests for a trial that the granting entry has not answered yet.
+    denials
+        Counts of denied trials, by reason.
     """
 
     def __init__(
@@ -64,12 +69,14 @@
         local_grants: LocalTrialGrants,
         node: Node,
         membership: Membership,
+        denials: Tally | None = None,
     ) -> None:
         self.local_grants = local_grants
         self.node = node
         self.membership = membership
+        self.denials = denials or Tally('reason')
         self.log = Log('mesh')
-        self.pending: dict[ContentDigest, asyncio.Future[int]] = {}
+        self.pending: dict[ContentDigest, asyncio.Future[TrialDecision]] = {}
         self._stable_since = math.inf
         self._last_running_at = -math.inf
 
@@ -77,27 +84,30 @@
         """Return whether this entry may make the next attempt."""
         address = self.granting_address(content)
         if address == self.membership.address:
-            number = self._grant(content)
+            decision = self._decide(content)
         else:
-            number = await self._request_grant(content, address)
+            decision = await self._request_decision(content, address)
+        if decision.denial:
+            self.denials.add(decision.denial)
         self.log.info(
             'trial_decided',
             content=content.hex(),
-            number=number,
+            number=decision.number,
+            denial=decision.denial,
             granting=address,
         )
-        return number > 0
+        return decision.number > 0
 
     def handle_trial_request(self, peer: Peer, wanted: TrialWanted) -> None:
         """Answer the request of a peer for a trial."""
-        number = self._grant(wanted.content)
-        peer.post(TrialAnswer(wanted.content, number))
+        decision = self._decide(wanted.content)
+        peer.post(TrialAnswer(wanted.content, decision.number, decision.denial))
 
     def handle_trial_answer(self, peer: Peer, answer: TrialAnswer) -> None:
         """Handle the answer of the granting entry."""
         future = self.pending.get(answer.content)
         if future is not None and not future.done():
-            future.set_result(answer.number)
+            future.set_result(TrialDecision(answer.number, answer.denial))
 
     def record_running(self, now: float) -> None:
         """Record that this process runs.
@@ -123,36 +133,40 @@
         peers = [member.address for member in members if not member.is_lost]
         return granting_entry(content, (*peers, self.membership.address))
 
-    def _grant(self, content: ContentDigest) -> int:
-        """Return the number of a trial, if this entry may grant it.
+    def _decide(self, content: ContentDigest) -> TrialDecision:
+        """Grant a trial if this entry may grant it and one is due now.
 
         An entry grants nothing unless it is the granting entry, has run
         without interruption for long enough, and receives reports from enough
         of its peers.
         """
         if self.granting_address(content) != self.membership.address:
-            return 0
+            return TrialDecision(denial=TrialDenial.OTHER_ENTRY_GRANTS)
         now = self.local_grants.clock.monotonic()
         self.record_running(now)
-        steady_seconds = now - self._stable_since
-        if not may_grant(steady_seconds, self.membership.reporting_fraction):
-            return 0
-        return self.local_grants.grant(content)
-
-    async def _request_grant(self, content: ContentDigest, address: str) -> int:
-        """Request a trial from a peer; return 0 without an answer in time."""
+        denial = denial_by_state(
+            now - self._stable_since, self.membership.reporting_fraction
+        )
+        if denial is not None:
+            return TrialDecision(denial=denial)
+        return self.local_grants.decide(content)
+
+    async def _request_decision(
+        self, content: ContentDigest, address: str
+    ) -> TrialDecision:
+        """Request a trial from a peer."""
         if content in self.pending:
-            return 0
+            return TrialDecision(denial=TrialDenial.ALREADY_REQUESTED)
         answered = asyncio.get_running_loop().create_future()
         self.pending[content] = answered
         self.node.peer(address).post(TrialWanted(content))
         try:
             async with asyncio.timeout(_ANSWER_TIMEOUT_SECONDS):
-                number = await answered
+                decision = await answered
         except TimeoutError:
-            return 0
+            return TrialDecision(denial=TrialDenial.NO_ANSWER)
         finally:
             self.pending.pop(content)
         now = self.local_grants.clock.monotonic()
-        self.local_grants.quarantine.record_trial(content, number, now)
-        return number
+        self.local_grants.quarantine.record_trial(content, decision.number, now)
+        return decision
