Move the decisions on crashing requests into a package of their own

The records, the quarantine and the trials are `decisions/crashes`; what an entry keeps of them is `context.suspects`.

--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/__init__.py
@@ -0,0 +1,18 @@
+"""Decisions on requests that may crash endpoints.
+
+Load pattern: one request crashes each engine that begins to run it, is repeated
+at any entry, and runs beside popular requests that are harmless.
+"""
+
+from .quarantine import Quarantine
+from .suspect_places import SuspectLocations
+from .trials import TrialDecision, TrialDenial, denial_by_state, granting_entry
+
+__all__ = (
+    'Quarantine',
+    'SuspectLocations',
+    'TrialDecision',
+    'TrialDenial',
+    'denial_by_state',
+    'granting_entry',
+)
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/builders_trials.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/tests/builders_trials.py
@@ -12,9 +12,9 @@
 
 from ....ids import ContentDigest, EndpointId
 from ....routing import EndpointLifetime
+from ...direct.tests.builders_limits import SeededRandom
 from ..quarantine import Quarantine
 from ..trials import granting_entry
-from .builders_limits import SeededRandom
 
 CRASHING = ContentDigest(b'crashing request')
 BYSTANDER = ContentDigest(b'ordinary request')
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -32,7 +32,6 @@
 from .plain_choice import choose_plain
 from .plan import ReadPlan, ReadRequest
 from .pressure import PredictedDemand, ShortRequestMeter
-from .quarantine import Quarantine
 from .rate_limits import RateLimits
 from .read_plan import is_short_request, plan_read
 from .retry_budget import (
@@ -51,13 +50,6 @@
     with_jitter,
 )
 from .shared_sends import SharedSends
-from .suspect_places import SuspectLocations
-from .trials import (
-    TrialDecision,
-    TrialDenial,
-    denial_by_state,
-    granting_entry,
-)
 from .update_pace import UPDATE_INTERVAL_SECONDS, UpdateRateLimit
 from .worth import is_worth_reading
 
@@ -81,17 +73,13 @@
     'LoadRegistry',
     'NextStep',
     'PredictedDemand',
-    'Quarantine',
     'RateLimits',
     'ReadPlan',
     'ReadRequest',
     'SharedRetryBudget',
     'SharedSends',
     'Assignment',
-    'SuspectLocations',
     'ShortRequestMeter',
-    'TrialDecision',
-    'TrialDenial',
     'UpdateRateLimit',
     'after_full',
     'after_quarantine',
@@ -102,8 +90,6 @@
     'assignments_of',
     'choose_plain',
     'count_requests',
-    'denial_by_state',
-    'granting_entry',
     'is_isolated',
     'is_overdue',
     'is_short_request',
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
@@ -6,15 +6,12 @@
 from sycamore_core.clock import Clock
 from sycamore_core.decisions.direct import (
     FleetSize,
-    Quarantine,
     SharedRetryBudget,
-    SuspectLocations,
     is_isolated,
 )
 from sycamore_core.ids import EntryId, ServiceId
 from sycamore_core.telemetry import Log
 
-from .endpoints.crash_probe import CrashProbe
 from .endpoints.pool import ChannelPool
 from .endpoints.unknown_headers import UnknownHeaders
 from .fleet.evacuation import RunningRequests
@@ -30,6 +27,7 @@
 from .placement.slot_waits import SlotWaits
 from .settings import ForwardingSettings
 from .shares import EntryShares
+from .suspects import SuspectState
 from .trials import LocalTrialGrants, TrialGrants
 from .wire import WireFormat
 
@@ -50,10 +48,8 @@
     last_peer_message_at
         When the last message of a peer arrived, on the monotonic clock, in
         seconds.
-    quarantine
-        Contents of requests that were running when endpoints crashed.
-    suspect_places
-        Endpoints that have suspect requests of this entry.
+    suspects
+        Requests that may crash endpoints.
     trials
         Grants trial attempts of a suspect request after its quarantine.
     running
@@ -94,11 +90,7 @@
     retry_budgets: dict[ServiceId, SharedRetryBudget] = dataclasses.field(
         default_factory=dict,
     )
-    quarantine: Quarantine = dataclasses.field(default_factory=Quarantine)
-    suspect_places: SuspectLocations = dataclasses.field(
-        default_factory=SuspectLocations,
-    )
-    crash_probe: CrashProbe = dataclasses.field(default_factory=CrashProbe)
+    suspects: SuspectState = dataclasses.field(default_factory=SuspectState)
     overload: OverloadState = dataclasses.field(default_factory=OverloadState)
     admission: ModelAdmission = dataclasses.field(init=False)
     trials: TrialGrants = dataclasses.field(init=False)
@@ -113,7 +105,7 @@
         if not self.settings.peers:
             self.fleet_size.observe(1, is_discovered=True)
         self.unknown_headers = UnknownHeaders(self.metrics, self.log)
-        self.trials = LocalTrialGrants(self.quarantine, self.clock)
+        self.trials = LocalTrialGrants(self.suspects.quarantine, self.clock)
         self.running = RunningRequests(self.keeper.evacuation)
         self.metrics.count_draining = self.running.in_evacuated_zones
         self.flow.apply_memory(self.settings.memory_bytes)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
@@ -34,7 +34,7 @@
 
     def __init__(self, context: ForwardingContext) -> None:
         self.context = context
-        self.quarantine = context.quarantine
+        self.quarantine = context.suspects.quarantine
         self.is_trial = False
 
     async def check(self, call: AdmittedRequest) -> None:
@@ -67,7 +67,7 @@
         if not self._may_be_suspect(call):
             return set()
         suspects = self.quarantine.other_suspects(call.content.digest)
-        return self.context.suspect_places.endpoints_with_any(suspects)
+        return self.context.suspects.places.endpoints_with_any(suspects)
 
     @contextlib.contextmanager
     def track_attempt(self, attempt: Attempt) -> Iterator[None]:
@@ -118,7 +118,7 @@
         if not self._may_be_suspect(attempt.call):
             yield
             return
-        places = self.context.suspect_places
+        places = self.context.suspects.places
         content = attempt.call.content.digest
         endpoint = attempt.placement.primary.endpoint
         places.begin(content, endpoint)
@@ -150,7 +150,7 @@
     ) -> None:
         endpoint = attempt.placement.primary
         had_just_begun = attempt.watch.had_just_begun
-        if not await self.context.crash_probe.has_crashed(endpoint):
+        if not await self.context.suspects.probe.has_crashed(endpoint):
             return
         self._record_crash(call, endpoint, had_just_begun=had_just_begun)
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -90,7 +90,7 @@
         self.entry_count = EntryCount(context, self.membership)
         context.peer_reports.append(EntryCountReport(self.entry_count))
         self.trials = FleetTrialGrants(
-            LocalTrialGrants(context.quarantine, context.clock),
+            LocalTrialGrants(context.suspects.quarantine, context.clock),
             node,
             self.membership,
             context.metrics.suspects.trial_denials,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/updates.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/updates.py
@@ -24,6 +24,7 @@
         self.membership = membership
         self.registry: LoadRegistry = context.dispatcher.loads
         self.limits: RateLimits = context.dispatcher.limits
+        self.crashes = context.suspects.quarantine.book
 
     def changes(
         self,
@@ -40,7 +41,7 @@
             is_full=True,
             members=self._all_living(own_cell=True),
             leaving=self.context.keeper.leaving.recent(),
-            crashes=self.context.quarantine.book.rotating_reports(now),
+            crashes=self.crashes.rotating_reports(now),
             limits=self.limits.all_reports(now),
         )
         return self._with_reports(update, now)
@@ -52,7 +53,7 @@
             peers=tuple(self.membership.members),
             members=self._all_living(own_cell=False),
             leaving=self.context.keeper.leaving.all_known(),
-            crashes=self.context.quarantine.book.all_reports(now),
+            crashes=self.crashes.all_reports(now),
         )
 
     def summary(self, receiver: str, now: float) -> CellSummary:
@@ -79,7 +80,7 @@
             short_requests_per_s=self.registry.predicted_demand(
                 now
             ).short_requests_per_s,
-            crashes=context.quarantine.book.rotating_reports(now),
+            crashes=self.crashes.rotating_reports(now),
             limits=self._limits_in(zone, now, name),
         )
         for report in context.peer_reports:
@@ -113,7 +114,7 @@
             shares=self.registry.own_shares(endpoints, now),
             short_requests_per_s=self.registry.short_requests.rate(now),
             failing=context.dispatcher.failures.endpoints_to_report(now),
-            crashes=context.quarantine.book.recent_reports(now),
+            crashes=self.crashes.recent_reports(now),
             limits=self.limits.reports(set(endpoints), now),
         )
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
@@ -4,8 +4,8 @@
 import contextlib
 from collections.abc import AsyncIterator, Iterable
 
+from sycamore_core.decisions.crashes.quarantine import SHORT_QUARANTINE_SECONDS
 from sycamore_core.decisions.direct import Assignment
-from sycamore_core.decisions.direct.quarantine import SHORT_QUARANTINE_SECONDS
 from sycamore_core.ids import (
     ContentDigest,
     EndpointId,
@@ -125,14 +125,16 @@
 def add_suspect(context: ForwardingContext, body: bytes) -> None:
     """Add a suspect request, whose quarantine has just ended, to an entry."""
     reports = ambiguous_crashes(digest_of(body))
-    context.quarantine.handle_reports(reports, context.clock.monotonic())
+    context.suspects.quarantine.handle_reports(
+        reports, context.clock.monotonic()
+    )
 
 
 def add_common_crash(context: ForwardingContext, *bodies: bytes) -> None:
     """Record one crash with several requests at an entry."""
     gone = EndpointLifetime(EndpointId('gone'), 5)
     for body in bodies:
-        context.quarantine.record_crash(
+        context.suspects.quarantine.record_crash(
             digest_of(body),
             gone,
             context.clock.monotonic(),
@@ -153,7 +155,8 @@
     process: ForwardingProcess,
 ) -> tuple[ContentDigest, float]:
     """Return the recorded content of an entry, and the time of its clock."""
-    content = next(iter(process.context.quarantine.book.records))
+    quarantine = process.context.suspects.quarantine
+    content = next(iter(quarantine.book.records))
     return content, process.context.clock.monotonic()
 
 
@@ -166,5 +169,5 @@
 
 def known_crashes(process: ForwardingProcess) -> int:
     """Return the number of crashes that an entry knows."""
-    quarantine = process.context.quarantine
+    quarantine = process.context.suspects.quarantine
     return sum(map(quarantine.crash_count, quarantine.book.records))
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from sycamore_core.decisions.direct import trials
+from sycamore_core.decisions.crashes import trials
 from sycamore_core.routing import RouteKind
 
 from .builders import (
@@ -79,7 +79,7 @@
                 answer = await caller.ask(body=POISON)
                 assert answer.startswith(b'HTTP/1.1 502')
         async with asyncio.timeout(5):
-            while not first.context.quarantine.is_quarantined(
+            while not first.context.suspects.quarantine.is_quarantined(
                 *quarantined_content(second)
             ):
                 await asyncio.sleep(0.01)
@@ -95,7 +95,8 @@
         for _ in range(ATTEMPTS):
             answer = await entry.ask(body=b'other')
             assert answer.startswith(b'HTTP/1.1 200')
-    assert not entry.context.quarantine.book.records
+    quarantine = entry.context.suspects.quarantine
+    assert not quarantine.book.records
 
 
 async def test_suspect_request_is_cleared_by_its_answer() -> None:
@@ -118,7 +119,7 @@
         await arrived.wait()
         crash_endpoints_with_requests(endpoints)
         assert (await asking).startswith(b'HTTP/1.1 200')
-        quarantine = entry.context.quarantine
+        quarantine = entry.context.suspects.quarantine
     assert [one.crash_count for one in quarantine.book.records.values()] == [0]
 
 
@@ -132,7 +133,8 @@
             answer = await entry.ask()
             assert answer.startswith(b'HTTP/1.1 502')
         await asyncio.sleep(PAUSE_SECONDS)
-    assert not entry.context.quarantine.book.records
+    quarantine = entry.context.suspects.quarantine
+    assert not quarantine.book.records
 
 
 async def test_fleet_makes_one_trial_of_suspect_request(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_trials.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_trials.py
@@ -1,8 +1,8 @@
 """Grants of trial attempts while entries join, leave or are suspended."""
 
 from sycamore_core.clock import ManualClock
-from sycamore_core.decisions.direct import Quarantine
-from sycamore_core.decisions.direct.trials import MIN_UNINTERRUPTED_SECONDS
+from sycamore_core.decisions.crashes import Quarantine
+from sycamore_core.decisions.crashes.trials import MIN_UNINTERRUPTED_SECONDS
 from sycamore_core.ids import ContentDigest, PeerId, ZoneId
 from sycamore_core.membership import Membership
 from sycamore_core.membership.members import OWN_CELL_TIMEOUT_SECONDS
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_trials_machine.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_trials_machine.py
@@ -13,8 +13,8 @@
     rule,
 )
 from sycamore_core.clock import ManualClock
-from sycamore_core.decisions.direct import Quarantine
-from sycamore_core.decisions.direct.trials import MOST_TRIES
+from sycamore_core.decisions.crashes import Quarantine
+from sycamore_core.decisions.crashes.trials import MOST_TRIES
 from sycamore_core.ids import ContentDigest, PeerId, ZoneId
 from sycamore_core.membership import Membership
 from sycamore_core.messages import Message, TrialAnswer, TrialWanted
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/trials.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/trials.py
@@ -5,7 +5,7 @@
 import math
 
 from sycamore_core.clock import Clock
-from sycamore_core.decisions.direct import (
+from sycamore_core.decisions.crashes import (
     Quarantine,
     TrialDecision,
     TrialDenial,
