Grant trials while entries join

A fleet whose entries are restarted one every three seconds or faster would grant no trial until the last one is back.

What the wait has to prevent is a trial that repeats one which this entry does not know of. Only more than half of the entries can grant trials, so an entry that had reports from as many all the time has missed none: it waits 3 s after its start, a suspension, or a time without a majority. A peer that joins may come from a part of the fleet that both sides have forgotten; the entry waits for the reports of this peer alone. An update says whether it has all suspects, as the first one of a process that has just started does. Peers of an older version never say so and are waited for 3 s, as before.

--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/__init__.py
@@ -6,13 +6,14 @@
 
 from .quarantine import Quarantine
 from .suspect_places import SuspectLocations
-from .trials import TrialDecision, TrialDenial, denial_by_state, granting_entry
+from .trial_readiness import TrialReadiness
+from .trials import TrialDecision, TrialDenial, granting_entry
 
 __all__ = (
     'Quarantine',
     'SuspectLocations',
     'TrialDecision',
     'TrialDenial',
-    'denial_by_state',
+    'TrialReadiness',
     'granting_entry',
 )
--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/crash_registry.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/crash_registry.py
@@ -46,6 +46,12 @@
         self.suspects = Suspects()
         self._by_prefix: dict[bytes, set[ContentDigest]] = {}
 
+    @property
+    def is_rotation_complete(self) -> bool:
+        """Whether the rotating reports always cover all suspect contents."""
+        suspects = map(self.has_enough_crashes, self.records.values())
+        return sum(suspects) <= _REPEATED_CONTENTS
+
     def may_contain(self, digest_prefix: bytes) -> bool:
         """Return whether some stored content has this half of the digest.
 
--- a/packages/sycamore-core/src/sycamore_core/messages/entries.py
+++ b/packages/sycamore-core/src/sycamore_core/messages/entries.py
@@ -65,6 +65,9 @@
     known_entries
         Number of entries that the sender knows, itself and lost entries
         included; 0 if it is not reported.
+    reports_all_suspects
+        Whether `crashes` has all contents that the sender suspects, with their
+        trials.
     """
 
     entry: EntryId
@@ -87,6 +90,7 @@
     usage: tuple[WorkspaceUsage, ...] = ()
     paces: tuple[PaceReport, ...] = ()
     known_entries: int = 0
+    reports_all_suspects: bool = False
 
 
 class CellSummary(BaseMessage, frozen=True):
@@ -127,6 +131,9 @@
     known_entries
         Number of entries that the sender knows, itself and lost entries
         included; 0 if it is not reported.
+    reports_all_suspects
+        Whether `crashes` has all contents that the sender suspects, with their
+        trials.
     """
 
     entry: EntryId
@@ -146,6 +153,7 @@
     usage: tuple[WorkspaceUsage, ...] = ()
     paces: tuple[PaceReport, ...] = ()
     known_entries: int = 0
+    reports_all_suspects: bool = False
 
 
 class TrialWanted(BaseMessage, frozen=True):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -226,7 +226,6 @@
     def _handle_update(self, peer: Peer, update: LoadUpdate) -> None:
         now = self.clock.monotonic()
         self._record_peer(peer, update, now)
-        self.crashes.handle_reports(update.crashes, update.entry)
         self._apply_limits(PeerId(update.entry), update.limits, now)
         self._introduce_to_new_peer(peer, update, now)
         self.registry.apply_update(
@@ -278,7 +277,6 @@
     def _handle_summary(self, peer: Peer, summary: CellSummary) -> None:
         now = self.clock.monotonic()
         self._record_peer(peer, summary, now)
-        self.crashes.handle_reports(summary.crashes, summary.entry)
         self._apply_limits(PeerId(summary.zone), summary.limits, now)
         self.membership.confirm(summary.zone, summary.members, now)
         if not self.membership.is_own_cell(summary.zone):
@@ -302,9 +300,12 @@
         name = PeerId(message.entry)
         if self.membership.mark_alive(peer.address, message.zone, name, now):
             self.log.info('peer_found', peer=name, address=peer.address)
-            self.trials.record_peer_joined(now)
+            self.trials.record_peer_joined(peer.address, now)
         self.context.last_peer_message_at = now
         self.keeper.leaving.apply_peer_report(message.leaving, message.entry)
+        self.crashes.handle_reports(message.crashes, message.entry)
+        if message.reports_all_suspects:
+            self.trials.record_all_reports(peer.address)
         self.newer_settings.compare(peer, message.settings_version)
 
     def _add_members(self, cell: CellMembers, now: float) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/updates.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/updates.py
@@ -42,6 +42,7 @@
             members=self._all_living(own_cell=True),
             leaving=self.context.keeper.leaving.recent(),
             crashes=self.crashes.rotating_reports(now),
+            reports_all_suspects=self.crashes.is_rotation_complete,
             limits=self.limits.all_reports(now),
         )
         return self._with_reports(update, now)
@@ -54,6 +55,7 @@
             members=self._all_living(own_cell=False),
             leaving=self.context.keeper.leaving.all_known(),
             crashes=self.crashes.all_reports(now),
+            reports_all_suspects=True,
         )
 
     def summary(self, receiver: str, now: float) -> CellSummary:
@@ -81,6 +83,7 @@
                 now
             ).short_requests_per_s,
             crashes=self.crashes.rotating_reports(now),
+            reports_all_suspects=self.crashes.is_rotation_complete,
             limits=self._limits_in(zone, now, name),
         )
         for report in context.peer_reports:
