Report crashes under requests that had been given up

The poison request was the cause: its entry had given the attempt up as silent and moved on; it reached the endpoint later. Nobody reported it. The same holds when a caller leaves or a time limit ends an attempt, when a connection is cut and the probe gets no answer, and when an endpoint ran nothing else, so that no connection breaks. Each time, a poison request that is repeated gets one endpoint further than crashes are counted; without end if it crashes endpoints only after it was given up.

Once it or a peer finds that this endpoint has crashed, the request is reported as a suspect. An endpoint that refuses a connection while it may have such a request is probed. These suspects take nothing from the shares of requests that were present, so that no cause is found later than before.

`test_request_that_crashes_after_it_was_given_up_is_quarantined` fails without the report (more than three endpoints end). Parts of `crashes.py` that concern an entry, not one request, are `crash_reporter.py`.

--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/crash_records.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/crash_records.py
@@ -28,11 +28,15 @@
     is_cleared
         Whether the request was answered after the crash, which shows that it
         was not the cause.
+    is_abandoned
+        Whether the request had been given up before the crash, so that it may
+        have ended there earlier.
     """
 
     at: float
     had_just_begun: bool
     is_cleared: bool = False
+    is_abandoned: bool = False
 
     @property
     def is_suspicious(self) -> bool:
@@ -45,6 +49,8 @@
 
     Attributes
     ----------
+    content
+        Digest of the content.
     crashes
         By the endpoint lifetime that crashed.
     changed_at
@@ -56,6 +62,7 @@
         there was none.
     """
 
+    content: ContentDigest
     crashes: dict[EndpointLifetime, Crash] = msgspec.field(
         default_factory=dict,
     )
@@ -96,6 +103,7 @@
             at=now - report.age,
             had_just_begun=report.had_just_begun,
             is_cleared=report.is_cleared,
+            is_abandoned=report.is_abandoned,
         )
         self.changed_at = now
 
@@ -130,14 +138,27 @@
 
 
 class Suspects:
-    """Contents that are likely to have crashed each endpoint."""
+    """Contents that are likely to have crashed each endpoint.
+
+    A request that was given up before the crash may have ended there earlier.
+    It is a suspect, but takes nothing from the share of those that were there.
+    """
 
     def __init__(self) -> None:
-        self._by_endpoint: dict[EndpointLifetime, set[ContentDigest]] = {}
+        self._present: dict[EndpointLifetime, set[ContentDigest]] = {}
+        self._abandoned: dict[EndpointLifetime, set[ContentDigest]] = {}
 
-    def add(self, content: ContentDigest, endpoint: EndpointLifetime) -> None:
+    def add(
+        self,
+        content: ContentDigest,
+        endpoint: EndpointLifetime,
+        *,
+        is_abandoned: bool = False,
+    ) -> None:
         """Add a content to the suspects of a crash."""
-        self._by_endpoint.setdefault(endpoint, set()).add(content)
+        self.discard(content, endpoint)
+        suspects = self._abandoned if is_abandoned else self._present
+        suspects.setdefault(endpoint, set()).add(content)
 
     def discard(
         self,
@@ -145,10 +166,11 @@
         endpoint: EndpointLifetime,
     ) -> None:
         """Remove a content from the suspects of a crash."""
-        suspects = self._by_endpoint.get(endpoint, set())
-        suspects.discard(content)
-        if not suspects:
-            self._by_endpoint.pop(endpoint, None)
+        for by_endpoint in (self._present, self._abandoned):
+            suspects = by_endpoint.get(endpoint, set())
+            suspects.discard(content)
+            if not suspects:
+                by_endpoint.pop(endpoint, None)
 
     def others_at(
         self,
@@ -158,16 +180,19 @@
         """Return the other contents that are suspected of these crashes."""
         found: set[ContentDigest] = set()
         for endpoint in endpoints:
-            found.update(self._by_endpoint.get(endpoint, ()))
+            found.update(self._present.get(endpoint, ()))
+            found.update(self._abandoned.get(endpoint, ()))
         return found - {content}
 
-    def share(self, endpoint: EndpointLifetime) -> float:
-        """Return the share with which a crash counts against each suspect.
+    def share(
+        self, content: ContentDigest, endpoint: EndpointLifetime
+    ) -> float:
+        """Return the share with which a crash counts against a suspect.
 
-        The share is 1 divided by the number of suspects, and 1 if there is no
-        suspect.
+        The share is 1 divided by the number of suspects.
         """
-        return 1 / max(1, len(self._by_endpoint.get(endpoint, ())))
+        suspects = self._present.get(endpoint, set()) | {content}
+        return 1 / len(suspects)
 
 
 class MassCrashDetector:
@@ -203,6 +228,7 @@
             is_cleared=crash.is_cleared,
             tries=records[content].tries,
             try_age=round(now - (records[content].last_trial_at or now), 3),
+            is_abandoned=crash.is_abandoned,
         )
         for content in digests
         for endpoint, crash in records[content].crashes.items()
--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/crash_registry.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/crash_registry.py
@@ -4,7 +4,8 @@
 
 from ...hashes import HASH_BYTES
 from ...ids import ContentDigest
-from ...routing import CrashReport
+from ...routing import CrashReport, EndpointLifetime
+from .abandoned import MAX_ABANDONED_SECONDS
 from .crash_records import CrashRecord, Suspects, build_reports
 
 #: Number of crashes above which a content is quarantined, whatever other
@@ -39,11 +40,14 @@
         Crash records by content, the oldest first.
     suspects
         Suspected contents of each crash.
+    crashed_at
+        When endpoints crashed lately, on the monotonic clock, in seconds.
     """
 
     def __init__(self) -> None:
         self.records: dict[ContentDigest, CrashRecord] = {}
         self.suspects = Suspects()
+        self.crashed_at: dict[EndpointLifetime, float] = {}
         self._by_prefix: dict[bytes, set[ContentDigest]] = {}
 
     @property
@@ -88,18 +92,25 @@
         """Return whether a content has enough crashes to be quarantined."""
         if record.crash_count > MAX_CRASHES_ALLOWED:
             return True
-        shares = map(self.suspects.share, record.suspected_endpoints)
-        return sum(shares) >= _MIN_CRASH_SHARES
+        return sum(self.shares(record)) >= _MIN_CRASH_SHARES
+
+    def shares(self, record: CrashRecord) -> list[float]:
+        """Return the shares with which crashes count against a content."""
+        return [
+            self.suspects.share(record.content, endpoint)
+            for endpoint in record.suspected_endpoints
+        ]
 
     def merge(self, report: CrashReport, now: float) -> None:
         """Add a report of a crash.
 
         A report never makes `had_just_begun` or `is_cleared` of a known crash
-        false again.
+        false again, nor `is_abandoned` true.
         """
         if report.age >= QUARANTINE_SECONDS:
             return
         content, endpoint = report.content, report.endpoint
+        self.record_endpoint_crash(endpoint, now - report.age, now)
         record = self.find(content, now) or self._add(content)
         if endpoint not in record.crashes:
             record.add(report, now)
@@ -108,11 +119,14 @@
         if crash is None:
             return
         crash.had_just_begun = crash.had_just_begun or report.had_just_begun
+        crash.is_abandoned = crash.is_abandoned and report.is_abandoned
         if report.is_cleared and not crash.is_cleared:
             record.clear(endpoint, now)
             self.suspects.discard(content, endpoint)
         if crash.is_suspicious:
-            self.suspects.add(content, endpoint)
+            self.suspects.add(
+                content, endpoint, is_abandoned=crash.is_abandoned
+            )
 
     def clear(self, content: ContentDigest, now: float) -> None:
         """Record that a content was not the cause of its crashes so far."""
@@ -151,6 +165,19 @@
         """Return the reports of all crashes, for a peer that joins."""
         return self._build_reports(self.records, now)
 
+    def record_endpoint_crash(
+        self, endpoint: EndpointLifetime, at: float, now: float
+    ) -> None:
+        """Record that an endpoint has crashed, whatever it ran."""
+        start = now - MAX_ABANDONED_SECONDS
+        if at >= start:
+            self.crashed_at = {
+                known: crashed_at
+                for known, crashed_at in self.crashed_at.items()
+                if crashed_at >= start
+            }
+            self.crashed_at.setdefault(endpoint, at)
+
     def _build_reports(
         self,
         digests: Iterable[ContentDigest],
@@ -161,7 +188,7 @@
     def _add(self, content: ContentDigest) -> CrashRecord:
         if len(self.records) >= MAX_CONTENTS:
             self._drop(min(self.records, key=self._retention_priority))
-        record = CrashRecord()
+        record = CrashRecord(content)
         self.records[content] = record
         digest_prefix = content[:HASH_BYTES]
         self._by_prefix.setdefault(digest_prefix, set()).add(content)
--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/quarantine.py
@@ -20,6 +20,10 @@
 earlier known crashes stop counting against its content, and count against the
 other suspects only.
 
+A request that its entry gave up, as the endpoint was silent or the caller left,
+may still run there and crash the endpoint. It is a suspect of this crash as
+well (see `abandoned`).
+
 If many endpoints crash at the same time, no single request is assumed to be the
 cause, and further crashes are not recorded.
 
@@ -51,6 +55,7 @@
 
 from ...ids import ContentDigest
 from ...routing import CrashReport, EndpointLifetime
+from .abandoned import AbandonedAttempt, AbandonedAttempts
 from .crash_records import CrashRecord, MassCrashDetector
 from .crash_registry import (
     MAX_CRASHES_ALLOWED,
@@ -76,6 +81,8 @@
     ----------
     book
         The crashes that this entry knows of.
+    abandoned
+        Attempts of this entry that were given up a short time ago.
 
     Examples
     --------
@@ -89,6 +96,7 @@
 
     def __init__(self) -> None:
         self.book = CrashRegistry()
+        self.abandoned = AbandonedAttempts()
         self._mass_crashes = MassCrashDetector()
 
     def record_crash(
@@ -113,6 +121,35 @@
             now,
         )
 
+    def record_abandoned(self, attempt: AbandonedAttempt, now: float) -> None:
+        """Record an attempt that its endpoint may still run."""
+        self.abandoned.record(attempt, now)
+
+    def blame_abandoned(
+        self, endpoint: EndpointLifetime, now: float
+    ) -> list[AbandonedAttempt]:
+        """Record a crash for the requests that were given up at an endpoint.
+
+        Returns
+        -------
+        list
+            The attempts; none if the endpoint has not crashed.
+        """
+        crashed_at = self.book.crashed_at.get(endpoint)
+        if crashed_at is None:
+            return []
+        attempts = self.abandoned.take(endpoint, crashed_at)
+        for attempt in attempts:
+            report = CrashReport(
+                attempt.content,
+                endpoint,
+                now - crashed_at,
+                had_just_begun=attempt.had_just_begun,
+                is_abandoned=True,
+            )
+            self.book.merge(report, now)
+        return attempts
+
     def record_answer(self, content: ContentDigest, now: float) -> None:
         """Record that a request was answered completely."""
         self.book.clear(content, now)
@@ -207,7 +244,7 @@
         return self.book.suspects.others_at(content, crashes)
 
     def _quarantine_seconds(self, record: CrashRecord) -> float:
-        shares = map(self.book.suspects.share, record.suspected_endpoints)
+        shares = self.book.shares(record)
         sole_suspect_crashes = sum(share >= 1 for share in shares)
         if sole_suspect_crashes >= _CONCLUSIVE_CRASHES:
             return QUARANTINE_SECONDS
--- a/packages/sycamore-core/src/sycamore_core/routing/crashes.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/crashes.py
@@ -26,6 +26,9 @@
         Number of trials of the request after its quarantine.
     try_age
         Time since the last trial, in seconds.
+    is_abandoned
+        Whether the entry had given the request up before the crash, so that it
+        may have ended there earlier.
     """
 
     content: ContentDigest
@@ -35,3 +38,4 @@
     is_cleared: bool = False
     tries: int = 0
     try_age: float = 0
+    is_abandoned: bool = False
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/crash_reporter.py
@@ -0,0 +1,178 @@
+"""Records crashes of endpoints, of this entry and of its peers."""
+
+import asyncio
+from collections.abc import Coroutine, Iterable
+
+from sycamore_core.decisions.crashes import (
+    MAX_ABANDONED_SECONDS,
+    AbandonedAttempt,
+)
+from sycamore_core.ids import ContentDigest, EntryId, RequestId
+from sycamore_core.routing import (
+    CrashReport,
+    EndpointLifetime,
+    EndpointRecord,
+)
+
+from .calls import AdmittedRequest
+from .context import ForwardingContext
+from .endpoints.attempt import Attempt
+
+
+class CrashReporter:
+    """Probes endpoints, and records and reports those that have crashed.
+
+    A request that was given up at an endpoint is reported as well, once this
+    entry or a peer finds that the endpoint has crashed.
+    """
+
+    def __init__(self, context: ForwardingContext) -> None:
+        self.context = context
+        self.quarantine = context.suspects.quarantine
+
+    def handle_reports(
+        self, reports: tuple[CrashReport, ...], peer: EntryId
+    ) -> None:
+        """Record the crashes that a peer reports."""
+        self._log_quarantined(
+            self.quarantine.handle_reports(reports, self._now()), peer
+        )
+        lifetimes = {report.endpoint for report in reports}
+        for lifetime in lifetimes:
+            self._blame_abandoned(lifetime)
+
+    def probe_broken(
+        self, call: AdmittedRequest, attempt: Attempt
+    ) -> asyncio.Task[None]:
+        """Probe the endpoint of a broken attempt."""
+        return self._start(self._probe_broken(call, attempt))
+
+    def probe_unreachable(self, endpoint: EndpointRecord) -> None:
+        """Probe an endpoint that cannot be reached, if it matters.
+
+        Without this, nobody notices the crash of an endpoint that ran only
+        requests that had been given up.
+        """
+        abandoned = self.quarantine.abandoned
+        if abandoned.has_any(endpoint.lifetime, self._now()):
+            self._start(self._probe_unreachable(endpoint))
+
+    def record_abandoned(self, call: AdmittedRequest, attempt: Attempt) -> None:
+        """Record that an endpoint may still run a request of this entry."""
+        now = self._now()
+        lifetime = attempt.placement.primary.lifetime
+        self.quarantine.record_abandoned(
+            AbandonedAttempt(
+                content=call.content.digest,
+                endpoint=lifetime,
+                until=min(call.deadline, now + MAX_ABANDONED_SECONDS),
+                had_just_begun=attempt.watch.had_just_begun,
+            ),
+            now,
+        )
+        self._blame_abandoned(lifetime)
+
+    async def _probe_broken(
+        self, call: AdmittedRequest, attempt: Attempt
+    ) -> None:
+        endpoint = attempt.placement.primary
+        had_just_begun = attempt.watch.had_just_begun
+        if await self.context.suspects.probe.has_crashed(endpoint):
+            self._record_crash(call, endpoint, had_just_begun=had_just_begun)
+        else:
+            # A peer may find later that it has crashed.
+            self.record_abandoned(call, attempt)
+
+    async def _probe_unreachable(self, endpoint: EndpointRecord) -> None:
+        if await self.context.suspects.probe.has_crashed(endpoint):
+            now = self._now()
+            self.quarantine.book.record_endpoint_crash(
+                endpoint.lifetime, now, now
+            )
+            self._blame_abandoned(endpoint.lifetime)
+
+    def _record_crash(
+        self,
+        call: AdmittedRequest,
+        endpoint: EndpointRecord,
+        *,
+        had_just_begun: bool,
+    ) -> None:
+        now = self._now()
+        content = call.content.digest
+        was_quarantined = self.quarantine.is_quarantined(content, now)
+        self.quarantine.record_crash(
+            content, endpoint.lifetime, now, had_just_begun=had_just_begun
+        )
+        self.context.dispatcher.send_update_now(endpoint.endpoint)
+        self._log_crash(
+            content,
+            endpoint.lifetime,
+            had_just_begun=had_just_begun,
+            request_id=call.request_id,
+        )
+        is_quarantined = self.quarantine.is_quarantined(content, now)
+        if is_quarantined and not was_quarantined:
+            self._log_quarantined((content,), self.context.entry)
+        self._blame_abandoned(endpoint.lifetime)
+
+    def _blame_abandoned(self, lifetime: EndpointLifetime) -> None:
+        """Report the requests that were given up at an endpoint that crashed.
+
+        If the endpoint has not crashed, nothing happens.
+        """
+        attempts = self.quarantine.blame_abandoned(lifetime, self._now())
+        for attempt in attempts:
+            self._log_crash(
+                attempt.content,
+                lifetime,
+                had_just_begun=attempt.had_just_begun,
+                is_abandoned=True,
+            )
+        if attempts:
+            self.context.dispatcher.send_update_now(lifetime.endpoint)
+
+    def _log_crash(
+        self,
+        content: ContentDigest,
+        lifetime: EndpointLifetime,
+        *,
+        had_just_begun: bool,
+        is_abandoned: bool = False,
+        request_id: RequestId | None = None,
+    ) -> None:
+        self.context.log.warning(
+            'endpoint_crashed',
+            request_id=request_id,
+            endpoint=lifetime.endpoint,
+            content=content.hex(),
+            had_just_begun=had_just_begun,
+            is_abandoned=is_abandoned,
+            crashes=self.quarantine.crash_count(content),
+            is_held=self.quarantine.is_quarantined(content, self._now()),
+        )
+
+    def _log_quarantined(
+        self,
+        digests: Iterable[ContentDigest],
+        source: EntryId,
+    ) -> None:
+        for content in digests:
+            self.context.log.warning(
+                'content_held',
+                content=content.hex(),
+                crashes=self.quarantine.crash_count(content),
+                source=source,
+            )
+
+    def _start(
+        self, probing: Coroutine[None, None, None]
+    ) -> asyncio.Task[None]:
+        """Start a probe that outlives the request."""
+        probe = asyncio.create_task(probing)
+        self.context.background.add(probe)
+        probe.add_done_callback(self.context.background.discard)
+        return probe
+
+    def _now(self) -> float:
+        return self.context.clock.monotonic()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
@@ -2,15 +2,15 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 from sycamore_core.decisions.direct import AttemptEnd, after_quarantine
-from sycamore_core.ids import ContentDigest, EndpointId, EntryId
-from sycamore_core.routing import CrashReport, EndpointRecord
+from sycamore_core.ids import EndpointId
 
 from .callers.refusals import Refusal, RefusalCause
 from .calls import AdmittedRequest
 from .context import ForwardingContext
+from .crash_reporter import CrashReporter
 from .endpoints.attempt import Attempt
 from .errors import AttemptError, CallerDisconnectedError
 
@@ -35,6 +35,7 @@
     def __init__(self, context: ForwardingContext) -> None:
         self.context = context
         self.quarantine = context.suspects.quarantine
+        self.reporter = CrashReporter(context)
         self.is_trial = False
 
     async def check(self, call: AdmittedRequest) -> None:
@@ -76,7 +77,7 @@
             with self._track_place(attempt):
                 yield
         except BaseException as error:
-            self._log_abandoned(attempt, error)
+            self._record_abandoned(attempt, error)
             raise
 
     def record_answer(self, call: AdmittedRequest) -> None:
@@ -96,22 +97,14 @@
         Without this, its next attempt would crash another endpoint.
         """
         self.is_trial = self.is_trial and error.end.has_not_run
+        if error.end == AttemptEnd.NOT_SENT:
+            self.reporter.probe_unreachable(attempt.placement.primary)
         if error.end != AttemptEnd.BROKEN:
             return
-        probe = asyncio.create_task(self._probe_endpoint(call, attempt))
-        self.context.background.add(probe)
-        probe.add_done_callback(self.context.background.discard)
+        probe = self.reporter.probe_broken(call, attempt)
         if attempt.watch.had_just_begun:
             await asyncio.wait((probe,), timeout=_CRASH_PROBE_TIMEOUT_SECONDS)
 
-    def handle_reports(
-        self, reports: Iterable[CrashReport], peer: EntryId
-    ) -> None:
-        """Record the crashes that a peer reports."""
-        self._log_quarantined(
-            self.quarantine.handle_reports(reports, self._now()), peer
-        )
-
     @contextlib.contextmanager
     def _track_place(self, attempt: Attempt) -> Iterator[None]:
         """Record that an endpoint runs a possible suspect in an attempt."""
@@ -127,62 +120,24 @@
         finally:
             places.end(content, endpoint)
 
-    def _log_abandoned(self, attempt: Attempt, error: BaseException) -> None:
-        """Log that an endpoint may still run a request that was given up."""
+    def _record_abandoned(self, attempt: Attempt, error: BaseException) -> None:
+        """Record that an endpoint may still run a request that was given up."""
         how = _how_abandoned(error)
         if not how or not attempt.scope.is_unanswered:
             return
         metrics = self.context.metrics.suspects
         metrics.abandoned_attempts.add(how)
-        lifetime = attempt.placement.primary.lifetime
+        call, lifetime = attempt.call, attempt.placement.primary.lifetime
         self.context.log.info(
             'attempt_abandoned',
-            request_id=attempt.call.request_id,
+            request_id=call.request_id,
             endpoint=lifetime.endpoint,
             started_ms=lifetime.started_ms,
-            content=attempt.call.content.digest.hex(),
+            content=call.content.digest.hex(),
             how=how,
             had_just_begun=attempt.watch.had_just_begun,
         )
-
-    async def _probe_endpoint(
-        self, call: AdmittedRequest, attempt: Attempt
-    ) -> None:
-        endpoint = attempt.placement.primary
-        had_just_begun = attempt.watch.had_just_begun
-        if not await self.context.suspects.probe.has_crashed(endpoint):
-            return
-        self._record_crash(call, endpoint, had_just_begun=had_just_begun)
-
-    def _record_crash(
-        self,
-        call: AdmittedRequest,
-        endpoint: EndpointRecord,
-        *,
-        had_just_begun: bool,
-    ) -> None:
-        now = self._now()
-        content = call.content.digest
-        was_quarantined = self.quarantine.is_quarantined(content, now)
-        self.quarantine.record_crash(
-            content,
-            endpoint.lifetime,
-            now,
-            had_just_begun=had_just_begun,
-        )
-        self.context.dispatcher.send_update_now(endpoint.endpoint)
-        is_quarantined = self.quarantine.is_quarantined(content, now)
-        self.context.log.warning(
-            'endpoint_crashed',
-            request_id=call.request_id,
-            endpoint=endpoint.endpoint,
-            content=content.hex(),
-            had_just_begun=had_just_begun,
-            crashes=self.quarantine.crash_count(content),
-            is_held=is_quarantined,
-        )
-        if is_quarantined and not was_quarantined:
-            self._log_quarantined((content,), self.context.entry)
+        self.reporter.record_abandoned(call, attempt)
 
     def _quarantine_refusal(
         self, call: AdmittedRequest, seconds: float
@@ -202,19 +157,6 @@
         """Return whether the quarantine may have an entry for the content."""
         return self.quarantine.book.may_contain(call.content.partial_digest)
 
-    def _log_quarantined(
-        self,
-        digests: Iterable[ContentDigest],
-        source: EntryId,
-    ) -> None:
-        for content in digests:
-            self.context.log.warning(
-                'content_held',
-                content=content.hex(),
-                crashes=self.quarantine.crash_count(content),
-                source=source,
-            )
-
     def _now(self) -> float:
         return self.context.clock.monotonic()
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -40,7 +40,7 @@
 from sycamore_core.transport import Node, NodeAddress, Peer
 
 from ..context import ForwardingContext
-from ..crashes import CrashWatch
+from ..crash_reporter import CrashReporter
 from ..trials import FleetTrialGrants, LocalTrialGrants
 from .entry_count import EntryCount
 from .entry_count_report import EntryCountReport
@@ -86,7 +86,7 @@
         self.writer = UpdateWriter(context, self.membership)
         self.sender = UpdateSender(node, self.membership, self.writer)
         self.newer_settings = NewerSettings(context.keeper)
-        self.crashes = CrashWatch(context)
+        self.crashes = CrashReporter(context)
         self.entry_count = EntryCount(context, self.membership)
         context.peer_reports.append(EntryCountReport(self.entry_count))
         self.trials = FleetTrialGrants(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
@@ -57,6 +57,25 @@
         self.server.close()
 
 
+class LateCrashingEndpoint(CrashingEndpoint):
+    """Does not answer the body `POISON`, and crashes once it is given up."""
+
+    async def answer_or_crash(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Answer one request, or crash after the caller has left."""
+        if self.requests[-1]['body'] == POISON.decode():
+            await reader.read(1)
+        await super().answer_or_crash(reader, writer)
+
+
+def late_crashing_endpoints(number: int) -> tuple[LateCrashingEndpoint, ...]:
+    """Return such endpoints that are not yet started."""
+    return tuple(LateCrashingEndpoint(f'e{place}') for place in range(number))
+
+
 def crashing_endpoints(number: int) -> tuple[CrashingEndpoint, ...]:
     """Return crashing endpoints that are not yet started."""
     return tuple(CrashingEndpoint(f'e{place}') for place in range(number))
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
@@ -27,6 +27,7 @@
     crash_endpoints_with_requests,
     crashed_count,
     crashing_endpoints,
+    late_crashing_endpoints,
     make_busy,
     quarantined_content,
     wait_for_same_crashes,
@@ -69,6 +70,27 @@
     assert crashed_count(endpoints) <= MAX_CRASHES
 
 
+async def test_request_that_crashes_after_it_was_given_up_is_quarantined() -> (
+    None
+):
+    """Guards against crashes after a request has moved on or its caller left.
+
+    Nobody has a request at the endpoint then whose connection breaks.
+    """
+    endpoints = late_crashing_endpoints(2 * ATTEMPTS)
+    async with running_entry(SAFE, *endpoints) as entry:
+        for _ in range(ATTEMPTS):
+            asking = asyncio.create_task(entry.ask(body=POISON))
+            await asyncio.sleep(PAUSE_SECONDS)
+            asking.cancel()
+            await asyncio.sleep(PAUSE_SECONDS)
+            for _ in endpoints:
+                await entry.ask(body=b'other')
+        answer = await entry.ask(body=POISON)
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert crashed_count(endpoints) <= MAX_CRASHES
+
+
 async def test_crashes_of_all_entries_add_up() -> None:
     """Guards against a request that crashes one endpoint at each entry."""
     endpoints = crashing_endpoints(3)
