Wait for the reports of a crash before a suspect request is refused

A request that has just become suspect waits until 0.1 s after its entry learned of the last crash, and is judged then. It is sent nowhere meanwhile, so a true poison request gets no further than before; it is refused up to 0.1 s later. Reports from other cells come with the summary of each second; until then a bystander is still refused.

--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/crash_records.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/crash_records.py
@@ -55,6 +55,9 @@
         By the endpoint lifetime that crashed.
     changed_at
         When this record last changed, on the monotonic clock, in seconds.
+    learned_at
+        When this entry last learned of a further crash, on the monotonic
+        clock, in seconds.
     tries
         Number of trials of the content after its quarantine.
     last_trial_at
@@ -67,6 +70,7 @@
         default_factory=dict,
     )
     changed_at: float = 0
+    learned_at: float = 0
     tries: int = 0
     last_trial_at: float | None = None
 
@@ -105,6 +109,7 @@
             is_cleared=report.is_cleared,
             is_abandoned=report.is_abandoned,
         )
+        self.learned_at = now
         self.changed_at = now
 
     def clear(self, endpoint: EndpointLifetime, now: float) -> None:
--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/quarantine.py
@@ -45,6 +45,10 @@
 them are sole. Each further crash makes a short quarantine nine times as long,
 up to the full length.
 
+The entries that had requests at an endpoint report its crash one after the
+other. A request that becomes suspect is neither refused nor sent until all of
+them have had the time to do so.
+
 A request in a short quarantine may be a bystander, such as a popular request
 that ran at every endpoint. After the quarantine it is therefore sent in a
 trial, one attempt in the whole fleet (see `trials`). A bystander gets an answer
@@ -68,6 +72,9 @@
 #: counts as the certain cause. One crash does not suffice: another entry may
 #: have sent the actual cause and died before it reported the crash.
 _CONCLUSIVE_CRASHES = 2
+#: Time after a crash within which the entries of a cell report what they had at
+#: the endpoint, in seconds: a probe of each entry, and an update.
+SETTLE_SECONDS = 0.1
 #: Quarantine of a content that may be a bystander, in seconds. Crashed
 #: endpoints are back by then. Each further crash multiplies the time.
 SHORT_QUARANTINE_SECONDS = 10.0
@@ -187,6 +194,18 @@
             0, record.last_crash_at + self._quarantine_seconds(record) - now
         )
 
+    def seconds_to_settle(self, content: ContentDigest, now: float) -> float:
+        """Return the time until the reports of the last crash are in.
+
+        A request that is suspect waits for this time, in seconds, before it is
+        refused or sent. Each report that is still on its way may name another
+        suspect.
+        """
+        record = self.book.find_suspect(content, now)
+        if record is None:
+            return 0
+        return max(0, record.learned_at + SETTLE_SECONDS - now)
+
     def is_in_doubt(self, content: ContentDigest, now: float) -> bool:
         """Return whether a content needs a trial before it is accepted."""
         is_known = self.book.find_suspect(content, now) is not None
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 
 from sycamore_core.decisions.direct import AttemptEnd, after_quarantine
-from sycamore_core.ids import EndpointId
+from sycamore_core.ids import ContentDigest, EndpointId
 
 from .callers.refusals import Refusal, RefusalCause
 from .calls import AdmittedRequest
@@ -49,6 +49,7 @@
         if not self._may_be_suspect(call) or self.is_trial:
             return
         content = call.content.digest
+        await self._wait_for_reports(content)
         seconds_left = self.quarantine.seconds_left(content, self._now())
         if seconds_left:
             raise self._quarantine_refusal(call, seconds_left)
@@ -105,6 +106,16 @@
         if attempt.watch.had_just_begun:
             await asyncio.wait((probe,), timeout=_CRASH_PROBE_TIMEOUT_SECONDS)
 
+    async def _wait_for_reports(self, content: ContentDigest) -> None:
+        """Wait until other entries have reported the last crash.
+
+        Without this, a popular request is refused until the report of the
+        entry that had sent the cause arrives.
+        """
+        seconds = self.quarantine.seconds_to_settle(content, self._now())
+        if seconds:
+            await asyncio.sleep(seconds)
+
     @contextlib.contextmanager
     def _track_place(self, attempt: Attempt) -> Iterator[None]:
         """Record that an endpoint runs a possible suspect in an attempt."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
@@ -149,13 +149,19 @@
     )
 
 
-def add_common_crash(context: ForwardingContext, *bodies: bytes) -> None:
+def lifetime_of(name: str) -> EndpointLifetime:
+    """Return the lifetime of an endpoint that no longer exists."""
+    return EndpointLifetime(EndpointId(name), 5)
+
+
+def add_common_crash(
+    context: ForwardingContext, name: str, *bodies: bytes
+) -> None:
     """Record one crash with several requests at an entry."""
-    gone = EndpointLifetime(EndpointId('gone'), 5)
     for body in bodies:
         context.suspects.quarantine.record_crash(
             digest_of(body),
-            gone,
+            lifetime_of(name),
             context.clock.monotonic(),
             had_just_begun=True,
         )
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
@@ -4,7 +4,8 @@
 
 import pytest
 from sycamore_core.decisions.crashes import trial_readiness
-from sycamore_core.routing import RouteKind
+from sycamore_core.decisions.crashes.quarantine import SETTLE_SECONDS
+from sycamore_core.routing import CrashReport, RouteKind
 
 from .builders import (
     PAUSE_SECONDS,
@@ -27,7 +28,9 @@
     crash_endpoints_with_requests,
     crashed_count,
     crashing_endpoints,
+    digest_of,
     late_crashing_endpoints,
+    lifetime_of,
     make_busy,
     quarantined_content,
     wait_for_same_crashes,
@@ -145,6 +148,23 @@
     assert [one.crash_count for one in quarantine.book.records.values()] == [0]
 
 
+async def test_request_is_not_refused_before_peers_report_a_crash() -> None:
+    """Guards against refusing a harmless request for some milliseconds."""
+    endpoint = RawEndpoint('e1', reply_with(full_answer()))
+    async with running_entry(SAFE, endpoint) as entry:
+        quarantine = entry.context.suspects.quarantine
+        add_common_crash(entry.context, 'gone-1', ORDINARY, POISON)
+        add_common_crash(entry.context, 'gone-2', ORDINARY)
+        asking = asyncio.create_task(entry.ask(body=ORDINARY))
+        await asyncio.sleep(PAUSE_SECONDS)
+        assert not asking.done()
+        report = CrashReport(
+            digest_of(POISON), lifetime_of('gone-2'), 0, had_just_begun=True
+        )
+        quarantine.handle_reports([report], entry.context.clock.monotonic())
+        assert is_answered(await asking)
+
+
 async def test_broken_connection_does_not_count_as_crash() -> None:
     """Guards against quarantine of requests if only connections break."""
     endpoints = [
@@ -199,7 +219,7 @@
     first = RawEndpoint('e0', never_reply)
     others = [RawEndpoint(f'e{one}', reply_with(full_answer())) for one in '12']
     async with running_entry(SAFE, first, *others) as entry:
-        add_common_crash(entry.context, POISON, ORDINARY)
+        add_common_crash(entry.context, 'gone', POISON, ORDINARY)
         for other in others:
             make_busy(entry.context, other)
         asking = asyncio.create_task(entry.ask(Id='q1', body=POISON))
