Let the machine of trials run beyond the time for which crashes count

500 examples of `test_trials_machine` end with a KeyError: its teardown reads the record of a request that all entries have dropped 900 s after the last crash, which a long sequence of events reaches. All entries must still agree: on the number of trials, or that there is no record.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_trials_machine.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_trials_machine.py
@@ -167,11 +167,15 @@
         assert self.tries <= MOST_TRIES
 
     def teardown(self) -> None:
-        """All agree once they have met."""
+        """All that still know the request agree once they have met."""
         self.all_meet_again()
         self._pass(10)
-        books = [entry.quarantine.book for entry in self.fleet.entries]
-        assert len({book.records[CONTENT].tries for book in books}) == 1
+        now = self.fleet.clock.monotonic()
+        records = [
+            entry.quarantine.book.find(CONTENT, now)
+            for entry in self.fleet.entries
+        ]
+        assert len({record and record.tries for record in records}) == 1
 
     def _pass(self, beats: int, still: int | None = None) -> None:
         for _ in range(beats):
