Use the output of a request as evidence that it did not crash an endpoint

Only a complete answer after a crash counted.

A report now says whether the request has had output, at the endpoint that crashed or at any other since its first crash. A request without output is judged as before. Nothing is kept or computed while no endpoint crashes.

--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/abandoned.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/abandoned.py
@@ -32,12 +32,15 @@
         seconds.
     had_just_begun
         Whether the request had run for a moment at most.
+    has_output
+        Whether the request has had output there.
     """
 
     content: ContentDigest
     endpoint: EndpointLifetime
     until: float
     had_just_begun: bool
+    has_output: bool = False
 
 
 class AbandonedAttempts:
--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/crash_records.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/crash_records.py
@@ -60,6 +60,10 @@
         clock, in seconds.
     tries
         Number of trials of the content after its quarantine.
+    has_output
+        Whether the content has had output, at an endpoint that crashed or at
+        any other since the first crash. A request that crashes each endpoint
+        that begins to run it has none.
     last_trial_at
         When the last trial began, on the monotonic clock, in seconds; None if
         there was none.
@@ -72,6 +76,7 @@
     changed_at: float = 0
     learned_at: float = 0
     tries: int = 0
+    has_output: bool = False
     last_trial_at: float | None = None
 
     @property
@@ -117,6 +122,12 @@
         self.crashes[endpoint].is_cleared = True
         self.changed_at = now
 
+    def record_output(self, now: float) -> None:
+        """Record that the content has had output."""
+        if not self.has_output:
+            self.has_output = True
+            self.changed_at = now
+
     def record_trials(
         self, trials: int, last_trial_at: float, now: float
     ) -> None:
@@ -146,7 +157,8 @@
     """Contents that are likely to have crashed each endpoint.
 
     A request that was given up before the crash may have ended there earlier.
-    It is a suspect, but takes nothing from the share of those that were there.
+    It takes a part of the shares only of those that are less likely to be the
+    cause: contents that have had output.
     """
 
     def __init__(self) -> None:
@@ -189,14 +201,14 @@
             found.update(self._abandoned.get(endpoint, ()))
         return found - {content}
 
-    def share(
-        self, content: ContentDigest, endpoint: EndpointLifetime
-    ) -> float:
-        """Return the share with which a crash counts against a suspect.
+    def share(self, record: CrashRecord, endpoint: EndpointLifetime) -> float:
+        """Return the share with which a crash counts against a content.
 
         The share is 1 divided by the number of suspects.
         """
-        suspects = self._present.get(endpoint, set()) | {content}
+        suspects = self._present.get(endpoint, set()) | {record.content}
+        if record.has_output:
+            suspects |= self._abandoned.get(endpoint, set())
         return 1 / len(suspects)
 
 
@@ -234,6 +246,7 @@
             tries=records[content].tries,
             try_age=round(now - (records[content].last_trial_at or now), 3),
             is_abandoned=crash.is_abandoned,
+            has_output=records[content].has_output,
         )
         for content in digests
         for endpoint, crash in records[content].crashes.items()
--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/crash_registry.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/crash_registry.py
@@ -4,9 +4,9 @@
 
 from ...hashes import HASH_BYTES
 from ...ids import ContentDigest
-from ...routing import CrashReport, EndpointLifetime
-from .abandoned import MAX_ABANDONED_SECONDS
+from ...routing import CrashReport
 from .crash_records import CrashRecord, Suspects, build_reports
+from .recent_crashes import RecentCrashes
 
 #: Number of crashes above which a content is quarantined, whatever other
 #: requests ran at the endpoints.
@@ -40,14 +40,14 @@
         Crash records by content, the oldest first.
     suspects
         Suspected contents of each crash.
-    crashed_at
-        When endpoints crashed lately, on the monotonic clock, in seconds.
+    crashed
+        Endpoints that crashed lately, whatever they ran.
     """
 
     def __init__(self) -> None:
         self.records: dict[ContentDigest, CrashRecord] = {}
         self.suspects = Suspects()
-        self.crashed_at: dict[EndpointLifetime, float] = {}
+        self.crashed = RecentCrashes()
         self._by_prefix: dict[bytes, set[ContentDigest]] = {}
 
     @property
@@ -97,7 +97,7 @@
     def shares(self, record: CrashRecord) -> list[float]:
         """Return the shares with which crashes count against a content."""
         return [
-            self.suspects.share(record.content, endpoint)
+            self.suspects.share(record, endpoint)
             for endpoint in record.suspected_endpoints
         ]
 
@@ -110,11 +110,13 @@
         if report.age >= QUARANTINE_SECONDS:
             return
         content, endpoint = report.content, report.endpoint
-        self.record_endpoint_crash(endpoint, now - report.age, now)
+        self.crashed.record(endpoint, now - report.age, now)
         record = self.find(content, now) or self._add(content)
         if endpoint not in record.crashes:
             record.add(report, now)
         record.record_trials(report.tries, now - report.try_age, now)
+        if report.has_output:
+            record.record_output(now)
         crash = record.crashes.get(endpoint)
         if crash is None:
             return
@@ -138,6 +140,27 @@
                 record.clear(endpoint, now)
                 self.suspects.discard(content, endpoint)
 
+    def has_output(self, content: ContentDigest) -> bool:
+        """Return whether a content has had output since its first crash."""
+        record = self.records.get(content)
+        return record is not None and record.has_output
+
+    def is_explained(self, record: CrashRecord) -> bool:
+        """Return whether another content explains all crashes of a content.
+
+        The content has had output, and another one that has had none is a
+        suspect of each of its crashes.
+        """
+        if not record.has_output:
+            return False
+        suspects = [
+            self.suspects.others_at(record.content, (endpoint,))
+            for endpoint, crash in record.crashes.items()
+            if not crash.is_cleared
+        ]
+        common = set.intersection(*suspects) if suspects else set()
+        return not all(map(self.has_output, common))
+
     def recent_reports(self, now: float) -> tuple[CrashReport, ...]:
         """Return reports of recent changes, for every message to peers."""
         start = now - _RECENT_SECONDS
@@ -165,19 +188,6 @@
         """Return the reports of all crashes, for a peer that joins."""
         return self._build_reports(self.records, now)
 
-    def record_endpoint_crash(
-        self, endpoint: EndpointLifetime, at: float, now: float
-    ) -> None:
-        """Record that an endpoint has crashed, whatever it ran."""
-        start = now - MAX_ABANDONED_SECONDS
-        if at >= start:
-            self.crashed_at = {
-                known: crashed_at
-                for known, crashed_at in self.crashed_at.items()
-                if crashed_at >= start
-            }
-            self.crashed_at.setdefault(endpoint, at)
-
     def _build_reports(
         self,
         digests: Iterable[ContentDigest],
--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/quarantine.py
@@ -53,6 +53,11 @@
 that ran at every endpoint. After the quarantine it is therefore sent in a
 trial, one attempt in the whole fleet (see `trials`). A bystander gets an answer
 and is then accepted at all entries.
+
+A request that has had output did not crash an endpoint as it began. If one
+other request without output is a suspect of each of its crashes, it is not
+quarantined, but sent in a trial at once. The number of its trials, and so of
+the endpoints that it can crash, is the same.
 """
 
 from collections.abc import Iterable
@@ -113,6 +118,7 @@
         now: float,
         *,
         had_just_begun: bool,
+        has_output: bool = False,
     ) -> None:
         """Record a crash of an endpoint that ran a request of this entry.
 
@@ -120,13 +126,25 @@
         ----------
         had_just_begun
             Whether the request had run for a moment at most.
+        has_output
+            Whether the request has had output there.
         """
         if self._mass_crashes.record(endpoint, now):
             return
-        self.book.merge(
-            CrashReport(content, endpoint, 0, had_just_begun=had_just_begun),
-            now,
+        report = CrashReport(
+            content,
+            endpoint,
+            0,
+            had_just_begun=had_just_begun,
+            has_output=has_output,
         )
+        self.book.merge(report, now)
+
+    def record_output(self, content: ContentDigest, now: float) -> None:
+        """Record that a request has had output at an endpoint."""
+        record = self.book.records.get(content)
+        if record is not None:
+            record.record_output(now)
 
     def record_abandoned(self, attempt: AbandonedAttempt, now: float) -> None:
         """Record an attempt that its endpoint may still run."""
@@ -142,7 +160,7 @@
         list
             The attempts; none if the endpoint has not crashed.
         """
-        crashed_at = self.book.crashed_at.get(endpoint)
+        crashed_at = self.book.crashed.find(endpoint)
         if crashed_at is None:
             return []
         attempts = self.abandoned.take(endpoint, crashed_at)
@@ -153,6 +171,7 @@
                 now - crashed_at,
                 had_just_begun=attempt.had_just_begun,
                 is_abandoned=True,
+                has_output=attempt.has_output,
             )
             self.book.merge(report, now)
         return attempts
@@ -263,6 +282,8 @@
         return self.book.suspects.others_at(content, crashes)
 
     def _quarantine_seconds(self, record: CrashRecord) -> float:
+        if self.book.is_explained(record):
+            return 0
         shares = self.book.shares(record)
         sole_suspect_crashes = sum(share >= 1 for share in shares)
         if sole_suspect_crashes >= _CONCLUSIVE_CRASHES:
--- a/packages/sycamore-core/src/sycamore_core/routing/crashes.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/crashes.py
@@ -29,6 +29,9 @@
     is_abandoned
         Whether the entry had given the request up before the crash, so that it
         may have ended there earlier.
+    has_output
+        Whether the request has had output, at this endpoint or at any other
+        since its first crash.
     """
 
     content: ContentDigest
@@ -39,3 +42,4 @@
     tries: int = 0
     try_age: float = 0
     is_abandoned: bool = False
+    has_output: bool = False
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -286,7 +286,10 @@
         elapsed = self._now() - self.request.arrived_at
         self.first_event_ms = elapsed * _MS
         call = self.call
-        if call is not None and call.route.kind.is_stream:
+        if call is None:
+            return
+        self.crashes.record_output(call)
+        if call.route.kind.is_stream:
             tokens = call.terms.prompt_tokens
             self.context.metrics.observe_first_event(tokens, elapsed)
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/crash_reporter.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/crash_reporter.py
@@ -67,6 +67,7 @@
                 endpoint=lifetime,
                 until=min(call.deadline, now + MAX_ABANDONED_SECONDS),
                 had_just_begun=attempt.watch.had_just_begun,
+                has_output=attempt.watch.has_event,
             ),
             now,
         )
@@ -78,7 +79,12 @@
         endpoint = attempt.placement.primary
         had_just_begun = attempt.watch.had_just_begun
         if await self.context.suspects.probe.has_crashed(endpoint):
-            self._record_crash(call, endpoint, had_just_begun=had_just_begun)
+            self._record_crash(
+                call,
+                endpoint,
+                had_just_begun=had_just_begun,
+                has_output=attempt.watch.has_event,
+            )
         else:
             # A peer may find later that it has crashed.
             self.record_abandoned(call, attempt)
@@ -86,9 +92,8 @@
     async def _probe_unreachable(self, endpoint: EndpointRecord) -> None:
         if await self.context.suspects.probe.has_crashed(endpoint):
             now = self._now()
-            self.quarantine.book.record_endpoint_crash(
-                endpoint.lifetime, now, now
-            )
+            crashed = self.quarantine.book.crashed
+            crashed.record(endpoint.lifetime, now, now)
             self._blame_abandoned(endpoint.lifetime)
 
     def _record_crash(
@@ -97,12 +102,17 @@
         endpoint: EndpointRecord,
         *,
         had_just_begun: bool,
+        has_output: bool,
     ) -> None:
         now = self._now()
         content = call.content.digest
         was_quarantined = self.quarantine.is_quarantined(content, now)
         self.quarantine.record_crash(
-            content, endpoint.lifetime, now, had_just_begun=had_just_begun
+            content,
+            endpoint.lifetime,
+            now,
+            had_just_begun=had_just_begun,
+            has_output=has_output,
         )
         self.context.dispatcher.send_update_now(endpoint.endpoint)
         self._log_crash(
@@ -148,6 +158,7 @@
             content=content.hex(),
             had_just_begun=had_just_begun,
             is_abandoned=is_abandoned,
+            has_output=self.quarantine.book.has_output(content),
             crashes=self.quarantine.crash_count(content),
             is_held=self.quarantine.is_quarantined(content, self._now()),
         )
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
@@ -81,6 +81,11 @@
             self._record_abandoned(attempt, error)
             raise
 
+    def record_output(self, call: AdmittedRequest) -> None:
+        """Record that the request has had output."""
+        if self._may_be_suspect(call):
+            self.quarantine.record_output(call.content.digest, self._now())
+
     def record_answer(self, call: AdmittedRequest) -> None:
         """Record that the request got a complete answer."""
         if self._may_be_suspect(call):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
@@ -4,7 +4,6 @@
 
 import pytest
 from sycamore_core.decisions.crashes import trial_readiness
-from sycamore_core.decisions.crashes.quarantine import SETTLE_SECONDS
 from sycamore_core.routing import CrashReport, RouteKind
 
 from .builders import (
