Ask for a trial only when the request has a free endpoint

A suspect request asked for its trial before an endpoint was chosen. With no free endpoint (all down or full) it was refused, the trial counted as in progress for 12 s, and one of three was used up.

The trial is asked for once a placement is known. Put back, `test_request_without_free_endpoint_uses_no_trial` fails.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -134,6 +134,7 @@
             placement = await self._place(placer, relay, avoided)
             if placement is None:
                 return
+            await self.crashes.claim_trial(call)
             is_over = await self._attempt_at(placement, call, relay)
 
     async def _attempt_at(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
@@ -39,7 +39,7 @@
         self.is_trial = False
 
     async def check(self, call: AdmittedRequest) -> None:
-        """Check that the request may be sent to an endpoint.
+        """Check that the request may be sent to an endpoint, or in a trial.
 
         Raises
         ------
@@ -48,20 +48,28 @@
         """
         if not self._may_be_suspect(call) or self.is_trial:
             return
+        await self._wait_for_reports(call.content.digest)
+        self._check_quarantine(call)
+
+    async def claim_trial(self, call: AdmittedRequest) -> None:
+        """Get a trial for a suspect request that has a free endpoint.
+
+        Without a free endpoint, the trial would be used up without an attempt,
+        and the request refused until the time of the trial is over.
+
+        Raises
+        ------
+        Refusal
+            If the request is quarantined, or is suspect and gets no trial now.
+        """
+        if not self._may_be_suspect(call) or self.is_trial:
+            return
+        self._check_quarantine(call)
         content = call.content.digest
-        await self._wait_for_reports(content)
-        seconds_left = self.quarantine.seconds_left(content, self._now())
-        if seconds_left:
-            raise self._quarantine_refusal(call, seconds_left)
         if not self.quarantine.is_in_doubt(content, self._now()):
             return
-        seconds_to_trial = self.quarantine.seconds_to_trial(
-            content, self._now()
-        )
-        if seconds_to_trial or not await self.context.trials.request_trial(
-            content
-        ):
-            raise self._quarantine_refusal(call, seconds_to_trial)
+        if not await self.context.trials.request_trial(content):
+            raise self._quarantine_refusal(call, 0)
         self.is_trial = True
 
     def endpoints_to_avoid(self, call: AdmittedRequest) -> set[EndpointId]:
@@ -111,6 +119,16 @@
         if attempt.watch.had_just_begun:
             await asyncio.wait((probe,), timeout=_CRASH_PROBE_TIMEOUT_SECONDS)
 
+    def _check_quarantine(self, call: AdmittedRequest) -> None:
+        """Refuse a request that can get no trial now."""
+        content = call.content.digest
+        now = self._now()
+        seconds_left = self.quarantine.seconds_left(content, now)
+        if not seconds_left and self.quarantine.is_in_doubt(content, now):
+            seconds_left = self.quarantine.seconds_to_trial(content, now)
+        if seconds_left:
+            raise self._quarantine_refusal(call, seconds_left)
+
     async def _wait_for_reports(self, content: ContentDigest) -> None:
         """Wait until other entries have reported the last crash.
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
@@ -154,6 +154,8 @@
         quarantine = entry.context.suspects.quarantine
         add_common_crash(entry.context, 'gone-1', ORDINARY, POISON)
         add_common_crash(entry.context, 'gone-2', ORDINARY)
+        now = entry.context.clock.monotonic()
+        quarantine.record_output(digest_of(ORDINARY), now)
         asking = asyncio.create_task(entry.ask(body=ORDINARY))
         await asyncio.sleep(PAUSE_SECONDS)
         assert not asking.done()
@@ -213,6 +215,18 @@
                 assert is_answered(await caller.ask(body=ORDINARY))
 
 
+async def test_request_without_free_endpoint_uses_no_trial() -> None:
+    """Guards against refusing a harmless request after a trial in vain."""
+    endpoint = RawEndpoint('e1', reply_with(full_answer()))
+    async with running_entry(SAFE, endpoint) as entry:
+        add_suspect(entry.context, ORDINARY)
+        entry.context.keeper.directory.remove(endpoint.name)
+        refused = await entry.ask(body=ORDINARY)
+        assert refused.startswith(b'HTTP/1.1 503')
+        quarantine = entry.context.suspects.quarantine
+        assert quarantine.book.records[digest_of(ORDINARY)].tries == 0
+
+
 async def test_suspects_of_one_crash_are_placed_apart() -> None:
     """Guards against a harmless request that is present at each crash."""
     first = RawEndpoint('e0', never_reply)
