Refuse requests without output at once, and let callers return during a trial

Only requests that have had output wait now; a poison request that has none is judged as before.

Callers that come during a trial were told to return after 12 s or more, the time limit of a trial; a bystander is answered within a second.

--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/quarantine.py
@@ -71,7 +71,12 @@
     QUARANTINE_SECONDS,
     CrashRegistry,
 )
-from .trials import TrialDecision, TrialDenial, seconds_to_trial
+from .trials import (
+    TRIAL_ANSWER_SECONDS,
+    TrialDecision,
+    TrialDenial,
+    seconds_to_trial,
+)
 
 #: Number of crashes with a content as the only suspect after which the content
 #: counts as the certain cause. One crash does not suffice: another entry may
@@ -216,12 +221,12 @@
     def seconds_to_settle(self, content: ContentDigest, now: float) -> float:
         """Return the time until the reports of the last crash are in.
 
-        A request that is suspect waits for this time, in seconds, before it is
-        refused or sent. Each report that is still on its way may name another
-        suspect.
+        A suspect request that has had output waits for this time, in seconds,
+        before it is refused or sent. Each report that is still on its way may
+        name another suspect. A request without output is judged at once.
         """
         record = self.book.find_suspect(content, now)
-        if record is None:
+        if record is None or not record.has_output:
             return 0
         return max(0, record.learned_at + SETTLE_SECONDS - now)
 
@@ -231,12 +236,15 @@
         return is_known and not self.is_quarantined(content, now)
 
     def seconds_to_trial(self, content: ContentDigest, now: float) -> float:
-        """Return the time until the trial of a suspect content, in seconds."""
+        """Return the time until a caller may ask for a trial, in seconds.
+
+        A trial in progress usually ends long before its time is over.
+        """
         record = self.book.records[content]
         seconds = seconds_to_trial(record, now)
         if seconds is None:
             return record.last_crash_at + QUARANTINE_SECONDS - now
-        return seconds
+        return min(seconds, TRIAL_ANSWER_SECONDS)
 
     def grant_trial(self, content: ContentDigest, now: float) -> int:
         """Grant a trial of a suspect content, if one is permitted now.
--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/tests/test_trials.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/tests/test_trials.py
@@ -4,7 +4,12 @@
 
 from ..crash_registry import QUARANTINE_SECONDS
 from ..quarantine import SHORT_QUARANTINE_SECONDS, Quarantine
-from ..trials import MOST_TRIES, TRIAL_TIMEOUT_SECONDS, granting_entry
+from ..trials import (
+    MOST_TRIES,
+    TRIAL_ANSWER_SECONDS,
+    TRIAL_TIMEOUT_SECONDS,
+    granting_entry,
+)
 from .builders_trials import (
     BYSTANDER,
     CRASHING,
@@ -77,6 +82,14 @@
     )
 
 
+def test_callers_may_return_soon_while_a_trial_is_in_progress() -> None:
+    """Guards against callers kept away long after the trial is answered."""
+    quarantine = after_three_crashes()
+    quarantine.grant_trial(CRASHING, QUARANTINE_END)
+    seconds = quarantine.seconds_to_trial(CRASHING, QUARANTINE_END + 0.1)
+    assert seconds == TRIAL_ANSWER_SECONDS
+
+
 def test_trial_without_known_end_is_followed_by_another() -> None:
     """Guards against a bystander that is refused after its trial is lost."""
     quarantine = after_three_crashes()
--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/trials.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/trials.py
@@ -27,6 +27,8 @@
 
 #: Upper bound of the trials of a request after its quarantine.
 MOST_TRIES = 3
+#: Time in which most trials are answered, in seconds.
+TRIAL_ANSWER_SECONDS = 1.0
 #: Time after which a trial counts as ended, in seconds: the timeout of the
 #: caller. A crash or an answer ends the trial sooner.
 TRIAL_TIMEOUT_SECONDS = 12.0
