Have the test of trials without a free endpoint reach the placement

The only endpoint now asks for a backoff, so that the request is admitted and finds no place; with the former order the test fails.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_answers.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_answers.py
@@ -2,7 +2,16 @@
 
 import asyncio
 
-from .builders import Script, parse_headers
+from .builders import (
+    RawEndpoint,
+    Script,
+    full_answer,
+    parse_headers,
+    reply_with,
+)
+
+#: Backoff that outlasts a test, in seconds.
+LONG_BACKOFF = 30
 
 
 def reply_in_sequence(*answers: bytes) -> Script:
@@ -28,3 +37,18 @@
     assert answer.startswith(b'HTTP/1.1 503')
     head = answer.partition(b'\r\n\r\n')[0].decode()
     return float(parse_headers(head)['retry-after'])
+
+
+def refusal(seconds: float) -> bytes:
+    """Return a refusal that requests a backoff."""
+    return full_answer('', 503, f'Not-Run: 1\r\nRest: {seconds}\r\n')
+
+
+def refuse_all(seconds: float) -> Script:
+    """Return a script that refuses each request with a backoff."""
+    return reply_with(refusal(seconds))
+
+
+def backing_off(name: str = 'e1', seconds: float = LONG_BACKOFF) -> RawEndpoint:
+    """Return an endpoint that refuses each request with a backoff."""
+    return RawEndpoint(name, refuse_all(seconds))
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_asked_rest.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_asked_rest.py
@@ -19,7 +19,15 @@
     running_entry,
     snapshot_of,
 )
-from .builders_answers import is_answered, reply_in_sequence, retry_after
+from .builders_answers import (
+    LONG_BACKOFF,
+    backing_off,
+    is_answered,
+    refusal,
+    refuse_all,
+    reply_in_sequence,
+    retry_after,
+)
 from .builders_crash import callers_of
 from .builders_engines import ANSWER, HUGE, STREAM, engines
 from .builders_mesh import entries, running
@@ -27,24 +35,9 @@
 SAFE = route(RouteKind.SAFE, time_limit=60)
 CHAT = route(RouteKind.RESUMABLE_STREAM, MODEL)
 REQUEST_COUNT = 8
-LONG_BACKOFF = 30
 SHORT_BACKOFF = 0.4
 
 
-def refusal(seconds: float) -> bytes:
-    """Return a refusal that requests a backoff."""
-    return full_answer('', 503, f'Not-Run: 1\r\nRest: {seconds}\r\n')
-
-
-def refuse_all(seconds: float) -> Script:
-    """Return a script that refuses each request with a backoff."""
-    return reply_with(refusal(seconds))
-
-
-def backing_off(name: str = 'e1', seconds: float = LONG_BACKOFF) -> RawEndpoint:
-    return RawEndpoint(name, refuse_all(seconds))
-
-
 def healthy(name: str = 'e2', script: Script | None = None) -> RawEndpoint:
     return RawEndpoint(name, script or reply_with(full_answer()))
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_crashing_requests.py
@@ -16,7 +16,7 @@
     running_entry,
     snapshot_of,
 )
-from .builders_answers import is_answered, retry_after
+from .builders_answers import backing_off, is_answered, retry_after
 from .builders_crash import (
     ORDINARY,
     POISON,
@@ -217,10 +217,9 @@
 
 async def test_request_without_free_endpoint_uses_no_trial() -> None:
     """Guards against refusing a harmless request after a trial in vain."""
-    endpoint = RawEndpoint('e1', reply_with(full_answer()))
-    async with running_entry(SAFE, endpoint) as entry:
+    async with running_entry(SAFE, backing_off()) as entry:
+        await entry.ask(body=b'another')
         add_suspect(entry.context, ORDINARY)
-        entry.context.keeper.directory.remove(endpoint.name)
         refused = await entry.ask(body=ORDINARY)
         assert refused.startswith(b'HTTP/1.1 503')
         quarantine = entry.context.suspects.quarantine
