--- a/packages/sycamore-core/src/sycamore_core/telemetry/process_times.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/process_times.py
@@ -36,8 +36,10 @@
     WAITED_FOR_MEMORY = 'waited_for_memory'
     #: The machine waited for its disks.
     WAITED_FOR_DISK = 'waited_for_disk'
-    #: Nothing of the above: the process was stopped, or its machine suspended.
+    #: The process was stopped by a signal, and continued by another.
     WAS_STOPPED = 'was_stopped'
+    #: Nothing of the above; the machine may have been suspended.
+    UNKNOWN = 'unknown'
 
 
 class ProcessTimes(msgspec.Struct, frozen=True, kw_only=True):
@@ -131,7 +133,7 @@
         for waited, cause in waits:
             if waited >= seconds * _MAIN_SHARE:
                 return cause
-        return DelayCause.WAS_STOPPED
+        return DelayCause.UNKNOWN
 
 
 def _age_seconds(proc: pathlib.Path) -> float:
