--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/abandoned.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/abandoned.py
@@ -8,15 +8,15 @@
 run at the engine at that moment seem to be the only possible causes.
 """
 
-from collections import deque
-
 import msgspec
 
 from ...ids import ContentDigest
 from ...routing import EndpointLifetime
 
-#: Upper bound of the stored attempts.
-_MAX_ATTEMPTS = 1024
+#: Upper bounds of the endpoints for which attempts are stored, and of the
+#: attempts of each; the oldest are dropped.
+_MAX_ENDPOINTS = 128
+_MAX_ATTEMPTS = 16
 #: Longest time for which an attempt is stored, in seconds. Callers wait no
 #: longer, and an endpoint is told for how long.
 MAX_ABANDONED_SECONDS = 30.0
@@ -59,17 +59,20 @@
     """
 
     def __init__(self) -> None:
-        self._attempts: deque[AbandonedAttempt] = deque(maxlen=_MAX_ATTEMPTS)
+        self._by_endpoint: dict[EndpointLifetime, list[AbandonedAttempt]] = {}
 
     def record(self, attempt: AbandonedAttempt, now: float) -> None:
-        """Record an attempt, and drop those that have ended."""
-        while self._attempts and self._attempts[0].until <= now:
-            self._attempts.popleft()
-        self._attempts.append(attempt)
+        """Record an attempt, and drop those there that have ended."""
+        # An endpoint with a new attempt counts as the newest.
+        attempts = [*self.take(attempt.endpoint, now), attempt]
+        self._by_endpoint[attempt.endpoint] = attempts[-_MAX_ATTEMPTS:]
+        if len(self._by_endpoint) > _MAX_ENDPOINTS:
+            self._by_endpoint.pop(next(iter(self._by_endpoint)))
 
     def has_any(self, endpoint: EndpointLifetime, now: float) -> bool:
         """Return whether an endpoint may still run an abandoned request."""
-        return bool(self._at(endpoint, now))
+        attempts = self._by_endpoint.get(endpoint, ())
+        return any(attempt.until > now for attempt in attempts)
 
     def take(
         self, endpoint: EndpointLifetime, now: float
@@ -81,17 +84,5 @@
         now
             When the endpoint crashed.
         """
-        found = self._at(endpoint, now)
-        if found:
-            others = [one for one in self._attempts if one not in found]
-            self._attempts = deque(others, maxlen=_MAX_ATTEMPTS)
-        return found
-
-    def _at(
-        self, endpoint: EndpointLifetime, now: float
-    ) -> list[AbandonedAttempt]:
-        return [
-            attempt
-            for attempt in self._attempts
-            if attempt.endpoint == endpoint and attempt.until > now
-        ]
+        attempts = self._by_endpoint.pop(endpoint, [])
+        return [attempt for attempt in attempts if attempt.until > now]
--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/tests/test_abandoned.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/tests/test_abandoned.py
@@ -2,11 +2,13 @@
 
 from ....ids import ContentDigest
 from ....routing import CrashReport
-from ..abandoned import AbandonedAttempt
+from ..abandoned import AbandonedAttempt, AbandonedAttempts
 from ..quarantine import Quarantine
 from .test_quarantine import BYSTANDER, CRASHING, crash, lifetime_of
 
 TIME_LIMIT_SECONDS = 4.0
+#: Attempts that are remembered at most.
+BOUND = 2048
 
 
 def abandon(
@@ -97,3 +99,20 @@
         crash(quarantine, 'e1', 10, BYSTANDER)
         record = quarantine.book.records[BYSTANDER]
         assert quarantine.book.shares(record) == [0.5]
+
+
+def test_many_given_up_requests_are_bounded() -> None:
+    """Guards against memory that grows while all endpoints are silent."""
+    attempts = AbandonedAttempts()
+    names = [f'other-{number}' for number in range(2 * BOUND)]
+    for other in names:
+        for name in ('e1', other):
+            attempt = AbandonedAttempt(
+                content=CRASHING,
+                endpoint=lifetime_of(name),
+                until=100,
+                had_just_begun=True,
+            )
+            attempts.record(attempt, 10)
+    kept = [attempts.take(lifetime_of(one), 11) for one in ('e1', *names)]
+    assert 0 < sum(map(len, kept)) <= BOUND
