--- a/packages/sycamore-core/src/sycamore_core/telemetry/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/__init__.py
@@ -5,7 +5,7 @@
 from .gauges import Gauge
 from .logs import Log, start_logging
 from .metrics import Metrics
-from .process_times import DelayCause, ProcessTimes
+from .process_times import DelayCause, ProcessTimes, process_age_seconds
 
 __all__ = (
     'Attainment',
@@ -17,5 +17,6 @@
     'Log',
     'Metrics',
     'ProcessTimes',
+    'process_age_seconds',
     'start_logging',
 )
--- a/packages/sycamore-core/src/sycamore_core/telemetry/process_times.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/process_times.py
@@ -19,6 +19,8 @@
 _QUEUED_FIELD = 1
 #: Position of the stolen time in the first line of `/proc/stat`.
 _STEAL_FIELD = 8
+#: Bytes that are read of a file; all figures are at its beginning.
+_MOST_BYTES = 1024
 #: Share of a period that a single cause must account for.
 _MAIN_SHARE = 0.5
 
@@ -49,8 +51,6 @@
 
     Attributes
     ----------
-    age_seconds
-        Time since the process was created.
     cpu_seconds
         Processor time that the process used.
     queued_seconds
@@ -73,7 +73,6 @@
     'ran'
     """
 
-    age_seconds: float = 0
     cpu_seconds: float = 0
     queued_seconds: float = 0
     stolen_seconds: float = 0
@@ -86,7 +85,6 @@
         """Return the totals since the start of the process and the machine."""
         usage = resource.getrusage(resource.RUSAGE_SELF)
         return cls(
-            age_seconds=_age_seconds(proc),
             cpu_seconds=usage.ru_utime + usage.ru_stime,
             queued_seconds=_queued_seconds(proc),
             stolen_seconds=_stolen_seconds(proc),
@@ -136,7 +134,8 @@
         return DelayCause.UNKNOWN
 
 
-def _age_seconds(proc: pathlib.Path) -> float:
+def process_age_seconds(proc: pathlib.Path = _PROC) -> float:
+    """Return the time since this process was created."""
     # The program's name in parentheses may contain spaces.
     after_name = _read(proc / 'self/stat').rpartition(')')[2]
     fields = after_name.split()
@@ -170,8 +169,10 @@
 
 
 def _read(path: pathlib.Path) -> str:
+    """Return the beginning of a file; it is read in one step."""
     try:
-        return path.read_text()
+        with path.open('rb', buffering=0) as file:
+            return file.read(_MOST_BYTES).decode()
     except OSError:
         # This kernel, or the container, does not provide the figure.
         return ''
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -10,7 +10,12 @@
 from sycamore_core.clock import SystemClock
 from sycamore_core.errors import SettingsError
 from sycamore_core.messages import PeerKeys
-from sycamore_core.telemetry import EventLoopWatch, Log, ProcessTimes
+from sycamore_core.telemetry import (
+    EventLoopWatch,
+    Log,
+    ProcessTimes,
+    process_age_seconds,
+)
 from tornado.httpserver import HTTPServer
 
 from .callers.caller import (
@@ -151,7 +156,7 @@
             retry_ratio=limit.ratio,
             retry_slack=limit.slack,
             retry_window_seconds=limit.window,
-            start_seconds=round(times.age_seconds, 3),
+            start_seconds=round(process_age_seconds(), 3),
             cpu_seconds=round(times.cpu_seconds, 3),
             queued_seconds=round(times.queued_seconds, 3),
             major_faults=times.major_faults,
