--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/quarantine.py
@@ -45,19 +45,18 @@
 them are sole. Each further crash makes a short quarantine nine times as long,
 up to the full length.
 
-The entries that had requests at an endpoint report its crash one after the
-other. A request that becomes suspect is neither refused nor sent until all of
-them have had the time to do so.
-
 A request in a short quarantine may be a bystander, such as a popular request
 that ran at every endpoint. After the quarantine it is therefore sent in a
 trial, one attempt in the whole fleet (see `trials`). A bystander gets an answer
 and is then accepted at all entries.
 
-A request that has had output did not crash an endpoint as it began. If one
-other request without output is a suspect of each of its crashes, it is not
-quarantined, but sent in a trial at once. The number of its trials, and so of
-the endpoints that it can crash, is the same.
+A request that has had output did not crash an endpoint as it began, and is
+judged more carefully. Those that were given up at an endpoint count as suspects
+beside it. The entries that had requests at an endpoint report its crash one
+after the other; such a request is neither refused nor sent until all of them
+have had the time to do so. If one other request without output is a suspect of
+each of its crashes, it is not quarantined, but sent in a trial at once. The
+number of its trials, and so of the endpoints that it can crash, is the same.
 """
 
 from collections.abc import Iterable
