Prune the recent crashes only when a further one is recorded

Each report of a known crash copied the whole map of recent crashes: up to 24 reports in each message of each peer, for 30 s after a crash, to no effect. A known endpoint, or one that crashed too long ago, now changes nothing. What is found is the same.

--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/recent_crashes.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/recent_crashes.py
@@ -22,13 +22,14 @@
     def record(self, endpoint: EndpointLifetime, at: float, now: float) -> None:
         """Record a crash; the first report of it counts."""
         start = now - MAX_ABANDONED_SECONDS
+        if endpoint in self._crashed_at or at < start:
+            return
         self._crashed_at = {
             known: crashed_at
             for known, crashed_at in self._crashed_at.items()
             if crashed_at >= start
         }
-        if at >= start:
-            self._crashed_at.setdefault(endpoint, at)
+        self._crashed_at[endpoint] = at
 
     def find(self, endpoint: EndpointLifetime) -> float | None:
         """Return when an endpoint crashed; None if it is not known to have."""
