Drop the second way to grant a trial

`grant_trial` returned the number of `decide_trial`, and only tests still called it. They read the number themselves; what they assert is the same. Style and the tests of crashes and trials were run, not the whole script.

--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/quarantine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/quarantine.py
@@ -245,16 +245,6 @@
             return record.last_crash_at + QUARANTINE_SECONDS - now
         return min(seconds, TRIAL_ANSWER_SECONDS)
 
-    def grant_trial(self, content: ContentDigest, now: float) -> int:
-        """Grant a trial of a suspect content, if one is permitted now.
-
-        Returns
-        -------
-        int
-            Number of the trial, from 1; 0 if none is granted.
-        """
-        return self.decide_trial(content, now).number
-
     def decide_trial(self, content: ContentDigest, now: float) -> TrialDecision:
         """Grant a trial of a suspect content, or say why not."""
         if not self.is_in_doubt(content, now):
--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/tests/builders_bystanders.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/tests/builders_bystanders.py
@@ -270,7 +270,9 @@
         self.readiness[granting].record_running(self.now, 1)
         if self.readiness[granting].denial(self.now) is not None:
             return False
-        number = self.quarantines[granting].grant_trial(content, self.now)
+        number = (
+            self.quarantines[granting].decide_trial(content, self.now).number
+        )
         quarantine.record_trial(content, number, self.now)
         return number > 0
 
--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/tests/builders_trials.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/tests/builders_trials.py
@@ -88,7 +88,7 @@
             return False
         entries = map(str, range(self.load.entries))
         granter = int(granting_entry(content, entries))
-        number = self.quarantines[granter].grant_trial(content, now)
+        number = self.quarantines[granter].decide_trial(content, now).number
         quarantine.record_trial(content, number, now)
         return number > 0
 
--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/tests/test_recorded_crashes.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/tests/test_recorded_crashes.py
@@ -51,7 +51,7 @@
     settled_at = replay.now + SETTLE_SECONDS
     assert not any(replay.refused_at(POPULAR, settled_at))
     assert all(replay.refused_at(POISON, settled_at))
-    assert replay.entries[0].grant_trial(POPULAR, settled_at) == 1
+    assert replay.entries[0].decide_trial(POPULAR, settled_at).number == 1
 
 
 def test_popular_request_without_output_stays_in_quarantine() -> None:
--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/tests/test_trials.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/tests/test_trials.py
@@ -75,17 +75,17 @@
 
 def test_trials_do_not_overlap() -> None:
     quarantine = after_three_crashes()
-    assert not quarantine.grant_trial(CRASHING, QUARANTINE_END - 1)
-    assert quarantine.grant_trial(CRASHING, QUARANTINE_END) == 1
-    assert not quarantine.grant_trial(
+    assert not quarantine.decide_trial(CRASHING, QUARANTINE_END - 1).number
+    assert quarantine.decide_trial(CRASHING, QUARANTINE_END).number == 1
+    assert not quarantine.decide_trial(
         CRASHING, QUARANTINE_END + TRIAL_TIMEOUT_SECONDS - 1
-    )
+    ).number
 
 
 def test_callers_may_return_soon_while_a_trial_is_in_progress() -> None:
     """Guards against callers kept away long after the trial is answered."""
     quarantine = after_three_crashes()
-    quarantine.grant_trial(CRASHING, QUARANTINE_END)
+    quarantine.decide_trial(CRASHING, QUARANTINE_END).number
     seconds = quarantine.seconds_to_trial(CRASHING, QUARANTINE_END + 0.1)
     assert seconds == TRIAL_ANSWER_SECONDS
 
@@ -93,9 +93,11 @@
 def test_trial_without_known_end_is_followed_by_another() -> None:
     """Guards against a bystander that is refused after its trial is lost."""
     quarantine = after_three_crashes()
-    quarantine.grant_trial(CRASHING, QUARANTINE_END)
+    quarantine.decide_trial(CRASHING, QUARANTINE_END).number
     assert (
-        quarantine.grant_trial(CRASHING, QUARANTINE_END + TRIAL_TIMEOUT_SECONDS)
+        quarantine.decide_trial(
+            CRASHING, QUARANTINE_END + TRIAL_TIMEOUT_SECONDS
+        ).number
         == 2
     )
 
@@ -106,7 +108,7 @@
     granted = [
         now
         for now in range(int(QUARANTINE_SECONDS))
-        if quarantine.grant_trial(CRASHING, float(now))
+        if quarantine.decide_trial(CRASHING, float(now)).number
     ]
     assert len(granted) == MOST_TRIES
     assert (
@@ -117,25 +119,27 @@
 
 def test_request_without_known_crashes_is_granted_no_trial() -> None:
     """Guards against grants by an entry that has not received the reports."""
-    assert not Quarantine().grant_trial(CRASHING, 10)
+    assert not Quarantine().decide_trial(CRASHING, 10).number
 
 
 def test_trials_are_reported_to_the_entry_that_is_chosen_next() -> None:
     """Guards against three more trials after each entry that dies."""
     first, second = after_three_crashes(), after_three_crashes()
     for number in range(MOST_TRIES):
-        assert first.grant_trial(
+        assert first.decide_trial(
             CRASHING, QUARANTINE_END + number * TRIAL_TIMEOUT_SECONDS
-        )
+        ).number
     later = QUARANTINE_END + MOST_TRIES * TRIAL_TIMEOUT_SECONDS
     second.handle_reports(first.book.rotating_reports(later), later)
-    assert not second.grant_trial(CRASHING, later + TRIAL_TIMEOUT_SECONDS)
+    assert not second.decide_trial(
+        CRASHING, later + TRIAL_TIMEOUT_SECONDS
+    ).number
 
 
 def test_answer_to_a_trial_ends_the_suspicion_at_all_entries() -> None:
     """Guards against a bystander that is refused after it was cleared."""
     first, second = after_three_crashes(), after_three_crashes()
-    first.grant_trial(BYSTANDER, QUARANTINE_END)
+    first.decide_trial(BYSTANDER, QUARANTINE_END).number
     first.record_answer(BYSTANDER, QUARANTINE_END + 1)
     second.handle_reports(
         first.book.recent_reports(QUARANTINE_END + 1), QUARANTINE_END + 1
