Report requests that were read whole and have no answer

No line told which requests of an entry ended without a complete answer. request_ended said caller_left both when the caller closed its connection and when the entry cancelled the exchange at the end of a stop, and nothing said who closed the connection. An attempt that was given up for silence did not say whether the endpoint had sent something that the entry had not read, nor how late the check ran.

- request_unanswered and sycamore_unanswered_requests_total name the reason: caller_left, slow_reader, not_resumed, time_limit, forced_stop or defect, and which side closed the connection.
- request_ended has 'stopped' for the forced stop.
- attempt_silent and sycamore_silent_attempts_total say whether bytes lay unread in the socket, how late the check ran, and the retry budget at that moment.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/attempts.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/attempts.py
@@ -92,6 +92,8 @@
         so a caller that is answered meanwhile must not receive "not run".
     answer_has_begun
         Whether the caller has received the beginning of an answer.
+    last_end
+        How the latest attempt ended; None if none has ended.
 
     Examples
     --------
@@ -108,6 +110,7 @@
     possibly_ran: int = 0
     is_in_progress: bool = False
     answer_has_begun: bool = False
+    last_end: AttemptEnd | None = None
 
     @property
     def may_have_run(self) -> int:
@@ -121,6 +124,7 @@
     def record(self, end: AttemptEnd) -> None:
         """Record how the attempt in progress ended."""
         self.is_in_progress = False
+        self.last_end = end
         if end.was_sent:
             self.sent += 1
         if not end.has_not_run:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
@@ -67,6 +67,8 @@
         Whether the head of an answer has been sent.
     is_over
         Whether the answer is complete or was aborted.
+    is_complete
+        Whether all of the answer was handed to the connection.
     closes
         Whether the connection closes after this answer.
     is_blocked
@@ -82,6 +84,7 @@
         self.flow = flow
         self.has_begun = False
         self.is_over = False
+        self.is_complete = False
         self.closes = False
         self.is_blocked = False
         connection.stream.set_nodelay(True)
@@ -90,6 +93,11 @@
             socket.SOL_SOCKET, socket.SO_SNDBUF, CONNECTION_BYTES // 2
         )
 
+    @property
+    def is_disconnected(self) -> bool:
+        """Whether the connection to the caller is closed."""
+        return self.connection.stream.closed()
+
     async def send(
         self, status: int, headers: HTTPHeaders, body: bytes
     ) -> None:
@@ -131,6 +139,7 @@
     async def finish(self) -> None:
         """Mark the answer as complete."""
         self.is_over = True
+        self.is_complete = True
         stream = self.connection.stream
         self.connection.finish()
         if self.closes:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -86,14 +86,14 @@
         try:
             await self._serve()
         except CallerDisconnectedError as error:
-            self.outcome.label = error.label
+            self.outcome.disconnect(error)
         except asyncio.CancelledError:
-            self.outcome.label = 'caller_left'
+            self.outcome.cancel()
             raise
         except Exception as error:
             # A defect in the entry. The caller sees a failure that does not
             # tell whether the request has run; other requests continue.
-            self.outcome.label = 'fault'
+            self.outcome.record_defect()
             self.context.log.error(
                 'exchange_fault',
                 request_id=self.request_id,
@@ -300,7 +300,9 @@
             # a complete one, nor wait for the remainder.
             self.answer.abort()
         self.crashes.granted.finish()
-        self.context.metrics.outcomes.add(self.outcome.label)
+        self.outcome.report_unanswered()
+        outcomes = self.context.metrics.outcomes
+        outcomes.requests.add(self.outcome.label)
         elapsed = self._now() - self.request.arrived_at
         self.context.log.info(
             'request_ended',
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/outcome.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/outcome.py
@@ -6,6 +6,7 @@
 from ..context import ForwardingContext
 from ..decision_log import DecisionLog
 from ..endpoints.relay import AnswerRelay
+from ..errors import CallerDisconnectedError, SlowReaderError
 from .caller import CallerAnswer
 from .refusals import (
     BAD_GATEWAY,
@@ -14,6 +15,7 @@
     RefusalCause,
     send_refusal,
 )
+from .unanswered import UnansweredReason, UnansweredReport
 
 
 class RequestOutcome:
@@ -25,6 +27,9 @@
         Name of the outcome, for the log and the metrics.
     detail
         Reason for a refusal, for the log.
+    unanswered
+        Why the caller has no complete answer; None if it has one, or if the
+        request is not over.
     """
 
     def __init__(
@@ -40,6 +45,7 @@
         self.request_id = request_id
         self.label = 'none'
         self.detail = ''
+        self.unanswered: UnansweredReason | None = None
 
     async def refuse(self, refusal: Refusal) -> None:
         """Refuse the request, or fail it if it may have run."""
@@ -60,6 +66,7 @@
         """End the request at its time limit."""
         if self.answer.has_begun:
             self.label = 'cut_at_limit'
+            self.unanswered = UnansweredReason.TIME_LIMIT
             self.answer.abort()
         elif self.attempts.may_have_run:
             self.label = 'late'
@@ -71,6 +78,7 @@
         """Answer with a failure, or abort an answer that has begun."""
         if self.answer.has_begun:
             self.label = 'cut'
+            self.unanswered = UnansweredReason.NOT_RESUMED
             self.answer.abort()
             return
         self.label = 'failed'
@@ -81,5 +89,39 @@
         self.label = 'endpoint_failed'
         await relay.relay_failure()
 
+    def disconnect(self, error: CallerDisconnectedError) -> None:
+        """Record that the connection of the caller has ended."""
+        self.label = error.label
+        if isinstance(error, SlowReaderError):
+            self.unanswered = UnansweredReason.SLOW_READER
+        else:
+            self.unanswered = UnansweredReason.CALLER_LEFT
+
+    def cancel(self) -> None:
+        """Record that the exchange was cancelled."""
+        if self.answer.is_disconnected:
+            self.label = 'caller_left'
+            self.unanswered = UnansweredReason.CALLER_LEFT
+        else:
+            self.label = 'stopped'
+            self.unanswered = UnansweredReason.FORCED_STOP
+
+    def record_defect(self) -> None:
+        """Record that a defect of the entry ended the request."""
+        self.label = 'fault'
+        self.unanswered = UnansweredReason.DEFECT
+
+    def report_unanswered(self) -> None:
+        """Log and count the request if its caller has no complete answer."""
+        if self.unanswered is None or self.answer.is_complete:
+            return
+        report = UnansweredReport(self.context.metrics, self.context.log)
+        report.record(
+            self.request_id,
+            self.unanswered,
+            has_begun=self.answer.has_begun,
+            last_end=self.attempts.last_end,
+        )
+
     def _own_headers(self) -> HTTPHeaders:
         return self.context.wire.own_headers(self.request_id)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
@@ -63,6 +63,18 @@
 class EndpointStream(IOStream):
     """A TCP connection that reports whether it can carry another request."""
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes have arrived that were not read yet."""
+        if self.closed():
+            return False
+        if self._read_buffer_size:
+            return True
+        try:
+            return bool(self.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
     @property
     def is_clean(self) -> bool:
         """Whether the connection is open and has received no stray bytes.
@@ -143,6 +155,11 @@
         await self._arrived.wait()
         self._arrived.clear()
 
+    @property
+    def has_chunks(self) -> bool:
+        """Whether bytes of the body are buffered."""
+        return bool(self._chunks)
+
     def pop_body(self) -> bytes:
         """Remove and return the buffered bytes of the body."""
         body = b''.join(self._chunks)
@@ -299,6 +316,11 @@
         """Whether the answer has been received completely."""
         return self.reader.is_complete
 
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes of the answer have arrived that were not taken yet."""
+        return self.stream.has_unread_bytes or self.reader.has_chunks
+
     @property
     def is_unacknowledged(self) -> bool:
         """Whether the connection broke because of missing acknowledgements."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
@@ -12,6 +12,7 @@
 from .channel import EndpointChannel
 from .early_move import EarlyMove
 from .full_fleet_hold import FullFleetHold
+from .silence_report import SilenceReport
 
 _MS = 1000.0
 #: The timeout of the first event is the estimate times this factor, plus these
@@ -150,6 +151,7 @@
         have answered.
         """
         early = EarlyMove(self.context, self.call, self.placement)
+        due = self._now()
         while True:
             left = (
                 self._last_activity_at() + self._timeout_seconds() - self._now()
@@ -157,12 +159,21 @@
             is_over = left <= 0 and self._should_move()
             if is_over or (self._may_move_early and early.is_due()):
                 self.faulty_address = early.faulty_address
+                SilenceReport(self.context).record(
+                    self.call,
+                    channel,
+                    silent_seconds=self._now() - self._last_activity_at(),
+                    late_seconds=self._now() - due,
+                    has_event=self.has_event,
+                )
                 channel.close()
                 return
             if self._may_move_early:
                 # Peers may report its endpoints at any time.
                 left = 0
-            await asyncio.sleep(max(left, _RECHECK_SECONDS))
+            pause = max(left, _RECHECK_SECONDS)
+            due = self._now() + pause
+            await asyncio.sleep(pause)
 
     @property
     def _may_move_early(self) -> bool:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
@@ -11,6 +11,7 @@
 from tornado.httputil import ResponseStartLine
 
 from .operator_pages import OperatorPage, PageResponse
+from .outcome_metrics import OutcomeMetrics
 from .retry_metrics import RetryMetrics
 from .suspect_metrics import SuspectMetrics
 
@@ -36,8 +37,10 @@
 
     Attributes
     ----------
-    refusals, outcomes
-        Counts of refusals by reason, and of requests by outcome.
+    refusals
+        Counts of refusals by reason.
+    outcomes
+        Metrics of how requests and attempts ended.
     retries
         Metrics of retries and of the retry budget.
     suspects
@@ -67,7 +70,7 @@
         self.refusals = Tally('reason')
         self.retries = RetryMetrics()
         self.suspects = SuspectMetrics()
-        self.outcomes = Tally('end')
+        self.outcomes = OutcomeMetrics()
         self.held_attempts = Tally('route')
         self.unknown_headers = Tally('name')
         self.count_draining: Callable[[], Mapping[str, int]] = dict
@@ -122,6 +125,7 @@
         return self.load_metrics().page()
 
     def _export(self, metrics: Metrics) -> None:
+        self.outcomes.export(metrics)
         self.retries.export(metrics)
         self.suspects.export(metrics)
         for name, tally in self._tallies().items():
@@ -139,7 +143,6 @@
         """Return the exported counts by the names of their counters."""
         return {
             'forwarding_refusals': self.refusals,
-            'forwarded_requests': self.outcomes,
             'unknown_headers': self.unknown_headers,
             'ended_attempts': self.ended_attempts,
             'slow_readers': self.slow_readers,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_slow_readers.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_slow_readers.py
@@ -112,7 +112,7 @@
         most = await most_held_until_cut(entry)
         writer.close()
         await wait_nothing_held(entry)
-        outcomes = entry.context.metrics.outcomes
+        outcomes = entry.context.metrics.outcomes.requests
         async with asyncio.timeout(2):
             while not outcomes.counts['slow_reader']:
                 await asyncio.sleep(0.01)
