Let a stream that has begun wait for an engine to resume it

A caller that has received a part of the answer can't be refused: the refusal cuts the stream.

A stream that has begun now waits for a slot until its deadline, as long as only capacity is lacking. It does not queue, since it had a slot, and the retry budget bounds how many such streams there are. Other reasons (no endpoint, all of them used, evacuated) end it at once as before, and requests whose answer has not begun are refused as before.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -183,6 +183,7 @@
                 self.excluded,
                 self.failed_at,
                 avoided,
+                is_resumption=self.answer.has_begun,
             )
         except Refusal:
             if relay.failure is None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
@@ -12,7 +12,7 @@
 from .plain_admission import PlainAdmission
 from .read_requests import make_read_request
 from .rejection import RejectionPolicy
-from .slot_wait import UnplacedRequest
+from .slot_wait import SlotWait, UnplacedRequest
 
 #: Time to wait for load reports of peers before a prompt is placed, as a
 #: fraction of the time that the prompt took to arrive, and the longest such
@@ -43,6 +43,8 @@
         excluded: Set[EndpointId],
         failed_at: Set[EndpointId],
         avoided: Set[EndpointId],
+        *,
+        is_resumption: bool,
     ) -> Placement:
         """Return the endpoints for the next attempt.
 
@@ -57,6 +59,8 @@
             lost, because no other endpoint can retry them.
         avoided
             Endpoints that are used only if no other endpoint is free.
+        is_resumption
+            Whether the caller has received a part of the answer.
 
         Raises
         ------
@@ -68,7 +72,7 @@
             unusable = excluded - failed_at
         if not excluded:
             await self._wait_for_reports()
-        slot_wait = self.context.slot_waits.for_service(self.call.service)
+        slot_wait = self._slot_wait(is_resumption=is_resumption)
         unplaced = UnplacedRequest(
             call=self.call,
             place=lambda: self._place_avoiding(unusable, avoided),
@@ -85,6 +89,12 @@
             self.plain.check(placement)
         return placement
 
+    def _slot_wait(self, *, is_resumption: bool) -> SlotWait:
+        slot_waits = self.context.slot_waits
+        if is_resumption:
+            return slot_waits.resumption
+        return slot_waits.for_service(self.call.service)
+
     async def _wait_for_reports(self) -> None:
         """Wait for reports that peers sent while the prompt filled the link.
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/slot_wait.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/slot_wait.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 from collections.abc import Callable
+from typing import Final
 
 import msgspec
 from sycamore_core.clock import Clock
@@ -19,6 +20,18 @@
 #: Interval between checks for a free slot, in seconds. On each engine, slots
 #: become free a few times per second.
 _POLL_SECONDS = 0.012
+#: Interval of these checks for a resumed stream, in seconds. It may wait for
+#: seconds, and each check places a request.
+_RESUMPTION_POLL_SECONDS = 0.05
+#: Refusals that end by themselves once an endpoint has capacity.
+_CAPACITY_CAUSES: Final = frozenset(
+    (
+        RefusalCause.OVERLOADED,
+        RefusalCause.CANNOT_MEET_LIMIT,
+        RefusalCause.RATE_LIMITED,
+        RefusalCause.ENDPOINTS_BACKING_OFF,
+    ),
+)
 
 
 class UnplacedRequest(msgspec.Struct, frozen=True):
@@ -56,23 +69,52 @@
 
 
 class PolledSlotWait(SlotWait):
-    """Checks at intervals whether a slot has become free."""
+    """Checks at intervals whether a slot has become free.
+
+    Attributes
+    ----------
+    poll_seconds
+        Interval of the checks, in seconds.
+    causes
+        Refusals for which a request waits.
+    """
+
+    poll_seconds = _POLL_SECONDS
+    causes = frozenset((RefusalCause.OVERLOADED,))
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
 
     async def place(self, request: UnplacedRequest) -> Placement:
         """Return endpoints for a request as soon as there are any."""
-        call = request.call
-        now = self.clock.monotonic()
-        wait_end = now + call.route.objective * _SLOT_WAIT_FRACTION
-        wait_end = min(wait_end, call.deadline)
+        wait_end = self.wait_end(request.call)
         while True:
             placement = request.place()
             if placement is not None:
                 return placement
             refusal = request.build_refusal()
             is_expired = self.clock.monotonic() >= wait_end
-            if is_expired or refusal.cause != RefusalCause.OVERLOADED:
+            if is_expired or refusal.cause not in self.causes:
                 raise refusal
-            await asyncio.sleep(_POLL_SECONDS)
+            await asyncio.sleep(self.poll_seconds)
+
+    def wait_end(self, call: AdmittedRequest) -> float:
+        """Return until when a request waits, on the monotonic clock."""
+        objective = call.route.objective
+        wait_end = self.clock.monotonic() + objective * _SLOT_WAIT_FRACTION
+        return min(wait_end, call.deadline)
+
+
+class ResumptionSlotWait(PolledSlotWait):
+    """Waits until the deadline for an endpoint that resumes a stream.
+
+    A refusal would cut the answer that the caller has begun to receive. The
+    stream takes no place in a queue, because it had a slot already.
+    """
+
+    poll_seconds = _RESUMPTION_POLL_SECONDS
+    causes = _CAPACITY_CAUSES
+
+    def wait_end(self, call: AdmittedRequest) -> float:
+        """Return until when a stream waits, on the monotonic clock."""
+        return call.deadline
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/slot_waits.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/slot_waits.py
@@ -10,7 +10,7 @@
 from .free_slots import FreeSlots
 from .queue_log import QueueLog
 from .queued_wait import QueuedSlotWait
-from .slot_wait import PolledSlotWait, SlotWait
+from .slot_wait import PolledSlotWait, ResumptionSlotWait, SlotWait
 from .wait_policy import WaitPolicy
 from .waiting_report import WaitingPeerReport
 
@@ -24,6 +24,8 @@
         Queues of the ranked services that had requests.
     claims
         Requests that wait at peers.
+    resumption
+        How streams that have begun wait for an endpoint that resumes them.
     policy
         Decides how long and in which order requests wait.
     report
@@ -40,6 +42,7 @@
         self.metrics = metrics
         self.log = log
         self.polled = PolledSlotWait(dispatcher.clock)
+        self.resumption = ResumptionSlotWait(dispatcher.clock)
         self.queued: dict[ServiceId, QueuedSlotWait] = {}
         self.claims = PeerClaims()
         self.policy = WaitPolicy()
