Add a failing test of a stream that is given up while engines are full

SilenceWatch gives up a stream that has begun after a pause of 0.9 s without asking whether another engine could resume it.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_resumption.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_resumption.py
@@ -86,3 +86,14 @@
         answer = await asking
     assert answer.endswith(LAST_CHUNK)
     assert event(1).encode() in answer
+
+
+async def test_stream_stays_at_pausing_engine_while_others_are_full() -> None:
+    """Guards against giving up a stream that no other engine can resume."""
+    first = RawEndpoint('e1', pause_in_answer)
+    other = RawEndpoint('e2', resume)
+    async with running_entry(STREAM, first, other) as entry:
+        fill(entry, 'e2')
+        answer = await entry.ask(Prompt=SHORT_PROMPT)
+    assert answer.endswith(LAST_CHUNK)
+    assert not other.requests
