Add failing tests of three attempts that are given up for one retry

Three streams of one entry fall silent together, or hear together that a peer has taken their endpoint for ended; the retry budget has one retry left. On this code each of them asks whether a retry is permitted, is told so, and closes its channel; the first to be decided gets the retry. Of three streams that had begun, two are cut in the middle; of three without an event, two get a 502, although their endpoint answers half a second later.

The checks of the watches are made due in one turn by blocking the event loop for 0.3 s just before; without that they run within a millisecond of each other, which may be one turn or two.

--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_held_permits.py
@@ -0,0 +1,86 @@
+"""Attempts that are given up together while few retries are left."""
+
+import asyncio
+
+import pytest
+from sycamore_core.ids import EndpointId, PeerId
+
+from .builders import MODEL, TestEntry, running_entry
+from .builders_ended import CHAT
+from .builders_silence import (
+    BEFORE_TIMEOUT_SECONDS,
+    SHORT_BLOCK_SECONDS,
+    PausingEndpoint,
+    ask_together,
+    block_loop,
+    is_whole,
+    leave_one_retry,
+    patient,
+    pausing_pair,
+    request_count,
+    wait_for_requests,
+)
+
+REQUESTS = 3
+PEER = PeerId('entry-7')
+STREAM = patient(CHAT, 6)
+
+
+@pytest.mark.parametrize('has_begun', [True, False])
+async def test_one_retry_moves_one_of_three_silent_streams(
+    has_begun: bool,
+) -> None:
+    """Guards against streams that are all cut for the one retry that is left.
+
+    The checks of three streams are due in one turn of the event loop.
+    """
+    fleet = pausing_pair(sends_first=has_begun)
+    async with running_entry(STREAM, *fleet) as entry:
+        leave_one_retry(entry, MODEL)
+        asking = asyncio.create_task(ask_together(entry, REQUESTS))
+        await wait_for_requests(fleet, REQUESTS)
+        await asyncio.sleep(BEFORE_TIMEOUT_SECONDS)
+        block_loop(SHORT_BLOCK_SECONDS)
+        answers = await asking
+    assert all(map(is_whole, answers))
+    assert request_count(fleet) == REQUESTS + 1
+
+
+async def test_one_retry_moves_one_of_three_streams_with_a_doubtful_end() -> (
+    None
+):
+    """Guards against streams that a peer's report cuts for one retry left."""
+    fleet = [PausingEndpoint('e1')]
+    other = PausingEndpoint('e2')
+    other.begun = fleet[0].begun
+    async with running_entry(STREAM, *fleet, other) as entry:
+        leave_one_retry(entry, MODEL)
+        exclude(entry, other)
+        asking = asyncio.create_task(ask_together(entry, REQUESTS))
+        await wait_for_requests(fleet, REQUESTS)
+        await asyncio.sleep(0.2)
+        include(entry, other)
+        report_end(entry, fleet[0])
+        answers = await asking
+    assert all(map(is_whole, answers))
+    assert len(other.requests) == 1
+
+
+def exclude(entry: TestEntry, endpoint: PausingEndpoint) -> None:
+    """Let the entry take an endpoint for a failed one."""
+    entry.context.dispatcher.record_failure(EndpointId(endpoint.name))
+
+
+def include(entry: TestEntry, endpoint: PausingEndpoint) -> None:
+    """Let the entry use an endpoint again."""
+    failures = entry.context.dispatcher.failures
+    failures.record_answer(EndpointId(endpoint.name))
+
+
+def report_end(entry: TestEntry, endpoint: PausingEndpoint) -> None:
+    """Have a peer report that an endpoint has ended."""
+    keeper = entry.context.keeper
+    record = keeper.directory.find(EndpointId(endpoint.name))
+    assert record is not None
+    keeper.ended.removed._heard_at.clear()
+    keeper.ended.apply_peer_report((record.lifetime,), PEER)
