Show requests that are read whole and end without an answer

The process keeps its server of callers as an attribute, so that a test can ask for its port. Nothing else is changed.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -142,11 +142,11 @@
             queued_seconds=round(times.queued_seconds, 3),
             major_faults=times.major_faults,
         )
-        callers = self._serve_callers()
+        self.callers = self._serve_callers()
         ready = self._serve_operators()
         self.start_tasks()
         await stop.wait()
-        await self._stop(callers)
+        await self._stop(self.callers)
         ready.stop()
         await self.close()
 
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_closing.py
@@ -0,0 +1,119 @@
+"""The end of answers after which the connection closes."""
+
+import asyncio
+import socket
+
+import pytest
+from sycamore_core.routing import RouteKind
+from tornado.iostream import IOStream
+
+from .builders import (
+    HOST,
+    LAST_CHUNK,
+    MODEL,
+    RawEndpoint,
+    TestEntry,
+    chunk,
+    event,
+    full_answer,
+    reply_with,
+    request_bytes,
+    route,
+    running_entry,
+    stream_head,
+)
+
+#: An answer that fits the send buffer but not the buffer of a slow caller.
+PADDING = 'x' * 100_000
+REQUEST = request_bytes(Connection='keep-alive')
+#: A request that is not read together with the one before it.
+LONG_REQUEST = request_bytes(body=b'x' * 200_000, Connection='keep-alive')
+#: Number of times that the send buffer is full.
+REFUSALS = 20
+SMALL_BUFFER_BYTES = 4096
+#: Time in which an entry has ended an answer, in seconds.
+PAUSE_SECONDS = 0.3
+
+
+async def slow_caller(
+    entry: TestEntry, *, at_once: bytes = b'', later: bytes = b''
+) -> bytes:
+    """Send a request, and read its answer only after a pause.
+
+    Parameters
+    ----------
+    at_once, later
+        Bytes that the caller sends with the request, and during the pause.
+    """
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    caller.setblocking(False)
+    loop = asyncio.get_running_loop()
+    await loop.sock_connect(caller, (HOST, entry.port))
+    await loop.sock_sendall(caller, REQUEST + at_once)
+    await asyncio.sleep(PAUSE_SECONDS)
+    await loop.sock_sendall(caller, later)
+    await asyncio.sleep(PAUSE_SECONDS)
+    reader, writer = await asyncio.open_connection(sock=caller)
+    answer = await asyncio.wait_for(reader.read(), 8)
+    writer.close()
+    return answer
+
+
+class FullBuffer:
+    """A send buffer that has no room for the last chunk of an answer."""
+
+    def __init__(self) -> None:
+        self.write = IOStream.write_to_fd
+        self.refusals = 0
+
+    def write_to_fd(self, stream: IOStream, payload: memoryview) -> int:
+        if payload == LAST_CHUNK and self.refusals < REFUSALS:
+            self.refusals += 1
+            raise BlockingIOError
+        return self.write(stream, payload)
+
+
+async def test_last_chunk_waits_for_the_send_buffer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against closing a connection before its answer is written."""
+    buffer = FullBuffer()
+    endpoint = RawEndpoint(
+        'e1', reply_with(stream_head(), chunk(event(0)), LAST_CHUNK)
+    )
+    async with running_entry(route(RouteKind.STREAM, MODEL), endpoint) as entry:
+        entry.context.is_stopping = True
+        monkeypatch.setattr(
+            IOStream,
+            'write_to_fd',
+            lambda stream, payload: buffer.write_to_fd(stream, payload),
+        )
+        answer = await entry.ask(Connection='keep-alive')
+    assert answer.endswith(LAST_CHUNK)
+    assert buffer.refusals == REFUSALS
+
+
+async def test_unread_request_does_not_reset_an_answer() -> None:
+    """Guards against a reset that overtakes a complete answer.
+
+    The caller has sent a next request before it reads the answer.
+    """
+    endpoint = RawEndpoint('e1', reply_with(full_answer(PADDING)))
+    async with running_entry(route(RouteKind.SAFE), endpoint) as entry:
+        entry.context.is_stopping = True
+        answer = await slow_caller(entry, at_once=LONG_REQUEST)
+    assert answer.endswith(PADDING.encode())
+    assert answer.count(b'HTTP/1.1 ') == 1
+    assert len(endpoint.requests) == 1
+
+
+async def test_later_request_does_not_reset_an_answer() -> None:
+    """Guards against a reset by bytes that cross the end of an answer."""
+    endpoint = RawEndpoint('e1', reply_with(full_answer(PADDING)))
+    async with running_entry(route(RouteKind.SAFE), endpoint) as entry:
+        entry.context.is_stopping = True
+        answer = await slow_caller(entry, later=REQUEST)
+    assert answer.endswith(PADDING.encode())
+    assert answer.count(b'HTTP/1.1 ') == 1
+    assert len(endpoint.requests) == 1
