Answer requests that meet a defect of the entry

What callers saw: an empty, closed connection, which promises nothing, so that an unsafe request could not be sent again.

Cause: Exchange.run logged the fault and _finish aborted the answer. An exception before the exchange (its creation, an option of the socket that the system refuses) left through tornado, which closes the connection.

Evidence: the four tests failed before with an answer of b'' (assert b''.startswith(b'HTTP/1.1 503 '), b'HTTP/1.1 502 ').

Why this works: a request of which no attempt may have run is refused. This is decided by the log of attempts, which counts one in progress, whose channel is closed by the attempt itself; so nothing goes on when 503 is sent. Else the caller gets 502, and an answer that has begun is truncated. A second defect, in that answer, is logged, and the connection closes. The exchange is created within its task, so that its creation is guarded too; such a fault has no request id in its line exchange_fault and is not counted by outcome.

Ruled out: a handler in RequestReader.finish, which cannot wait for an answer to be written.

Measured: 4 red tests pass; test_defects, test_unanswered, test_stopping, test_abandoned, test_slow_readers, test_whole_answers, test_overload and test_bad_input pass.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
@@ -2,10 +2,12 @@
 
 import abc
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable, Coroutine
 
 import msgspec
+from sycamore_core.telemetry import Log
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPConnection,
@@ -27,6 +29,11 @@
 )
 from .request_body import RequestBody
 
+_UNAVAILABLE = 503
+#: Delay after which a caller may retry a request whose exchange did not begin,
+#: in seconds.
+_RETRY_AFTER = '0.40'
+
 
 class CallerRequest(msgspec.Struct, frozen=True):
     """A complete request of a caller.
@@ -87,11 +94,7 @@
         self.is_complete = False
         self.closes = False
         self.is_blocked = False
-        connection.stream.set_nodelay(True)
-        # The system would hold megabytes for a caller that does not read.
-        connection.stream.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_SNDBUF, CONNECTION_BYTES // 2
-        )
+        _set_options(connection.stream)
 
     @property
     def is_disconnected(self) -> bool:
@@ -164,6 +167,17 @@
             self.is_blocked = False
 
 
+def _set_options(stream: IOStream) -> None:
+    # A connection that has just ended refuses options. Its request is served
+    # all the same, which shows that the caller has left.
+    with contextlib.suppress(OSError):
+        stream.set_nodelay(True)
+        # The system would hold megabytes for a caller that does not read.
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, CONNECTION_BYTES // 2
+        )
+
+
 class RequestServer(abc.ABC):
     """Serves callers' requests."""
 
@@ -201,6 +215,7 @@
         self.server = server
         self.flow = flow
         self.monotonic = monotonic
+        self.log = Log('callers')
         self.idle: dict[int, HTTP1Connection] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -238,12 +253,35 @@
         """Start the exchange of a request that has been read completely."""
         answer = CallerAnswer(connection, self.flow)
         answer.closes = self.server.is_draining
-        task = asyncio.create_task(self.server.serve(request, answer))
+        task = asyncio.create_task(self._serve(request, answer))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         task.add_done_callback(lambda _: body.release())
         connection.set_close_callback(_DisconnectHandler(task, answer).on_close)
 
+    async def _serve(
+        self,
+        request: CallerRequest,
+        answer: CallerAnswer,
+    ) -> None:
+        """Serve a request, and refuse it if its exchange cannot begin."""
+        try:
+            await self.server.serve(request, answer)
+        except Exception as error:
+            self.log.error('exchange_fault', error=repr(error))
+            if not answer.is_over:
+                await self._refuse(answer)
+
+    async def _refuse(self, answer: CallerAnswer) -> None:
+        """Refuse a request of which no endpoint has heard.
+
+        An exchange ends its answer whatever happens, so that this request has
+        had none.
+        """
+        headers = HTTPHeaders({'Retry-After': _RETRY_AFTER})
+        with contextlib.suppress(CallerDisconnectedError):
+            await answer.send(_UNAVAILABLE, headers, b'')
+
 
 def is_idle(stream: IOStream) -> bool:
     """Return whether a connection is closed or has no bytes to read."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -84,24 +84,27 @@
     async def run(self) -> None:
         """Answer the request, and log and count its outcome."""
         try:
-            await self._serve()
+            await self._serve_or_fail()
         except CallerDisconnectedError as error:
             self.outcome.disconnect(error)
         except asyncio.CancelledError:
             self.outcome.cancel()
             raise
         except Exception as error:
-            # A defect in the entry. The caller sees a failure that does not
-            # tell whether the request has run; other requests continue.
-            self.outcome.record_defect()
-            self.context.log.error(
-                'exchange_fault',
-                request_id=self.request_id,
-                error=repr(error),
-            )
+            # A second defect, in the answer to the first.
+            self.outcome.record_defect(error)
         finally:
             self._finish()
 
+    async def _serve_or_fail(self) -> None:
+        """Answer the request, with a failure if the entry has a defect."""
+        try:
+            await self._serve()
+        except (CallerDisconnectedError, asyncio.CancelledError):
+            raise
+        except Exception as error:
+            await self.outcome.answer_defect(error)
+
     async def _serve(self) -> None:
         try:
             call = await admit(self.context, self.request)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/outcome.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/outcome.py
@@ -106,10 +106,26 @@
             self.label = 'stopped'
             self.unanswered = UnansweredReason.FORCED_STOP
 
-    def record_defect(self) -> None:
+    async def answer_defect(self, error: Exception) -> None:
+        """Answer a request that a defect of the entry has ended.
+
+        Raises
+        ------
+        CallerDisconnectedError
+            If the caller does not receive the answer.
+        """
+        self.record_defect(error)
+        await self._end_early(RefusalCause.DEFECT, BAD_GATEWAY)
+
+    def record_defect(self, error: Exception) -> None:
         """Record that a defect of the entry ended the request."""
         self.label = 'fault'
         self.unanswered = UnansweredReason.DEFECT
+        self.context.log.error(
+            'exchange_fault',
+            request_id=self.request_id,
+            error=repr(error),
+        )
 
     def report_unanswered(self) -> None:
         """Log and count the request if its caller has no complete answer."""
@@ -123,5 +139,15 @@
             last_end=self.attempts.last_end,
         )
 
+    async def _end_early(self, cause: RefusalCause, failure: int) -> None:
+        """Refuse the request, or fail it with a status if it may have run."""
+        if self.answer.has_begun:
+            self.answer.abort()
+        elif self.attempts.may_have_run:
+            await self.answer.send(failure, self._own_headers(), b'')
+        else:
+            self.context.metrics.refusals.add(cause)
+            await send_refusal(self.answer, self._own_headers(), Refusal(cause))
+
     def _own_headers(self) -> HTTPHeaders:
         return self.context.wire.own_headers(self.request_id)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/refusals.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/refusals.py
@@ -39,6 +39,8 @@
     PLAIN_FULL = 'plain_full'
     #: A more urgent request took the request's place in a full queue.
     DISPLACED = 'displaced'
+    #: The entry has a defect.
+    DEFECT = 'defect'
 
 
 _STATUS = MappingProxyType(
