Write an answer to its end before its connection closes

What callers saw: an answer without its last chunk, or a reset in its middle, from entries that stop or are isolated (and so close after each answer).

Cause: CallerAnswer.finish gave the last chunk one turn of the event loop and closed. A full send buffer takes longer. Closing a socket that holds unread bytes of a next request resets the connection, and so does a byte that comes later; the reset discards what the caller has not received.

Why this works: finish waits for the last bytes as for others (flow.drain, with its stall limit), also where the connection is kept, since the process may end meanwhile. Then the sending side alone is shut down. What arrives is read and dropped for 1 s, or until the caller closes, 1 MiB and 256 connections at most. It is not taken as a request: the caller was told Connection: close. That is now decided when the head is written, no longer when the request arrived, so that fewer callers send a request that crosses the close.

An answer counts as complete once it is written; one that is not is aborted. tornado does not pass the end of a connection on; the server of callers does now, and the builder of test entries uses that server.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
@@ -8,7 +8,7 @@
 
 import msgspec
 from sycamore_core.telemetry import Log
-from tornado.http1connection import HTTP1Connection
+from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -27,6 +27,7 @@
     FlowControl,
     ReaderSide,
 )
+from .lingering import DroppedRequest, LingeringConnections
 from .request_body import RequestBody
 
 _UNAVAILABLE = 503
@@ -75,9 +76,9 @@
     is_over
         Whether the answer is complete or was aborted.
     is_complete
-        Whether all of the answer was handed to the connection.
+        Whether all of the answer was written.
     closes
-        Whether the connection closes after this answer.
+        Whether the connection closes after this answer, once it has begun.
     is_blocked
         Whether bytes wait because the caller does not read.
     """
@@ -85,10 +86,11 @@
     def __init__(
         self,
         connection: HTTP1Connection,
-        flow: FlowControl,
+        connections: 'CallerConnections',
     ) -> None:
         self.connection = connection
-        self.flow = flow
+        self.connections = connections
+        self.flow = connections.flow
         self.has_begun = False
         self.is_over = False
         self.is_complete = False
@@ -125,6 +127,7 @@
             If the caller has closed the connection, or reads nothing.
         """
         self.has_begun = True
+        self.closes = self.connections.server.is_draining
         if self.closes:
             headers['Connection'] = 'close'
         reason = responses.get(status, 'Unknown')
@@ -140,19 +143,29 @@
             await self._drain(self.connection.write(part), len(part))
 
     async def finish(self) -> None:
-        """Mark the answer as complete."""
+        """End the answer, and wait until its last bytes are written.
+
+        Raises
+        ------
+        CallerDisconnectedError
+            If the caller has closed the connection, or reads nothing.
+        """
         self.is_over = True
-        self.is_complete = True
         stream = self.connection.stream
+        lingering = self.connections.lingering
+        if self.closes:
+            lingering.add(stream)
         self.connection.finish()
+        if stream.writing():
+            await self._drain(stream.write(b''), 0)
+        self.is_complete = True
         if self.closes:
-            # Waiting for the caller to close as well would delay a shutdown.
-            await asyncio.sleep(0)
-            stream.close()
+            lingering.shut_down(stream)
 
     def abort(self) -> None:
         """Close the connection, so that the caller sees a truncated answer."""
         self.is_over = True
+        self.connections.lingering.discard(self.connection.stream)
         self.connection.close()
 
     async def _drain(self, written: asyncio.Future[None], size: int) -> None:
@@ -204,6 +217,8 @@
         Connections that await a request.
     tasks
         Exchanges in progress.
+    lingering
+        Connections that have their last answer.
     """
 
     def __init__(
@@ -218,6 +233,7 @@
         self.log = Log('callers')
         self.idle: dict[int, HTTP1Connection] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        self.lingering = LingeringConnections()
 
     def start_request(
         self,
@@ -226,11 +242,15 @@
     ) -> HTTPMessageDelegate:
         """Return the reader of the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
+        if request_conn.stream in self.lingering.streams:
+            return DroppedRequest(self.lingering, request_conn.stream)
         self.idle[id(request_conn)] = request_conn
         return RequestReader(self, request_conn)
 
     def on_close(self, server_conn: object) -> None:
-        """Do nothing; each reader removes its own connection."""
+        """Forget a connection that is closed."""
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        self.lingering.discard(server_conn.stream)
 
     def close_idle(self) -> None:
         """Close the connections on which no byte of a request has arrived.
@@ -251,8 +271,7 @@
         body: RequestBody,
     ) -> None:
         """Start the exchange of a request that has been read completely."""
-        answer = CallerAnswer(connection, self.flow)
-        answer.closes = self.server.is_draining
+        answer = CallerAnswer(connection, self)
         task = asyncio.create_task(self._serve(request, answer))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -271,6 +290,8 @@
             self.log.error('exchange_fault', error=repr(error))
             if not answer.is_over:
                 await self._refuse(answer)
+            if not answer.is_complete:
+                answer.abort()
 
     async def _refuse(self, answer: CallerAnswer) -> None:
         """Refuse a request of which no endpoint has heard.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -298,7 +298,7 @@
             self.context.metrics.observe_first_event(tokens, elapsed)
 
     def _finish(self) -> None:
-        if not self.answer.is_over:
+        if not self.answer.is_complete:
             # After any fault, the caller must not take a truncated answer for
             # a complete one, nor wait for the remainder.
             self.answer.abort()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/server.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/server.py
@@ -99,6 +99,7 @@
     ) -> None:
         """Prepare the server; tornado calls this in place of `__init__`."""
         super().initialize(connections, **options)
+        self.connections = connections
         self.admit = admit
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
@@ -107,3 +108,8 @@
             super().handle_stream(stream, address)
         else:
             stream.close()
+
+    def on_close(self, server_conn: object) -> None:
+        """Tell the connections of one that is closed; tornado does not."""
+        super().on_close(server_conn)
+        self.connections.on_close(server_conn)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
@@ -25,7 +25,6 @@
     WorkspaceRecord,
 )
 from sycamore_core.telemetry import Log
-from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders
 
 from ..callers.caller import (
@@ -35,6 +34,7 @@
     RequestServer,
 )
 from ..callers.exchange import Exchange
+from ..callers.server import CallerServer
 from ..context import ForwardingContext
 from ..endpoints.pool import ChannelPool
 from ..errors import WireError
@@ -362,7 +362,7 @@
         self.connections = CallerConnections(
             self, context.clock.monotonic, context.flow
         )
-        self.server = HTTPServer(self.connections)
+        self.server = CallerServer(self.connections, admit=lambda: True)
 
     @property
     def is_draining(self) -> bool:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_closing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_closing.py
@@ -7,6 +7,7 @@
 from sycamore_core.routing import RouteKind
 from tornado.iostream import IOStream
 
+from ..callers.lingering import LINGER_SECONDS
 from .builders import (
     HOST,
     LAST_CHUNK,
@@ -117,3 +118,30 @@
     assert answer.endswith(PADDING.encode())
     assert answer.count(b'HTTP/1.1 ') == 1
     assert len(endpoint.requests) == 1
+
+
+async def test_closed_connection_does_not_linger() -> None:
+    """Guards against counting connections that their callers have closed."""
+    endpoint = RawEndpoint('e1', reply_with(full_answer('recorded')))
+    async with running_entry(route(RouteKind.SAFE), endpoint) as entry:
+        entry.context.is_stopping = True
+        answer = await entry.ask(Connection='keep-alive')
+        assert answer.endswith(b'recorded')
+        await asyncio.sleep(PAUSE_SECONDS)
+        assert not entry.connections.lingering.streams
+
+
+async def test_caller_that_never_closes_is_closed() -> None:
+    """Guards against connections that are kept by callers that do nothing."""
+    endpoint = RawEndpoint('e1', reply_with(full_answer('recorded')))
+    async with running_entry(route(RouteKind.SAFE), endpoint) as entry:
+        entry.context.is_stopping = True
+        reader, writer = await asyncio.open_connection(HOST, entry.port)
+        writer.write(REQUEST)
+        answer = await asyncio.wait_for(reader.read(), 2)
+        lingering = entry.connections.lingering.streams
+        assert answer.endswith(b'recorded')
+        assert len(lingering) == 1
+        await asyncio.sleep(LINGER_SECONDS + PAUSE_SECONDS)
+        assert not lingering
+        writer.close()
