Forget connections that callers close while they are idle

What would be seen: an entry whose memory grows with each kept connection that its caller has closed, and a stop that visits them all.

Cause: a connection that awaits a request is held in CallerConnections.idle, and tornado tells neither the reader of the request nor the connections that it has ended; only the next stop removed it. Found while the end of connections was looked at, not from a report.

Why this works: the end of each connection is now passed on by the server of callers, which holds them all in one place.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
@@ -8,7 +8,7 @@
 
 import msgspec
 from sycamore_core.telemetry import Log
-from tornado.http1connection import HTTP1Connection, HTTP1ServerConnection
+from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -213,6 +213,8 @@
 
     Attributes
     ----------
+    open
+        All connections, with their latest request.
     idle
         Connections that await a request.
     tasks
@@ -231,6 +233,7 @@
         self.flow = flow
         self.monotonic = monotonic
         self.log = Log('callers')
+        self.open: dict[object, HTTP1Connection] = {}
         self.idle: dict[int, HTTP1Connection] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.lingering = LingeringConnections()
@@ -242,6 +245,7 @@
     ) -> HTTPMessageDelegate:
         """Return the reader of the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
+        self.open[server_conn] = request_conn
         if request_conn.stream in self.lingering.streams:
             return DroppedRequest(self.lingering, request_conn.stream)
         self.idle[id(request_conn)] = request_conn
@@ -249,8 +253,10 @@
 
     def on_close(self, server_conn: object) -> None:
         """Forget a connection that is closed."""
-        assert isinstance(server_conn, HTTP1ServerConnection)
-        self.lingering.discard(server_conn.stream)
+        connection = self.open.pop(server_conn, None)
+        if connection is not None:
+            self.idle.pop(id(connection), None)
+            self.lingering.discard(connection.stream)
 
     def close_idle(self) -> None:
         """Close the connections on which no byte of a request has arrived.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_caller_server.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_caller_server.py
@@ -19,6 +19,7 @@
     TestEntry,
     full_answer,
     reply_with,
+    request_bytes,
     route,
     running_entry,
 )
@@ -84,3 +85,18 @@
             gate.record_check(late_seconds)
         answers = await asyncio.gather(*(ask(entry) for _ in range(CALLERS)))
     assert all(map(is_answered, answers))
+
+
+async def test_idle_connections_that_end_are_forgotten() -> None:
+    """Guards against an entry that keeps each connection in its memory."""
+    endpoint = RawEndpoint('e0', reply_with(full_answer()))
+    async with running_entry(SAFE, endpoint) as entry:
+        for _ in range(CALLERS):
+            reader, writer = await asyncio.open_connection(HOST, entry.port)
+            writer.write(request_bytes(Connection='keep-alive'))
+            await reader.readuntil(b'done')
+            writer.close()
+        async with asyncio.timeout(2):
+            while entry.connections.open:
+                await asyncio.sleep(0.01)
+        assert not entry.connections.idle
