Answer the requests that the end of a stop ends

What callers saw: an empty, closed connection 0.8 s before the end of the grace, on requests that were read whole.

Cause: exchanges that were left were cancelled, and a cancelled exchange aborts its answer. Whether the caller or the stop had cancelled it was guessed from the state of the socket.

Why this works: the handler of a caller's end says so to the answer before it cancels the exchange; any other cancellation is that of the stop. An exchange that the stop ends answers: 503 with Retry-After 0.1 s (another entry serves the caller) if no attempt may have run, else 502; a stream that has begun is truncated. The stop has a module of its own.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
@@ -79,6 +79,9 @@
         Whether all of the answer was written.
     closes
         Whether the connection closes after this answer, once it has begun.
+    caller_has_left
+        Whether the caller has closed the connection before the end of its
+        answer.
     is_blocked
         Whether bytes wait because the caller does not read.
     """
@@ -95,14 +98,10 @@
         self.is_over = False
         self.is_complete = False
         self.closes = False
+        self.caller_has_left = False
         self.is_blocked = False
         _set_options(connection.stream)
 
-    @property
-    def is_disconnected(self) -> bool:
-        """Whether the connection to the caller is closed."""
-        return self.connection.stream.closed()
-
     async def send(
         self, status: int, headers: HTTPHeaders, body: bytes
     ) -> None:
@@ -270,6 +269,11 @@
                 self.idle.pop(key)
                 connection.close()
 
+    def end_exchanges(self) -> None:
+        """End all exchanges, because the process stops."""
+        for task in tuple(self.tasks):
+            task.cancel()
+
     def begin(
         self,
         request: CallerRequest,
@@ -339,6 +343,7 @@
     def on_close(self) -> None:
         """Cancel the exchange, unless its answer is over."""
         if not self.answer.is_over:
+            self.answer.caller_has_left = True
             self.task.cancel()
 
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -97,11 +97,16 @@
             self._finish()
 
     async def _serve_or_fail(self) -> None:
-        """Answer the request, with a failure if the entry has a defect."""
+        """Answer the request, also if the entry stops or has a defect."""
         try:
             await self._serve()
-        except (CallerDisconnectedError, asyncio.CancelledError):
+        except CallerDisconnectedError:
             raise
+        except asyncio.CancelledError:
+            if self.answer.caller_has_left:
+                raise
+            # Only the end of the process cancels other exchanges.
+            await self.outcome.stop()
         except Exception as error:
             await self.outcome.answer_defect(error)
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/outcome.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/outcome.py
@@ -11,6 +11,7 @@
 from .refusals import (
     BAD_GATEWAY,
     GATEWAY_TIMEOUT,
+    STOPPING_RETRY_SECONDS,
     Refusal,
     RefusalCause,
     send_refusal,
@@ -97,14 +98,32 @@
         else:
             self.unanswered = UnansweredReason.CALLER_LEFT
 
+    async def stop(self) -> None:
+        """Answer a request that the end of the process ends.
+
+        Raises
+        ------
+        CallerDisconnectedError
+            If the caller does not receive the answer.
+        """
+        self.record_stop()
+        refusal = Refusal(
+            RefusalCause.STOPPING, retry_after=STOPPING_RETRY_SECONDS
+        )
+        await self._end_early(refusal, BAD_GATEWAY)
+
     def cancel(self) -> None:
-        """Record that the exchange was cancelled."""
-        if self.answer.is_disconnected:
+        """Record that the exchange was cancelled without an answer."""
+        if self.answer.caller_has_left:
             self.label = 'caller_left'
             self.unanswered = UnansweredReason.CALLER_LEFT
         else:
-            self.label = 'stopped'
-            self.unanswered = UnansweredReason.FORCED_STOP
+            self.record_stop()
+
+    def record_stop(self) -> None:
+        """Record that the end of the process ended the request."""
+        self.label = 'stopped'
+        self.unanswered = UnansweredReason.FORCED_STOP
 
     async def answer_defect(self, error: Exception) -> None:
         """Answer a request that a defect of the entry has ended.
@@ -115,7 +134,7 @@
             If the caller does not receive the answer.
         """
         self.record_defect(error)
-        await self._end_early(RefusalCause.DEFECT, BAD_GATEWAY)
+        await self._end_early(Refusal(RefusalCause.DEFECT), BAD_GATEWAY)
 
     def record_defect(self, error: Exception) -> None:
         """Record that a defect of the entry ended the request."""
@@ -139,15 +158,18 @@
             last_end=self.attempts.last_end,
         )
 
-    async def _end_early(self, cause: RefusalCause, failure: int) -> None:
+    async def _end_early(self, refusal: Refusal, failure: int) -> None:
         """Refuse the request, or fail it with a status if it may have run."""
         if self.answer.has_begun:
+            self.detail = 'truncated'
             self.answer.abort()
         elif self.attempts.may_have_run:
+            self.detail = 'failed'
             await self.answer.send(failure, self._own_headers(), b'')
         else:
-            self.context.metrics.refusals.add(cause)
-            await send_refusal(self.answer, self._own_headers(), Refusal(cause))
+            self.detail = 'refused'
+            self.context.metrics.refusals.add(refusal.cause)
+            await send_refusal(self.answer, self._own_headers(), refusal)
 
     def _own_headers(self) -> HTTPHeaders:
         return self.context.wire.own_headers(self.request_id)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/refusals.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/refusals.py
@@ -39,6 +39,8 @@
     PLAIN_FULL = 'plain_full'
     #: A more urgent request took the request's place in a full queue.
     DISPLACED = 'displaced'
+    #: The entry stops before the request could be answered.
+    STOPPING = 'stopping'
     #: The entry has a defect.
     DEFECT = 'defect'
 
@@ -59,6 +61,9 @@
 #: has just started, or an endpoint that has just refused, usually accepts
 #: requests.
 RETRY_AFTER_SECONDS = 0.4
+#: Retry delay of a caller whose entry stops, in seconds. Another entry serves
+#: the caller at once.
+STOPPING_RETRY_SECONDS = 0.1
 
 
 class RefusalBasis(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -32,6 +32,7 @@
 from .metrics import MetricsPage
 from .new_context import context_from_settings
 from .settings import ForwardingSettings
+from .stopping import GracefulStop
 from .wire import WireFormat
 
 #: Idle timeout of a caller's connection, in seconds. Callers reuse connections
@@ -43,13 +44,6 @@
 #: Largest header block and body of a request, in bytes.
 _MAX_HEADER_BYTES = 32_768
 _MAX_BODY_BYTES = 8_388_608
-#: How long a stopping entry accepts new connections, in seconds. The balancer
-#: checks readiness once a second and acts on the second failed check.
-_BALANCER_DELAY_SECONDS = 2.8
-#: Part of the time to stop that remains when the last exchanges are cancelled,
-#: in seconds.
-_FORCED_STOP_SECONDS = 0.8
-_POLL_SECONDS = 0.05
 _SWEEP_INTERVAL_SECONDS = 0.5
 #: Delay from the start to the creation of the metrics exporter, in seconds.
 #: Creating it takes 0.1 s, which would delay the first callers.
@@ -146,7 +140,7 @@
         ready = self._serve_operators()
         self.start_tasks()
         await stop.wait()
-        await self._stop(self.callers)
+        await GracefulStop(self.context, self.connections).run(self.callers)
         ready.stop()
         await self.close()
 
@@ -259,32 +253,6 @@
             await asyncio.sleep(_SWEEP_INTERVAL_SECONDS)
             self.context.pool.close_expired()
 
-    async def _stop(self, callers: HTTPServer) -> None:
-        """Close callers' connections after open requests have finished."""
-        clock = self.context.clock
-        began = clock.monotonic()
-        self.context.is_stopping = True
-        in_progress = len(self.connections.tasks)
-        self.log.info('stopping', exchanges=in_progress)
-        await asyncio.sleep(_BALANCER_DELAY_SECONDS)
-        callers.stop()
-        deadline = (
-            began + self.context.settings.stop_seconds - _FORCED_STOP_SECONDS
-        )
-        while clock.monotonic() < deadline:
-            self.connections.close_idle()
-            if not self.connections.tasks and not self.connections.idle:
-                break
-            await asyncio.sleep(_POLL_SECONDS)
-        if self.context.slot_waits.refuse_waiting():
-            # The refusals are sent before the remaining tasks are cancelled.
-            await asyncio.sleep(_POLL_SECONDS)
-        for task in tuple(self.connections.tasks):
-            task.cancel()
-        remaining = {*self.connections.tasks, *self.context.background}
-        if remaining:
-            await asyncio.wait(remaining, timeout=_POLL_SECONDS)
-
 
 def _listen(server: HTTPServer, address: str) -> None:
     host, _, port = address.rpartition(':')
