Wait at a stop for the requests that are on their way

What callers saw: a closed connection for a request whose body, or the rest of whose head, came after SIGTERM, although the grace was not over; read whole and dropped if the last byte came between the last check and the exit.

Cause: the stop waited for idle connections and exchanges. A connection whose head has been read and whose body has not is neither; nor is one between two requests, or one accepted in the same turn of the event loop. The first part of a head lies in tornado's buffer, where the socket no longer shows it, so that such a connection counted as idle and was closed. After the last check, the process went on for some turns in which requests could be read.

Why this works: the stop waits until no connection is open at all, which includes each of these. Streams of callers count what they read, which shows a head that has begun. At the forced end, a request whose body is incomplete is refused with 503 (nothing of it was sent), its remaining bytes are read and dropped. All connections are closed in the same turn as the last check, so that nothing is read afterwards. An exchange that has not begun is not cancelled, as it could not answer.

A caller whose head never ends keeps a stopping process until its forced end. A connection that waits in the accept queue when the entry stops listening is reset unread by the system, as before.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 from collections.abc import Callable, Coroutine
+from inspect import CORO_CREATED, getcoroutinestate
 
 import msgspec
 from sycamore_core.telemetry import Log
@@ -216,6 +217,8 @@
         All connections, with their latest request.
     idle
         Connections that await a request.
+    reading
+        Requests whose head has arrived and whose body has not.
     tasks
         Exchanges in progress.
     lingering
@@ -234,6 +237,7 @@
         self.log = Log('callers')
         self.open: dict[object, HTTP1Connection] = {}
         self.idle: dict[int, HTTP1Connection] = {}
+        self.reading: set[RequestReader] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.lingering = LingeringConnections()
 
@@ -245,6 +249,7 @@
         """Return the reader of the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
         self.open[server_conn] = request_conn
+        request_conn.stream.start_request()
         if request_conn.stream in self.lingering.streams:
             return DroppedRequest(self.lingering, request_conn.stream)
         self.idle[id(request_conn)] = request_conn
@@ -265,14 +270,39 @@
         the request runs.
         """
         for key, connection in tuple(self.idle.items()):
-            if is_idle(connection.stream):
+            if connection.stream.is_idle:
                 self.idle.pop(key)
                 connection.close()
 
+    def refuse_incomplete(self, status: int, arrived_until: float) -> None:
+        """Refuse requests whose bodies have not arrived completely.
+
+        Parameters
+        ----------
+        status
+            Status that promises that the request has not run.
+        arrived_until
+            Time on the monotonic clock, in seconds; requests whose head
+            arrived later are left.
+        """
+        for reader in tuple(self.reading):
+            if reader.arrived_at <= arrived_until:
+                reader.refuse(status)
+
+    def close_all(self) -> None:
+        """Close all connections at once, so that no request is read."""
+        for connection in tuple(self.open.values()):
+            connection.close()
+
     def end_exchanges(self) -> None:
-        """End all exchanges, because the process stops."""
+        """End all exchanges, because the process stops.
+
+        One that has not begun could not answer if it were ended. It refuses
+        its request as it begins.
+        """
         for task in tuple(self.tasks):
-            task.cancel()
+            if getcoroutinestate(task.get_coro()) != CORO_CREATED:
+                task.cancel()
 
     def begin(
         self,
@@ -314,21 +344,6 @@
             await answer.send(_UNAVAILABLE, headers, b'')
 
 
-def is_idle(stream: IOStream) -> bool:
-    """Return whether a connection is closed or has no bytes to read."""
-    if stream.closed():
-        return True
-    if not stream.reading():
-        # Bytes have been read, and their reader is about to run.
-        return False
-    try:
-        return not stream.socket.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return True
-
-
 class _DisconnectHandler:
     """Cancels an exchange whose caller closes its connection."""
 
@@ -360,6 +375,7 @@
         self.start: RequestStartLine | None = None
         self.headers = HTTPHeaders()
         self.arrived_at: float = 0
+        self.is_refused = False
         self._body = RequestBody(connections.flow.held)
 
     def headers_received(
@@ -373,15 +389,20 @@
         self.start = start_line
         self.headers = headers
         self.arrived_at = self.connections.monotonic()
+        self.connections.reading.add(self)
         self._body.reserve(headers.get('Content-Length', ''))
 
     def data_received(self, chunk: bytes) -> None:
         """Store bytes of the body."""
-        self._body.add(chunk)
+        if not self.is_refused:
+            self._body.add(chunk)
 
     def finish(self) -> None:
         """Start the exchange of the complete request."""
         assert self.start is not None
+        self.connections.reading.discard(self)
+        if self.is_refused:
+            return
         if self.connection.stream.closed():
             # The caller has disconnected, or this entry has closed the
             # connection. Nobody would receive the answer.
@@ -399,4 +420,26 @@
     def on_connection_close(self) -> None:
         """Remove a connection that closed before a complete request."""
         self.connections.idle.pop(id(self.connection), None)
+        self.connections.reading.discard(self)
+        self._body.release()
+
+    def refuse(self, status: int) -> None:
+        """Refuse a request whose body has not arrived; drop the rest of it."""
+        self.is_refused = True
+        self.connections.reading.discard(self)
         self._body.release()
+        self.connections.log.info(
+            'incomplete_body_refused',
+            status=status,
+            seconds=round(self.connections.monotonic() - self.arrived_at, 3),
+        )
+        headers = HTTPHeaders(
+            {
+                'Connection': 'close',
+                'Content-Length': '0',
+                'Retry-After': _RETRY_AFTER,
+            },
+        )
+        start = ResponseStartLine('HTTP/1.1', status, responses[status])
+        self.connection.write_headers(start, headers)
+        self.connections.lingering.shut_down(self.connection.stream)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/server.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/server.py
@@ -16,6 +16,8 @@
 from tornado.httputil import HTTPServerConnectionDelegate
 from tornado.iostream import IOStream
 
+from .caller_stream import CallerStream
+
 #: Reason of a refusal without an answer, before the request is read.
 _CLOSED_UNREAD = 'connection_closed_unread'
 
@@ -104,10 +106,15 @@
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve a new connection, or close it."""
-        if self.admit():
-            super().handle_stream(stream, address)
-        else:
+        if not self.admit():
             stream.close()
+            return
+        counting = CallerStream(
+            stream.socket,
+            max_buffer_size=self.max_buffer_size,
+            read_chunk_size=self.read_chunk_size,
+        )
+        super().handle_stream(counting, address)
 
     def on_close(self, server_conn: object) -> None:
         """Tell the connections of one that is closed; tornado does not."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/stopping.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/stopping.py
@@ -15,8 +15,12 @@
 #: seconds.
 _FORCED_STOP_SECONDS = 0.8
 #: Longest time in which their answers are written, in seconds.
-_LAST_ANSWERS_SECONDS = 0.4
+_LAST_ANSWERS_SECONDS = 0.35
+#: Longest time in which callers then close their connections, in seconds.
+_LAST_CLOSES_SECONDS = 0.15
 _POLL_SECONDS = 0.05
+_LAST_POLL_SECONDS = 0.01
+_UNAVAILABLE = 503
 
 
 class GracefulStop:
@@ -58,19 +62,45 @@
         await self._end_requests()
 
     async def _wait_for_requests(self) -> None:
-        clock = self.context.clock
-        while clock.monotonic() < self.forced_at:
-            self.connections.close_idle()
-            if not self.connections.tasks and not self.connections.idle:
-                break
+        """Wait until all connections have ended, or until the forced end.
+
+        Each connection counts: one that is between two requests, or whose
+        request is being read, is neither idle nor has it an exchange.
+        """
+        # A connection that has just been accepted is not known yet.
+        await asyncio.sleep(_POLL_SECONDS)
+        self.connections.close_idle()
+        while self._is_open() and self._now() < self.forced_at:
             await asyncio.sleep(_POLL_SECONDS)
+            self.connections.close_idle()
 
     async def _end_requests(self) -> None:
-        """Answer all open requests, and wait until the answers are written."""
+        """Answer all open requests, and wait until the answers are written.
+
+        Nothing is read afterwards, so that no request is read and dropped.
+        """
         if self.context.slot_waits.refuse_waiting():
             # The refusals are sent before the remaining tasks are cancelled.
             await asyncio.sleep(_POLL_SECONDS)
+        self._end_unread()
         self.connections.end_exchanges()
         remaining = {*self.connections.tasks, *self.context.background}
         if remaining:
             await asyncio.wait(remaining, timeout=_LAST_ANSWERS_SECONDS)
+        closing_until = self._now() + _LAST_CLOSES_SECONDS
+        self._end_unread()
+        while self._is_open() and self._now() < closing_until:
+            await asyncio.sleep(_LAST_POLL_SECONDS)
+            self._end_unread()
+        self.connections.close_all()
+
+    def _end_unread(self) -> None:
+        """End the connections that have no request which was read whole."""
+        self.connections.close_idle()
+        self.connections.refuse_incomplete(_UNAVAILABLE, self._now())
+
+    def _is_open(self) -> bool:
+        return bool(self.connections.open or self.connections.tasks)
+
+    def _now(self) -> float:
+        return self.context.clock.monotonic()
