Refuse a request whose body takes too long

What callers saw: a closed connection after 10 s, which promises nothing, for a request that no endpoint has received. Found by reading; no run had shown it.

Why this works: 408 promises that the request has not run.

Measured: the new test passes (half a body, then 408, the rest dropped, no bytes held); the wait of 10 s itself is not tested.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -39,8 +39,12 @@
 #: that were idle for up to 12 seconds; if the entry closed one while a request
 #: is on its way, the caller would have to repeat the request.
 _IDLE_TIMEOUT_SECONDS = 20.0
-#: Longest time to receive the body of a request, in seconds.
+#: Longest time to receive the body of a request, in seconds. It is refused
+#: then.
 _BODY_TIMEOUT_SECONDS = 10.0
+#: The same until the connection is closed in any case, in seconds.
+_BODY_CLOSE_SECONDS = 15.0
+_REQUEST_TIMEOUT = 408
 #: Largest header block and body of a request, in bytes.
 _MAX_HEADER_BYTES = 32_768
 _MAX_BODY_BYTES = 8_388_608
@@ -215,7 +219,7 @@
             self.connections,
             admit=self.gate.admit,
             idle_connection_timeout=_IDLE_TIMEOUT_SECONDS,
-            body_timeout=_BODY_TIMEOUT_SECONDS,
+            body_timeout=_BODY_CLOSE_SECONDS,
             max_header_size=_MAX_HEADER_BYTES,
             max_body_size=_MAX_BODY_BYTES,
         )
@@ -252,6 +256,10 @@
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_SECONDS)
             self.context.pool.close_expired()
+            self.connections.refuse_incomplete(
+                _REQUEST_TIMEOUT,
+                self.context.clock.monotonic() - _BODY_TIMEOUT_SECONDS,
+            )
 
 
 def _listen(server: HTTPServer, address: str) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_caller_server.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_caller_server.py
@@ -100,3 +100,25 @@
             while entry.connections.open:
                 await asyncio.sleep(0.01)
         assert not entry.connections.idle
+
+
+async def test_body_that_takes_too_long_is_refused() -> None:
+    """Guards against closing a connection without the promise "not run"."""
+    endpoint = RawEndpoint('e0', reply_with(full_answer()))
+    async with running_entry(SAFE, endpoint) as entry:
+        reader, writer = await asyncio.open_connection(HOST, entry.port)
+        sent = request_bytes(body=b'deposit 100')
+        writer.write(sent[:-5])
+        while not entry.connections.reading:
+            await asyncio.sleep(0.01)
+        entry.connections.refuse_incomplete(
+            408, entry.context.clock.monotonic()
+        )
+        writer.write(sent[-5:])
+        answer = await asyncio.wait_for(reader.read(), 2)
+        writer.close()
+        held = entry.context.flow.held.count
+    assert answer.startswith(b'HTTP/1.1 408 ')
+    assert b'Connection: close' in answer
+    assert not endpoint.requests
+    assert not held
