--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/stopping.py
@@ -0,0 +1,106 @@
+"""The graceful shutdown of an entry process."""
+
+import asyncio
+
+from sycamore_core.telemetry import Log
+from tornado.httpserver import HTTPServer
+
+from .callers.caller import CallerConnections
+from .context import ForwardingContext
+
+#: How long a stopping entry accepts new connections, in seconds. The balancer
+#: checks readiness once a second and acts on the second failed check.
+_BALANCER_DELAY_SECONDS = 2.8
+#: Part of the time to stop that remains when the last exchanges are ended, in
+#: seconds.
+_FORCED_STOP_SECONDS = 0.8
+#: Longest time in which their answers are written, in seconds.
+_LAST_ANSWERS_SECONDS = 0.35
+#: Longest time in which callers then close their connections, in seconds.
+_LAST_CLOSES_SECONDS = 0.15
+_POLL_SECONDS = 0.05
+_LAST_POLL_SECONDS = 0.01
+_UNAVAILABLE = 503
+
+
+class GracefulStop:
+    """Ends the requests and connections of an entry before the process ends.
+
+    Attributes
+    ----------
+    began
+        When the stop signal arrived, on the monotonic clock, in seconds.
+    """
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        connections: CallerConnections,
+    ) -> None:
+        self.context = context
+        self.connections = connections
+        self.log = Log('process')
+        self.began = context.clock.monotonic()
+
+    @property
+    def forced_at(self) -> float:
+        """Return when open requests are ended, on the monotonic clock."""
+        return (
+            self.began
+            + self.context.settings.stop_seconds
+            - _FORCED_STOP_SECONDS
+        )
+
+    async def run(self, callers: HTTPServer) -> None:
+        """Serve until all connections have ended or the time is over."""
+        self.context.is_stopping = True
+        in_progress = len(self.connections.tasks)
+        self.log.info('stopping', exchanges=in_progress)
+        await asyncio.sleep(_BALANCER_DELAY_SECONDS)
+        callers.stop()
+        await self._wait_for_requests()
+        await self._end_requests()
+
+    async def _wait_for_requests(self) -> None:
+        """Wait until all connections have ended, or until the forced end.
+
+        Each connection counts: one that is between two requests, or whose
+        request is being read, is neither idle nor has it an exchange.
+        """
+        # A connection that has just been accepted is not known yet.
+        await asyncio.sleep(_POLL_SECONDS)
+        self.connections.close_idle()
+        while self._is_open() and self._now() < self.forced_at:
+            await asyncio.sleep(_POLL_SECONDS)
+            self.connections.close_idle()
+
+    async def _end_requests(self) -> None:
+        """Answer all open requests, and wait until the answers are written.
+
+        Nothing is read afterwards, so that no request is read and dropped.
+        """
+        if self.context.slot_waits.refuse_waiting():
+            # The refusals are sent before the remaining tasks are cancelled.
+            await asyncio.sleep(_POLL_SECONDS)
+        self._end_unread()
+        self.connections.end_exchanges()
+        remaining = {*self.connections.tasks, *self.context.background}
+        if remaining:
+            await asyncio.wait(remaining, timeout=_LAST_ANSWERS_SECONDS)
+        closing_until = self._now() + _LAST_CLOSES_SECONDS
+        self._end_unread()
+        while self._is_open() and self._now() < closing_until:
+            await asyncio.sleep(_LAST_POLL_SECONDS)
+            self._end_unread()
+        self.connections.close_all()
+
+    def _end_unread(self) -> None:
+        """End the connections that have no request which was read whole."""
+        self.connections.close_idle()
+        self.connections.refuse_incomplete(_UNAVAILABLE, self._now())
+
+    def _is_open(self) -> bool:
+        return bool(self.connections.open or self.connections.tasks)
+
+    def _now(self) -> float:
+        return self.context.clock.monotonic()
