Refuse what a stopping entry cannot answer any more

What callers saw: requests on kept connections that were taken after SIGTERM and ended with the process, without an answer.

Cause: an entry that stops took each request until it was gone.

Why this works: once placed, a request is refused with 503, Retry-After 0.1 s and Connection: close unless its answer is expected to end before the forced end: twice the mean (for engines the forecast of the plan and the residence time of short requests; for calls the forecast of the replica), the objective if no mean is known, or its own time limit if that is sooner. A needless refusal costs a moment, a request that is cut may be lost; hence the factor of 2. It is not refused if an attempt may have run. After the forced end, each request is refused before it is admitted.

Tests of bodies and heads on their way now have an objective of 0.1 s: with 0.3 s they are refused by this rule, 0.3 s before the forced end. A stop with less time than the balancer's delay ends at its forced end.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -52,6 +52,7 @@
     with_jitter,
 )
 from .shared_sends import SharedSends
+from .stop_forecast import AnswerForecast
 from .update_pace import UPDATE_INTERVAL_SECONDS, UpdateRateLimit
 from .worth import is_worth_reading
 
@@ -66,6 +67,7 @@
     'RetryBudgetState',
     'RetryPermission',
     'RequestedBackoffs',
+    'AnswerForecast',
     'AttemptEnd',
     'AttemptLog',
     'CallerTime',
--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_stop_forecast.py
@@ -0,0 +1,71 @@
+"""Requests that arrive on kept connections while an entry stops."""
+
+import msgspec
+import pytest
+
+from ....hashes import stable_fraction
+from ..stop_forecast import AnswerForecast
+
+#: Time from the signal to the forced end, in seconds.
+STOP_SECONDS = 7.2
+#: Interval between the requests of all callers, in seconds.
+INTERVAL_SECONDS = 0.02
+#: Shortest duration of an answer, as a fraction of its mean.
+MIN_FRACTION = 0.5
+
+
+class StopResult(msgspec.Struct):
+    """Counts of requests: served, ended by the stop, refused."""
+
+    served: int = 0
+    ended: int = 0
+    refused: int = 0
+
+
+def replay(forecast: AnswerForecast, *, refuses: bool = True) -> StopResult:
+    """Send requests until the forced end.
+
+    Their answers take half of the mean to twice the mean.
+    """
+    result = StopResult()
+    mean = forecast.first_seconds + forecast.rest_seconds
+    for number in range(int(STOP_SECONDS / INTERVAL_SECONDS)):
+        left = STOP_SECONDS - number * INTERVAL_SECONDS
+        drawn = stable_fraction(f'request {number}')
+        duration = mean * (MIN_FRACTION + (2 - MIN_FRACTION) * drawn)
+        if refuses and not forecast.ends_within(left):
+            result.refused += 1
+        elif duration > left:
+            result.ended += 1
+        else:
+            result.served += 1
+    return result
+
+
+CALL = AnswerForecast(first_seconds=0.04, objective=0.3, limit_seconds=3)
+STREAM = AnswerForecast(
+    first_seconds=0.4, rest_seconds=1.2, objective=1, limit_seconds=20
+)
+
+
+@pytest.mark.parametrize('forecast', [CALL, STREAM])
+def test_stop_ends_no_request_that_it_could_refuse(
+    forecast: AnswerForecast,
+) -> None:
+    """Guards against taking requests that the end of a stop ends."""
+    assert replay(forecast, refuses=False).ended
+    assert not replay(forecast).ended
+
+
+def test_stopping_entry_serves_what_it_can() -> None:
+    """Guards against an entry that refuses all requests once it stops."""
+    mean = STREAM.first_seconds + STREAM.rest_seconds
+    could_be_served = (STOP_SECONDS - 2 * mean) / INTERVAL_SECONDS
+    assert replay(STREAM).served >= int(could_be_served)
+    assert replay(CALL).refused <= 2 * CALL.first_seconds / INTERVAL_SECONDS
+
+
+def test_request_that_its_own_limit_ends_is_served() -> None:
+    """Guards against refusing requests that cannot outlast the process."""
+    short = msgspec.structs.replace(STREAM, limit_seconds=1)
+    assert short.ends_within(1)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -28,6 +28,7 @@
 from .outcome import RequestOutcome
 from .refusals import Refusal
 from .retry_control import RetryControl
+from .stop_admission import StopAdmission
 
 _MS = 1000.0
 
@@ -112,6 +113,7 @@
 
     async def _serve(self) -> None:
         try:
+            StopAdmission(self.context).check_arrival()
             call = await admit(self.context, self.request)
         except Refusal as refusal:
             await self.outcome.refuse(refusal)
@@ -187,16 +189,20 @@
             can be relayed.
         """
         try:
-            return await placer.place(
+            placement = await placer.place(
                 self.excluded,
                 self.failed_at,
                 avoided,
             )
+            if not self.attempts.may_have_run:
+                # Any other request could only be failed.
+                StopAdmission(self.context).check(placer.call, placement)
         except Refusal:
             if relay.failure is None:
                 raise
-        await self.outcome.relay_failure(relay)
-        return None
+            await self.outcome.relay_failure(relay)
+            return None
+        return placement
 
     async def _handle_failure(
         self,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
@@ -38,6 +38,9 @@
 
     Attributes
     ----------
+    forced_stop_at
+        When a stopping process ends its open requests, on the monotonic clock,
+        in seconds; None unless it stops.
     entry_count
         Number of entries that send updates or are named by peers, this entry
         included.
@@ -79,6 +82,7 @@
     metrics: ForwardingMetrics
     log: Log
     is_stopping: bool = False
+    forced_stop_at: float | None = None
     entry_count: int = 1
     fleet_size: FleetSize = dataclasses.field(default_factory=FleetSize)
     started_at: float = dataclasses.field(init=False)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -144,7 +144,7 @@
         ready = self._serve_operators()
         self.start_tasks()
         await stop.wait()
-        await GracefulStop(self.context, self.connections).run(self.callers)
+        await self._stop(self.callers)
         ready.stop()
         await self.close()
 
@@ -261,6 +261,9 @@
                 self.context.clock.monotonic() - _BODY_TIMEOUT_SECONDS,
             )
 
+    async def _stop(self, callers: HTTPServer) -> None:
+        await GracefulStop(self.context, self.connections).run(callers)
+
 
 def _listen(server: HTTPServer, address: str) -> None:
     host, _, port = address.rpartition(':')
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/stopping.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/stopping.py
@@ -54,9 +54,12 @@
     async def run(self, callers: HTTPServer) -> None:
         """Serve until all connections have ended or the time is over."""
         self.context.is_stopping = True
+        self.context.forced_stop_at = self.forced_at
         in_progress = len(self.connections.tasks)
         self.log.info('stopping', exchanges=in_progress)
-        await asyncio.sleep(_BALANCER_DELAY_SECONDS)
+        await asyncio.sleep(
+            min(_BALANCER_DELAY_SECONDS, self.forced_at - self._now())
+        )
         callers.stop()
         await self._wait_for_requests()
         await self._end_requests()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_forced_stop.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_forced_stop.py
@@ -19,11 +19,14 @@
     reply_with,
     request_bytes,
     route,
+    running_entry,
     stream_head,
 )
 from .builders_process import running_process
 
-UNSAFE = route(RouteKind.UNSAFE, time_limit=30)
+UNSAFE = msgspec.structs.replace(
+    route(RouteKind.UNSAFE, time_limit=30), objective=0.1
+)
 BODY = b'deposit 100'
 UNAVAILABLE = b'HTTP/1.1 503 '
 BAD_GATEWAY = b'HTTP/1.1 502 '
@@ -168,3 +171,30 @@
         writer.write(request_bytes(Connection='keep-alive'))
         answer = await asyncio.wait_for(reader.read(), 0.5)
     assert answer.endswith(b'recorded')
+
+
+async def test_request_after_the_forced_end_is_refused() -> None:
+    """Guards against a request that is read whole as the process ends."""
+    endpoint = RawEndpoint('e1', reply_with(full_answer()))
+    async with running_entry(UNSAFE, endpoint) as entry:
+        context = entry.context
+        context.is_stopping = True
+        context.forced_stop_at = context.clock.monotonic()
+        answer = await entry.ask(Connection='keep-alive')
+    assert answer.startswith(UNAVAILABLE)
+    assert not endpoint.requests
+
+
+async def test_exchange_that_has_not_begun_is_answered() -> None:
+    """Guards against cancelling an exchange before it can answer."""
+    endpoint = RawEndpoint('e1', reply_with(full_answer()))
+    async with running_entry(UNSAFE, endpoint) as entry:
+        asking = asyncio.create_task(entry.ask(Connection='keep-alive'))
+        while not entry.connections.tasks:
+            await asyncio.sleep(0)
+        entry.context.is_stopping = True
+        entry.context.forced_stop_at = entry.context.clock.monotonic()
+        entry.connections.end_exchanges()
+        answer = await asking
+    assert answer.startswith(UNAVAILABLE)
+    assert not endpoint.requests
