Let the retry budget reserve a retry before it is decided

An attempt that is to be given up for another one needs to hold the permission to begin it. `acquire` takes one retry out of the budget as a permit, `use` consumes it, `give_back` returns it; `try_acquire` stays as it was.

A permit must not permit more retries in a window than the proof of the budget allows. The proof holds for the moment of use: first attempts that a permit stands for expire while it is held (a permit that has lost them must be covered anew by what is left), and what permits have taken from the reserve counts against its capacity until they are settled, so that holding and giving back leave the budget as if nothing had been taken. After the fleet has grown, permits beyond the smaller share are not used.

Evidence: the state machine holds permits over minutes, gives them back late and uses them all at once; the replay holds them for up to 8 s beside restarts in series and retries that a link holds back. No window exceeds the limit.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -39,6 +39,7 @@
 from .retry_budget import (
     RetryBudgetLimit,
     RetryBudgetState,
+    RetryPermit,
     SharedRetryBudget,
 )
 from .return_times import (
@@ -65,6 +66,7 @@
     'RetryBudgetLimit',
     'RetryBudgetState',
     'RetryPermission',
+    'RetryPermit',
     'RequestedBackoffs',
     'AttemptEnd',
     'AttemptLog',
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/retry_budget.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/retry_budget.py
@@ -28,13 +28,19 @@
   after it. The processes of one entry live one after the other, so this is
   what 1.4 windows fill in at most, for any number of starts. Capacity and
   filling add up to the share of the entry.
-"""
 
-from collections import deque
+A retry may be reserved by a permit before it is decided, so that an attempt is
+given up only if another one can follow. The proof holds for the moment at which
+a permit is used, whenever it was taken: what first attempts earned expires for
+permits as well, and what permits have taken from the reserve still counts
+against its capacity. A permit that is given back leaves the budget as if it had
+never been taken.
+"""
 
 import msgspec
 
 from .fleet_size import FleetSize
+from .unused_attempts import AttemptPart, UnusedAttempts
 
 #: Longest time from the decision of a retry to its arrival, in windows. Within
 #: 4 s of a window of 10 s it waits for a place, connects, and is delivered or
@@ -106,12 +112,16 @@
     entries
         Number of entries by which the slack is divided; None if the entry does
         not know them, and the slack is not used.
+    held
+        Number of permits that are neither used nor given back. Their retries
+        are not among those left.
     """
 
     earned: float
     reserve: float
     capacity: float
     entries: int | None
+    held: int = 0
 
     @property
     def left(self) -> float:
@@ -125,9 +135,29 @@
             'budget_reserve': round(self.reserve, 2),
             'budget_capacity': round(self.capacity, 2),
             'budget_entries': self.entries,
+            'budget_held': self.held,
         }
 
 
+class RetryPermit(msgspec.Struct, frozen=True, kw_only=True):
+    """One retry that is reserved for an attempt.
+
+    Attributes
+    ----------
+    earned
+        First attempts that have earned a part of the retry.
+    from_reserve
+        Part of the retry that is taken from the reserve, from 0 to 1.
+    """
+
+    earned: tuple[AttemptPart, ...]
+    from_reserve: float
+
+    def unexpired(self, start: float) -> tuple[AttemptPart, ...]:
+        """Return the first attempts from a time on, in seconds."""
+        return tuple(one for one in self.earned if one.at >= start)
+
+
 class SharedRetryBudget:
     """Retries that this entry may send for one service.
 
@@ -146,6 +176,8 @@
         Retries in the reserve.
     filled_at
         Time up to which the reserve is filled, in seconds.
+    held
+        Permits that are neither used nor given back.
 
     Examples
     --------
@@ -155,6 +187,9 @@
     >>> budget = SharedRetryBudget(bounds, fleet, started_at=0)
     >>> budget.try_acquire(now=0), budget.try_acquire(now=20)
     (False, True)
+    >>> permit = budget.acquire(now=40)
+    >>> budget.acquire(now=40) is None, budget.use(permit, now=41)
+    (True, True)
     """
 
     def __init__(
@@ -167,14 +202,13 @@
         self.fleet = fleet
         self.reserve: float = 0
         self.filled_at = started_at
-        self._first_attempts: deque[float] = deque()
-        # Part of the oldest first attempt whose retries are used, below 1.
-        self._used: float = 0
+        self.held: list[RetryPermit] = []
+        self._unused = UnusedAttempts()
 
     def record_first_attempt(self, now: float) -> None:
         """Record the first attempt of a request."""
         self._drop_expired(now)
-        self._first_attempts.append(now)
+        self._unused.add(now)
 
     def try_acquire(self, now: float) -> bool:
         """Consume one retry of the budget; return whether one was left."""
@@ -189,6 +223,44 @@
         self._fill(now)
         return self._earned + self.reserve >= 1
 
+    def acquire(self, now: float) -> RetryPermit | None:
+        """Reserve one retry; return None if none is left.
+
+        Each permit must be used or given back once.
+        """
+        if not self.has_capacity(now):
+            return None
+        permit = self._consume()
+        self.held.append(permit)
+        return permit
+
+    def use(self, permit: RetryPermit, now: float) -> bool:
+        """Consume a reserved retry; return whether it is still permitted.
+
+        What the permit stands for may have expired, or the share of the entry
+        may have become smaller. Another retry is consumed then if one is left.
+        """
+        self._drop_expired(now)
+        self._fill(now)
+        is_covered = self._held_reserve <= self._capacity
+        is_unexpired = permit.unexpired(self._earned_from(now)) == permit.earned
+        if is_covered and is_unexpired:
+            self.held.remove(permit)
+            return True
+        self.give_back(permit, now)
+        return self.try_acquire(now)
+
+    def give_back(self, permit: RetryPermit, now: float) -> None:
+        """Return a reserved retry that is not used.
+
+        What has expired meanwhile, or exceeds the capacity, is lost.
+        """
+        self._drop_expired(now)
+        self._fill(now)
+        self.held.remove(permit)
+        self._unused.put_back(permit.unexpired(self._earned_from(now)))
+        self.reserve = min(self._room, self.reserve + permit.from_reserve)
+
     def state(self, now: float) -> RetryBudgetState:
         """Return what the next decision is based on."""
         self._drop_expired(now)
@@ -199,28 +271,37 @@
             reserve=self.reserve,
             capacity=self._capacity,
             entries=entries,
+            held=len(self.held),
         )
 
     @property
     def _earned(self) -> float:
-        return self.bounds.earned_per_request * (
-            len(self._first_attempts) - self._used
-        )
+        return self.bounds.earned_per_request * self._unused.count
 
     @property
     def _capacity(self) -> float:
         entries = self.fleet.divisor
         return 0 if entries is None else self.bounds.reserve_capacity(entries)
 
-    def _consume(self) -> None:
+    @property
+    def _held_reserve(self) -> float:
+        """Return what permits have taken from the reserve."""
+        return sum(permit.from_reserve for permit in self.held)
+
+    @property
+    def _room(self) -> float:
+        """Return the largest reserve beside the permits."""
+        return max(0, self._capacity - self._held_reserve)
+
+    def _consume(self) -> RetryPermit:
         """Use what was earned before the reserve, because it expires."""
         earned = min(1, self._earned)
-        self.reserve = max(0, self.reserve - (1 - earned))
+        from_reserve = min(self.reserve, 1 - earned)
+        self.reserve -= from_reserve
+        parts: tuple[AttemptPart, ...] = ()
         if earned:
-            self._used += earned / self.bounds.earned_per_request
-        while self._used >= 1:
-            self._first_attempts.popleft()
-            self._used -= 1
+            parts = self._unused.take(earned / self.bounds.earned_per_request)
+        return RetryPermit(earned=parts, from_reserve=from_reserve)
 
     def _fill(self, now: float) -> None:
         """Fill the reserve for the time since the last call, or the start."""
@@ -228,11 +309,12 @@
         if entries is None or now < self.filled_at:
             return
         added = (now - self.filled_at) * self.bounds.reserve_rate(entries)
-        self.reserve = min(self._capacity, self.reserve + added)
+        self.reserve = min(self._room, self.reserve + added)
         self.filled_at = now
 
     def _drop_expired(self, now: float) -> None:
-        start = now - self.bounds.earned_seconds
-        while self._first_attempts and self._first_attempts[0] < start:
-            self._first_attempts.popleft()
-            self._used = max(0, self._used - 1)
+        self._unused.drop_before(self._earned_from(now))
+
+    def _earned_from(self, now: float) -> float:
+        """Return the time from which first attempts earn retries."""
+        return now - self.bounds.earned_seconds
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/builders_budgets.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/builders_budgets.py
@@ -3,13 +3,14 @@
 import abc
 import bisect
 import heapq
+from collections import deque
 from collections.abc import Callable
 
 import msgspec
 
 from ....hashes import stable_fraction
 from ..fleet_size import FleetSize
-from ..retry_budget import RetryBudgetLimit, SharedRetryBudget
+from ..retry_budget import RetryBudgetLimit, RetryPermit, SharedRetryBudget
 
 LIMIT = RetryBudgetLimit(ratio=0.2, slack=102, window=10)
 #: Time from a request to its failure, in seconds.
@@ -68,6 +69,44 @@
         return self.budget.try_acquire(now)
 
 
+class ReservingBudget(KeptBudget):
+    """The budget if retries are reserved long before they are decided.
+
+    Each failure reserves a retry. Of the permits that have been held for long
+    enough, every other one is given back, and the rest are used.
+
+    Parameters
+    ----------
+    hold_seconds
+        Time from a reservation to its use or return.
+    """
+
+    def __init__(
+        self,
+        limit: RetryBudgetLimit,
+        started_at: float,
+        hold_seconds: float,
+    ) -> None:
+        super().__init__(limit, started_at)
+        self.hold_seconds = hold_seconds
+        self.reserved: deque[tuple[float, RetryPermit]] = deque()
+        self.settled = 0
+
+    def may_retry(self, now: float, entries: int) -> bool:
+        self.fleet.observe(entries, is_discovered=entries > 0)
+        permit = self.budget.acquire(now)
+        if permit is not None:
+            self.reserved.append((now, permit))
+        if not self.reserved or now < self.reserved[0][0] + self.hold_seconds:
+            return False
+        self.settled += 1
+        due = self.reserved.popleft()[1]
+        if self.settled % 2:
+            return self.budget.use(due, now)
+        self.budget.give_back(due, now)
+        return False
+
+
 def knows_all(entry: int, process_seconds: float, entries: int) -> int:
     """Return the entries that a process knows that finds all of them."""
     return entries if process_seconds > DISCOVERY_SECONDS else 0
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget_machine.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget_machine.py
@@ -14,6 +14,7 @@
 from ..retry_budget import (
     MAX_DELAY_FRACTION,
     RetryBudgetLimit,
+    RetryPermit,
     SharedRetryBudget,
 )
 from .builders_budgets import BudgetResult
@@ -31,6 +32,7 @@
     def __init__(self, now: float) -> None:
         self.fleet = FleetSize()
         self.budget = SharedRetryBudget(LIMIT, self.fleet, now)
+        self.permits: list[RetryPermit] = []
 
 
 class RetryBudgetMachine(RuleBasedStateMachine):
@@ -61,6 +63,36 @@
         while process.budget.try_acquire(self.now):
             self.retries.append(self.now + delay)
 
+    @rule(entry=entry_numbers)
+    def attempts_reserve_retries(self, entry: int) -> None:
+        process = self._process(entry)
+        permit = process.budget.acquire(self.now)
+        while permit is not None:
+            process.permits.append(permit)
+            permit = process.budget.acquire(self.now)
+
+    @rule(rounds=st.integers(1, 8), seconds=st.floats(1, 12))
+    def attempts_hold_retries(self, rounds: int, seconds: float) -> None:
+        for _ in range(rounds):
+            for entry, _ in enumerate(self.processes):
+                self.attempts_reserve_retries(entry)
+            self.now += seconds
+
+    @rule(entry=entry_numbers, number=st.integers(1, 20))
+    def permits_are_given_back(self, entry: int, number: int) -> None:
+        process = self._process(entry)
+        for permit in process.permits[:number]:
+            process.budget.give_back(permit, self.now)
+        process.permits = process.permits[number:]
+
+    @rule(delay=st.floats(0, MAX_DELAY_SECONDS))
+    def permits_are_used(self, delay: float) -> None:
+        for process in self.processes:
+            for permit in process.permits:
+                if process.budget.use(permit, self.now):
+                    self.retries.append(self.now + delay)
+            process.permits.clear()
+
     @rule(delay=st.floats(0, MAX_DELAY_SECONDS))
     def all_requests_fail(self, delay: float) -> None:
         for entry, _ in enumerate(self.processes):
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget_replay.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget_replay.py
@@ -1,9 +1,11 @@
 """Retry budgets of all entries and all their starts, under failing load."""
 
+import functools
+
 import pytest
 
 from ..retry_budget import RetryBudgetLimit
-from .builders_budgets import LIMIT, FailingLoad, replay
+from .builders_budgets import LIMIT, FailingLoad, ReservingBudget, replay
 
 #: Failed attempts that the budget may end where few attempts fail.
 MAX_DENIED_FRACTION = 0.01
@@ -69,6 +71,23 @@
     assert replay(load).largest_excess(limit) <= 0
 
 
+@pytest.mark.parametrize('hold_seconds', [0.2, 3, 5, 8])
+@pytest.mark.parametrize('restarts', [(), IN_SERIES])
+def test_reserved_retries_stay_within_the_limit(
+    hold_seconds: float, restarts: tuple[float, ...]
+) -> None:
+    """Guards against permits that outlast the requests that earned them.
+
+    Links hold the retries back for three seconds as well.
+    """
+    result = replay(
+        FailingLoad(restarts=restarts, arrives_at=held_until_18),
+        functools.partial(ReservingBudget, hold_seconds=hold_seconds),
+    )
+    assert result.retries or restarts
+    assert result.largest_excess(LIMIT) <= 0
+
+
 def test_retries_of_a_steady_fleet_stay_within_the_limit() -> None:
     result = replay(FailingLoad())
     assert result.largest_excess(LIMIT) <= 0
