Reserve the retry before an attempt is given up for it

Cause: check, then act. SilenceWatch and EndScope asked the budget whether a retry would be permitted and closed the channel; RetryControl took the retry some turns of the event loop later. One retry that was left served all that asked.

Each attempt now has a MovePermit. Whoever gives the attempt up on a suspicion (silence, the reports of peers, an end that is not certain) takes the retry with it first; without it the attempt stays where it is. The decision on the retry uses it; however else the attempt ends, leaving its block gives it back. It replaces the two copies of `may_move and may_retry()`. Plain calls still don't ask: nothing shows that their endpoint is at work, so waiting for it is no better for the caller than a failure that can be repeated.

Whether a move is useful is now asked before the budget, so that a silent attempt of a full fleet is logged and counted as held by it also while no retry is left.

Log: `attempt_silent` states the permit, `attempt_kept` (once an attempt) that one stays, `retry_permit_returned` that one was not used; the budget's fields have the retries that are held.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -14,6 +14,7 @@
 from ..crashes import CrashWatch
 from ..decision_log import DecisionLog
 from ..endpoints.attempt import Attempt
+from ..endpoints.move_permit import MovePermit
 from ..endpoints.relay import AnswerRelay
 from ..endpoints.silence import SilenceWatch
 from ..errors import (
@@ -146,19 +147,16 @@
         """Make one attempt; return whether the request is over."""
         self.last_endpoint = placement.primary.endpoint
         self.decisions.log_placement(call, placement)
-        watch = SilenceWatch(
-            self.context,
-            call,
-            placement,
-            may_move=self._may_move(call),
-        )
+        permit = MovePermit(self.context, call, may_move=self._may_move(call))
+        watch = SilenceWatch(self.context, call, placement, permit)
         attempt = Attempt(watch, self.crashes.check_sending)
         self.attempts.begin()
-        try:
-            with self.crashes.track_attempt(attempt):
-                await attempt.run(relay)
-        except AttemptError as error:
-            return await self._handle_failure(call, attempt, error, relay)
+        with permit:
+            try:
+                with self.crashes.track_attempt(attempt):
+                    await attempt.run(relay)
+            except AttemptError as error:
+                return await self._handle_failure(call, attempt, error, relay)
         self.attempts.record(AttemptEnd.ANSWERED)
         self.crashes.record_answer(call)
         self.outcome.label = 'answered'
@@ -202,7 +200,7 @@
         self.attempts.answer_has_begun = self.answer.has_begun
         await self.crashes.handle_failed_attempt(call, attempt, error)
         failed_endpoint = self._exclude(attempt, error)
-        decision = self.retries.decide(call, error.end)
+        decision = self.retries.decide(call, error.end, attempt.watch.permit)
         step = decision.step
         if isinstance(error, EndpointEndedError):
             self._log_ended(attempt, error)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/retry_control.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/retry_control.py
@@ -13,6 +13,7 @@
 
 from ..calls import AdmittedRequest
 from ..context import ForwardingContext
+from ..endpoints.move_permit import MovePermit
 
 
 class RetryDecision(msgspec.Struct, frozen=True):
@@ -45,11 +46,22 @@
         budget = self.context.retry_budget(call.service.service)
         budget.record_first_attempt(self._now())
 
-    def decide(self, call: AdmittedRequest, end: AttemptEnd) -> RetryDecision:
-        """Decide on the step after an attempt; count the decision."""
+    def decide(
+        self,
+        call: AdmittedRequest,
+        end: AttemptEnd,
+        permit: MovePermit,
+    ) -> RetryDecision:
+        """Decide on the step after an attempt; count the decision.
+
+        Parameters
+        ----------
+        permit
+            Holds the retry that was reserved before the attempt was given up.
+        """
         budget = self.context.retry_budget(call.service.service)
         state = budget.state(self._now())
-        permission = self._permission(call, end)
+        permission = self._permission(call, end, permit)
         self.context.metrics.retries.count_permission(permission)
         step = next_step(
             call.route.kind,
@@ -64,6 +76,7 @@
         self,
         call: AdmittedRequest,
         end: AttemptEnd,
+        permit: MovePermit,
     ) -> RetryPermission:
         permission = retry_permission(
             call.route.kind,
@@ -72,11 +85,9 @@
             max_attempts=call.route.max_attempts,
         )
         if permission != RetryPermission.GRANTED:
+            permit.give_back()
             return permission
-        budget = self.context.retry_budget(call.service.service)
-        if budget.try_acquire(self._now()):
-            return permission
-        return RetryPermission.BUDGET_SPENT
+        return permission if permit.use() else RetryPermission.BUDGET_SPENT
 
     def _now(self) -> float:
         return self.context.clock.monotonic()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
@@ -256,7 +256,7 @@
 
         Its remainder may have arrived already and wait for a slow caller.
         """
-        self.watch.may_move = False
+        self.watch.permit.may_move = False
         self.scope.is_forwarding = True
 
     def _on_event(self) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
@@ -60,16 +60,15 @@
         a long prompt, or be about to leave once its requests have ended. Probes
         of the connection show whether it is gone.
         """
-        is_unsure = end.evidence in {EndEvidence.REMOVED, EndEvidence.PEER}
-        if is_unsure and (
-            self._is_within_forecast() or self._is_only_attempt()
-        ):
-            return
         is_complete = self.channel is not None and self.channel.is_complete
         is_answered = is_complete or self.is_forwarding
-        if self.cause is None and not is_answered:
-            self.cause = end
-            self._timeout.reschedule(asyncio.get_running_loop().time())
+        if self.cause is not None or is_answered:
+            return
+        is_unsure = end.evidence in {EndEvidence.REMOVED, EndEvidence.PEER}
+        if is_unsure and not self._may_give_up(end):
+            return
+        self.cause = end
+        self._timeout.reschedule(asyncio.get_running_loop().time())
 
     @contextlib.asynccontextmanager
     async def run(
@@ -106,12 +105,13 @@
         expected_ms = watch.placement.plan.expected_ms
         return not watch.has_event and waited * _MS < expected_ms
 
-    def _is_only_attempt(self) -> bool:
-        """Return whether a stream has begun that could not be resumed."""
-        watch = self.watch
-        if watch is None or not watch.has_event:
+    def _may_give_up(self, end: LifetimeEnd) -> bool:
+        """Return whether the attempt ends although its endpoint may go on."""
+        if self._is_within_forecast():
             return False
-        return not (watch.may_move and watch.may_retry())
+        if self.watch is None or not self.watch.has_event:
+            return True
+        return self.watch.permit.acquire(end.evidence)
 
     def _check_not_ended(self) -> None:
         """Raise if a lifetime had ended before the attempt began.
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/move_permit.py
@@ -0,0 +1,143 @@
+"""Permission to end an attempt so that another endpoint runs the request.
+
+The permission is taken before the attempt is given up, and is used by the
+decision on the retry. Without this, many attempts that are given up at the same
+moment rely on the same retry. All but one of them end without an answer, or in
+the middle of it, although their endpoints may go on.
+"""
+
+import enum
+from types import TracebackType
+from typing import Self
+
+from sycamore_core.decisions.direct import RetryPermit, SharedRetryBudget
+
+from ..calls import AdmittedRequest
+from ..context import ForwardingContext
+
+
+class PermitState(enum.StrEnum):
+    """Whether a retry is reserved for an attempt."""
+
+    NONE = 'none'
+    HELD = 'held'
+    #: The service needs no reservation.
+    NOT_NEEDED = 'not_needed'
+
+
+class MovePermit:
+    """The permission of one attempt to move to another endpoint.
+
+    In a large fleet, an entry may make three retries, plus one for every five
+    requests, in ten seconds: its share of the operator's limit. Once they are
+    used up, a prompt that is cancelled at a late engine, or a stream that
+    pauses, cannot be sent to another engine, and its caller loses an answer
+    that was on its way. The end of the endpoint or of the connection ends the
+    attempt all the same.
+
+    Plain calls need no reservation: their endpoints are most likely dead, and
+    the caller may retry.
+
+    Parameters
+    ----------
+    may_move
+        Whether another endpoint may run the request after this one, leaving out
+        the retry budget.
+
+    Attributes
+    ----------
+    permit
+        The reserved retry; None if there is none.
+    is_denial_logged
+        Whether the log states that the attempt stays.
+    """
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        call: AdmittedRequest,
+        *,
+        may_move: bool,
+    ) -> None:
+        self.context = context
+        self.call = call
+        self.may_move = may_move
+        self.permit: RetryPermit | None = None
+        self.is_denial_logged = False
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.give_back()
+
+    @property
+    def state(self) -> PermitState:
+        """Return whether a retry is reserved."""
+        if self.permit is not None:
+            return PermitState.HELD
+        is_plain = self.call.service.engine is None
+        return PermitState.NOT_NEEDED if is_plain else PermitState.NONE
+
+    def acquire(self, cause: str) -> bool:
+        """Reserve a retry; return whether the attempt may be given up.
+
+        Parameters
+        ----------
+        cause
+            Why the attempt should be given up, for the log.
+        """
+        if self.may_move and self.state == PermitState.NONE:
+            self.permit = self._budget.acquire(self._now())
+        is_permitted = self.may_move and self.state != PermitState.NONE
+        if not is_permitted:
+            self._log_denial(cause)
+        return is_permitted
+
+    def use(self) -> bool:
+        """Consume the reserved retry, or one that is left.
+
+        Return whether the request may be retried.
+        """
+        permit = self.permit
+        if permit is None:
+            return self._budget.try_acquire(self._now())
+        self.permit = None
+        return self._budget.use(permit, self._now())
+
+    def give_back(self) -> None:
+        """Return the reserved retry if it has not been used."""
+        permit = self.permit
+        if permit is None:
+            return
+        self.permit = None
+        self._budget.give_back(permit, self._now())
+        self.context.log.info(
+            'retry_permit_returned',
+            request_id=self.call.request_id,
+            **self._budget.state(self._now()).log_fields(),
+        )
+
+    @property
+    def _budget(self) -> SharedRetryBudget:
+        return self.context.retry_budget(self.call.service.service)
+
+    def _log_denial(self, cause: str) -> None:
+        if self.is_denial_logged:
+            return
+        self.is_denial_logged = True
+        self.context.log.info(
+            'attempt_kept',
+            request_id=self.call.request_id,
+            cause=cause,
+            may_move=self.may_move,
+            **self._budget.state(self._now()).log_fields(),
+        )
+
+    def _now(self) -> float:
+        return self.context.clock.monotonic()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
@@ -12,9 +12,11 @@
 from .channel import EndpointChannel
 from .early_move import EarlyMove
 from .full_fleet_hold import FullFleetHold
+from .move_permit import MovePermit
 from .silence_report import SilenceReport
 
 _MS = 1000.0
+_CAUSE = 'silent'
 #: The timeout of the first event is the estimate times this factor, plus these
 #: seconds. It detects an engine that hangs. The errors of estimates are below a
 #: factor of two.
@@ -53,9 +55,9 @@
 
     Parameters
     ----------
-    may_move
-        Whether another endpoint may run the request after this one. If not,
-        silence does not end the attempt, as the answer may still arrive.
+    permit
+        Permission to move to another endpoint. Without it, silence does not end
+        the attempt, as the answer may still arrive.
 
     Attributes
     ----------
@@ -81,13 +83,12 @@
         context: ForwardingContext,
         call: AdmittedRequest,
         placement: Placement,
-        *,
-        may_move: bool,
+        permit: MovePermit,
     ) -> None:
         self.context = context
         self.call = call
         self.placement = placement
-        self.may_move = may_move
+        self.permit = permit
         costs = call.service.engine
         tokens = call.terms.prompt_tokens
         self.is_short = costs is not None and is_short_request(costs, tokens)
@@ -125,24 +126,6 @@
             self.first_event_at = self.last_event_at
         return is_first
 
-    def may_retry(self) -> bool:
-        """Return whether the shared retry budget has capacity for a retry.
-
-        In a large fleet, an entry may make three retries, plus one for every
-        five requests, in ten seconds: its share of the operator's limit. Once
-        they are used up, a prompt that is cancelled at a late engine, or a
-        stream that pauses, cannot be sent to another engine, and its caller
-        loses an answer that was on its way. The end of the endpoint or of the
-        connection ends the attempt all the same.
-        Plain calls are ended in any case: their endpoints are most likely
-        dead, and the caller may retry.
-        """
-        service = self.call.service
-        if service.engine is None:
-            return True
-        budget = self.context.retry_budget(service.service)
-        return budget.has_capacity(self._now())
-
     async def run(self, channel: EndpointChannel) -> None:
         """Close the channel once it has been silent for too long.
 
@@ -156,12 +139,14 @@
             left = (
                 self._last_activity_at() + self._timeout_seconds() - self._now()
             )
-            is_over = left <= 0 and self._should_move()
-            if is_over or (self._may_move_early and early.is_due()):
+            is_over = left <= 0 and self._is_worth_moving()
+            is_early = not is_over and self._may_move_early and early.is_due()
+            if (is_over or is_early) and self.permit.acquire(_CAUSE):
                 self.faulty_address = early.faulty_address
                 SilenceReport(self.context).record(
                     self.call,
                     channel,
+                    permit=self.permit.state,
                     silent_seconds=self._now() - self._last_activity_at(),
                     late_seconds=self._now() - due,
                     has_event=self.has_event,
@@ -180,10 +165,7 @@
         """Whether the reports of peers may end the attempt."""
         is_long = self.call.service.engine is not None and not self.is_short
         is_unanswered = is_long and not self.has_event
-        return is_unanswered and self.may_move and self.may_retry()
-
-    def _should_move(self) -> bool:
-        return self.may_retry() and self._is_worth_moving()
+        return is_unanswered and self.permit.may_move
 
     def _is_worth_moving(self) -> bool:
         """Return whether it is useful to move to another endpoint.
@@ -257,7 +239,7 @@
     def _timeout_seconds(self) -> float:
         """Return the longest permitted silence, in seconds."""
         left = max(0, self.call.deadline - self._now())
-        if not self.may_move:
+        if not self.permit.may_move:
             return left + 1
         if not self.call.route.kind.is_stream:
             return left * _PLAIN_TIMEOUT_SHARE
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence_report.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence_report.py
@@ -5,6 +5,7 @@
 from ..calls import AdmittedRequest
 from ..context import ForwardingContext
 from .channel import EndpointChannel
+from .move_permit import PermitState
 
 
 class SocketState(enum.StrEnum):
@@ -31,6 +32,7 @@
         call: AdmittedRequest,
         channel: EndpointChannel,
         *,
+        permit: PermitState,
         silent_seconds: float,
         late_seconds: float,
         has_event: bool,
@@ -39,6 +41,8 @@
 
         Parameters
         ----------
+        permit
+            Whether a retry is reserved for the request.
         late_seconds
             How late the check ran.
         has_event
@@ -53,6 +57,7 @@
             'attempt_silent',
             request_id=call.request_id,
             socket=socket_state,
+            permit=permit,
             silent_seconds=round(silent_seconds, 3),
             late_seconds=round(late_seconds, 3),
             has_event=has_event,
--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_returned_permits.py
@@ -0,0 +1,93 @@
+"""Reserved retries of attempts that need no other attempt."""
+
+import asyncio
+
+import pytest
+
+from ..endpoints.move_permit import MovePermit
+from .builders import (
+    HOST,
+    MODEL,
+    RawEndpoint,
+    Script,
+    TestEntry,
+    never_reply,
+    request_bytes,
+    running_entry,
+)
+from .builders_ended import (
+    CHAT,
+    asked,
+    one_event,
+    pause_in_stream,
+)
+from .builders_overload import captured_lines
+from .builders_silence import PausingEndpoint, is_whole, leave_one_retry
+
+CAUSE = 'silent'
+
+
+async def reserved(entry: TestEntry) -> MovePermit:
+    """Reserve the only retry for the attempt in progress; return its permit."""
+    groups = entry.context.keeper.ended._listeners
+    async with asyncio.timeout(2):
+        while not groups:
+            await asyncio.sleep(0.005)
+    listeners = set().union(*groups.values())
+    permit = next(iter(listeners)).watch.permit
+    leave_one_retry(entry, MODEL)
+    assert permit.acquire(CAUSE)
+    assert not entry.context.retry_budget(MODEL).try_acquire(entry_now(entry))
+    return permit
+
+
+def entry_now(entry: TestEntry) -> float:
+    return entry.context.clock.monotonic()
+
+
+@pytest.mark.parametrize(
+    ('script', 'patience'),
+    [(pause_in_stream, '3'), (never_reply, '0.4'), (one_event, '0.4')],
+    ids=['answered', 'late', 'cut'],
+)
+async def test_unused_permit_comes_back(script: Script, patience: str) -> None:
+    """Guards against retries that nobody gets as an attempt needs no other."""
+    endpoint = RawEndpoint('e1', script)
+    async with running_entry(CHAT, endpoint) as entry:
+        async with asked(entry, Prompt='4000', Patience=patience) as answer:
+            permit = await reserved(entry)
+            await answer
+        assert permit.permit is None
+        budget = entry.context.retry_budget(MODEL)
+        assert not budget.held
+        assert budget.try_acquire(entry_now(entry))
+        assert len(endpoint.requests) == 1
+
+
+async def test_permit_comes_back_as_the_caller_leaves() -> None:
+    """Guards against retries that callers take with them."""
+    endpoint = RawEndpoint('e1', one_event)
+    async with running_entry(CHAT, endpoint) as entry:
+        reader, writer = await asyncio.open_connection(HOST, entry.port)
+        writer.write(request_bytes(Prompt='4000'))
+        await reader.readuntil(b'piece 0')
+        permit = await reserved(entry)
+        writer.close()
+        async with asyncio.timeout(1):
+            while permit.permit is not None:
+                await asyncio.sleep(0.005)
+        assert entry.context.retry_budget(MODEL).try_acquire(entry_now(entry))
+
+
+async def test_stream_that_stays_is_logged_once() -> None:
+    """Guards against a line at each check of a stream without a retry."""
+    endpoint = PausingEndpoint('e1')
+    lines: list[dict[str, object]] = []
+    async with running_entry(CHAT, endpoint) as entry:
+        leave_one_retry(entry, MODEL)
+        entry.context.retry_budget(MODEL).reserve = 0
+        with captured_lines('attempt_kept', lines):
+            assert is_whole(await entry.ask(Prompt='4000'))
+    assert [(line['cause'], line['may_move']) for line in lines] == [
+        (CAUSE, True)
+    ]
