Let doubtful evidence end only requests that may go on elsewhere

An endpoint that a peer takes for ended, or whose registration was removed while it is silent, may be at work. Such evidence ended each attempt without an event there, also one that no other may follow: a call that may run once failed with a 502 the moment a peer had lost a path, a prompt without a retry in the budget did too, although the answer was on its way. Streams that had begun were spared before.

All requests that were sent now need the permit to be ended by such evidence. If the endpoint is gone, the probes of the connection end them within 3 s as before, and certain evidence (another instance, a newer start, a lost connection) at once.

Evidence: the test of a call that cannot move gets `HTTP/1.1 502 Bad Gateway` without this change and its 200 with it. Tests of ends and patience pass unchanged.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
@@ -58,7 +58,8 @@
 
         An endpoint that is silent for this entry or for a peer may be reading
         a long prompt, or be about to leave once its requests have ended. Probes
-        of the connection show whether it is gone.
+        of the connection show whether it is gone. Such evidence ends an attempt
+        only if the request may go on elsewhere.
         """
         is_complete = self.channel is not None and self.channel.is_complete
         is_answered = is_complete or self.is_forwarding
@@ -106,10 +107,13 @@
         return not watch.has_event and waited * _MS < expected_ms
 
     def _may_give_up(self, end: LifetimeEnd) -> bool:
-        """Return whether the attempt ends although its endpoint may go on."""
+        """Return whether the attempt ends although its endpoint may go on.
+
+        A request that was not sent needs no retry.
+        """
         if self._is_within_forecast():
             return False
-        if self.watch is None or not self.watch.has_event:
+        if self.watch is None or self.channel is None:
             return True
         return self.watch.permit.acquire(end.evidence)
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_returned_permits.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_returned_permits.py
@@ -3,6 +3,8 @@
 import asyncio
 
 import pytest
+from sycamore_core.ids import EndpointId, PeerId
+from sycamore_core.routing import EndpointRecord
 
 from ..endpoints.move_permit import MovePermit
 from .builders import (
@@ -11,19 +13,24 @@
     RawEndpoint,
     Script,
     TestEntry,
+    full_answer,
     never_reply,
     request_bytes,
     running_entry,
 )
 from .builders_ended import (
+    AT_ONCE_SECONDS,
     CHAT,
+    UNSAFE,
     asked,
+    first_asked,
     one_event,
     pause_in_stream,
 )
 from .builders_overload import captured_lines
 from .builders_silence import PausingEndpoint, is_whole, leave_one_retry
 
+PEER = PeerId('entry-7')
 CAUSE = 'silent'
 
 
@@ -91,3 +98,35 @@
     assert [(line['cause'], line['may_move']) for line in lines] == [
         (CAUSE, True)
     ]
+
+
+async def answer_late(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    await asyncio.sleep(2 * AT_ONCE_SECONDS)
+    writer.write(full_answer())
+
+
+async def test_call_that_cannot_move_outlasts_a_doubtful_end() -> None:
+    """Guards against a deposit that fails because a peer lost a path."""
+    endpoint = RawEndpoint('e1', answer_late)
+    async with running_entry(UNSAFE, endpoint) as entry:
+        async with asked(entry) as answer:
+            await first_asked([endpoint])
+            report_end(entry, endpoint)
+            text = await answer
+    assert text.startswith(b'HTTP/1.1 200')
+
+
+def report_end(entry: TestEntry, endpoint: RawEndpoint) -> None:
+    """Have a peer report that an endpoint has ended."""
+    ended = entry.context.keeper.ended
+    ended.removed._heard_at.clear()
+    ended.apply_peer_report((registered(entry, endpoint).lifetime,), PEER)
+
+
+def registered(entry: TestEntry, endpoint: RawEndpoint) -> EndpointRecord:
+    record = entry.context.keeper.directory.find(EndpointId(endpoint.name))
+    assert record is not None
+    return record
