Count a connection that was made while the entry was late

What callers saw, or would see: an entry that stood still for half a second (frozen, suspended, busy) gave up each connection that it was opening, although the endpoint had accepted it. The attempt ended as `not_sent`, the endpoint was recorded as failing and reported to the peers, and requests went elsewhere or were refused.

Cause: the event loop finds the finished connection and the passed timer in one turn. The timer cancels the task before it runs again, so the timeout wins; after a freeze, Python's selector returns without looking at the sockets at all, and only the timers run.

Why it works: `wait_within` looks at the result and not at the timer. If the timer came late, it waits once more for as long as the timer was late, at most for the time limit, so that the loop reads what has arrived. An address that is silent costs at most twice the limit, and only after the entry itself stood still.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
@@ -31,6 +31,7 @@
     ReaderSide,
 )
 from ..wire import AnswerHead, WireFormat
+from .time_limit import wait_within
 
 #: Timeout of a connection attempt, in seconds. Endpoints accept within a few
 #: milliseconds; an endpoint that does not is gone or unreachable.
@@ -233,8 +234,7 @@
         """
         stream = EndpointStream(_new_socket())
         try:
-            async with asyncio.timeout(CONNECT_SECONDS):
-                await stream.connect((host, port))
+            await wait_within(stream.connect((host, port)), CONNECT_SECONDS)
         except (StreamClosedError, TimeoutError, OSError) as error:
             stream.close()
             raise AttemptError(
