Do not take the entry's own stall for a slow reader's

What callers would see: a caller that had read all bytes is disconnected in the middle of its answer after the entry was frozen for three seconds, since the one check after the freeze finds no progress: the entry had written nothing.

Cause: the stall was the difference of two clock readings, however few checks lay between.

Evidence: test_late_check_is_no_silence_of_a_reader failed with `SlowReaderError: caller` after one late check. Each check now adds half a second at most to a stall, twice the usual interval, so that a reader has several checks to show progress. The limit for a reader that reads nothing is unchanged while the loop is in time.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/flow_control.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/flow_control.py
@@ -41,6 +41,8 @@
 #: the end of the endpoint.
 SLOW_ENDPOINT_SECONDS = 2.5
 _CHECK_SECONDS = 0.25
+#: Longest time that one check adds to a stall, in seconds.
+_MAX_CHECK_SECONDS = 2 * _CHECK_SECONDS
 
 
 class ReaderSide(enum.StrEnum):
@@ -212,14 +214,17 @@
     ) -> None:
         clock = asyncio.get_running_loop()
         unread = _unread_bytes(stream)
-        changed_at = clock.time()
+        checked_at = clock.time()
+        stalled: float = 0
         while not written.done():
             await asyncio.wait((written,), timeout=_CHECK_SECONDS)
+            # An event loop that was late has written nothing meanwhile.
+            stalled += min(clock.time() - checked_at, _MAX_CHECK_SECONDS)
+            checked_at = clock.time()
             still_unread = _unread_bytes(stream)
             if still_unread != unread:
                 unread = still_unread
-                changed_at = clock.time()
-            stalled = clock.time() - changed_at
+                stalled = 0
             if stalled >= side.longest_stall and not written.done():
                 self._record_cut(side, size, stalled)
                 raise SlowReaderError(side.value)
