Close the endpoints of late-loop tests in their own event loop

test_order_answered_while_late_reserves_memory failed once in six runs with `TypeError: 'NoneType' object is not iterable` in asyncio's base_events: the entry's loop closed a server that another thread's loop served, and both released the waiters. The close is passed to the server's own loop.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_late.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_late.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import threading
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 
 from .builders import RawEndpoint
 
@@ -25,13 +25,22 @@
 ) -> None:
     """Have endpoints serve in another event loop once they are started."""
     for endpoint in endpoints:
-        endpoint.start = _start_in(loop, endpoint.start)
+        endpoint.start = _start_in(loop, endpoint)
 
 
-def _start_in(loop: asyncio.AbstractEventLoop, start):
+def _start_in(
+    loop: asyncio.AbstractEventLoop, endpoint: RawEndpoint
+) -> Callable[[], Awaitable[None]]:
+    start = endpoint.start
+
     async def start_there() -> None:
         future = asyncio.run_coroutine_threadsafe(start(), loop)
         await asyncio.wrap_future(future)
+        server = endpoint.server
+        assert server is not None
+        close = server.close
+        # A server may only be closed in its own event loop.
+        server.close = lambda: loop.call_soon_threadsafe(close)
 
     return start_there
 
