Read what endpoints sent before their silence ends them

What callers would see: after the entry stood still for more than two seconds (a freeze), it reads that a registration was removed, and in the same moment ends the endpoint for silence: streams and requests there are broken off or sent anew, though their events lie unread in the sockets. A registration that was renewed meanwhile lapses in the same way.

Cause: silence is the difference between now and the last word that was read. After a stall of the process itself, it's the stall.

Evidence: test_removal_read_late_does_not_end_a_live_endpoint failed, the endpoint had ended while it sent ten events a second (3.4 s without a turn of the loop). A trial shows why a freeze is worse than a busy loop: after SIGSTOP and SIGCONT, Python's selector returned no events although a byte had arrived, three times of three, so that timers run before any reader.

Why it works: `LateChecks` notices that a check came late, and lets the entry read for 0.2 s before the next one judges.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/ended.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/ended.py
@@ -11,6 +11,7 @@
 
 from sycamore_core.clock import Clock
 from sycamore_core.decisions.direct.failures import RECENT_ACTIVITY_SECONDS
+from sycamore_core.decisions.late_checks import LateChecks
 from sycamore_core.decisions.lifetimes import (
     EndedLifetimes,
     EndEvidence,
@@ -26,6 +27,11 @@
 )
 from sycamore_core.telemetry import Log
 
+#: Interval of the checks for silent endpoints, in seconds.
+EXPIRE_INTERVAL_SECONDS = 0.25
+#: Interval between two checks above which the entry was late, in seconds.
+_LATE_SECONDS = 2 * EXPIRE_INTERVAL_SECONDS
+
 
 class EndListener(abc.ABC):
     """Something that depends on lifetimes, such as an attempt."""
@@ -46,6 +52,9 @@
         Lifetimes without a registration that may still run.
     peer_failures
         Endpoints that fail for peers.
+    checks
+        Tells whether this entry was late, so that what endpoints sent is
+        unread.
     on_end
         Called with the id of an endpoint when one of its lifetimes ends.
     """
@@ -62,6 +71,7 @@
         self.ended = EndedLifetimes()
         self.removed = RemovedLifetimes()
         self.peer_failures = PeerFailureReports()
+        self.checks = LateChecks(_LATE_SECONDS)
         self.on_end: list[Callable[[EndpointId], None]] = []
         self._listeners: dict[EndpointLifetime, set[EndListener]] = {}
         self._has_news = False
@@ -144,11 +154,15 @@
         """Record a removed registration before the directory applies it.
 
         An endpoint that has announced that it leaves finishes its work without
-        a registration, and may be silent while it reads a long prompt.
+        a registration, and may be silent while it reads a long prompt. If
+        this entry was late, the next check ends the endpoint.
         """
         record = self.directory.find(endpoint)
-        if record is not None and not record.is_leaving:
-            self.removed.record_removal(record.lifetime, self._now())
+        if record is None or record.is_leaving:
+            return
+        now = self._now()
+        self.removed.record_removal(record.lifetime, now)
+        if self.checks.is_in_time(now):
             self.end_silent()
 
     def end_silent(self) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
@@ -25,7 +25,7 @@
 from sycamore_core.telemetry import Log
 
 from .cold import ColdStarts
-from .ended import EndedEndpoints
+from .ended import EXPIRE_INTERVAL_SECONDS, EndedEndpoints
 from .evacuation import EvacuatedZones
 from .feed import (
     Change,
@@ -51,8 +51,6 @@
 #: refuses its callers meanwhile. A hundred such entries make 700 calls a
 #: second.
 UNLISTED_PAUSE_SECONDS = 0.15
-#: Interval of the checks for expired registrations, in seconds.
-EXPIRE_INTERVAL_SECONDS = 0.25
 
 
 class FleetKeeper:
@@ -162,8 +160,15 @@
             self.drop_expired()
 
     def drop_expired(self) -> None:
-        """Drop registrations that were not renewed in time."""
-        for endpoint in self.directory.expire(self.clock.monotonic()):
+        """Drop registrations that were not renewed in time.
+
+        An entry that was late reads first: renewals and signs of life of
+        endpoints may have arrived meanwhile.
+        """
+        now = self.clock.monotonic()
+        if not self.ended.checks.record(now):
+            return
+        for endpoint in self.directory.expire(now):
             self.log.info('endpoint_expired', endpoint=endpoint)
         self.ended.end_silent()
 
