Read what peers sent before they count as lost

What would be seen: an entry that was frozen for over 3.2 s drops all its peers at once, with their loads, shares of workspaces and waiting requests, and places requests by its own load alone until their updates are read: engines that others have filled get more.

Evidence: test_peers_that_were_not_read_while_late_are_not_lost failed with two `peer_lost` lines (two entries, 3.4 s without a turn of the loop). It passes; a peer that is gone counts as lost one update of the membership later after a stall, a second at most.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -177,7 +177,9 @@
     def update_membership(self) -> None:
         """Expire silent members and update the number of entries and cells."""
         now = self.clock.monotonic()
-        for lost in self.membership.expire(now):
+        # An entry that was late reads first what the members sent meanwhile.
+        may_judge = self.schedule.late_checks.record(now)
+        for lost in self.membership.expire(now) if may_judge else ():
             self.registry.remove_peer(lost.name)
             for report in self.context.peer_reports:
                 report.remove_peer(lost.name)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/update_schedule.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/update_schedule.py
@@ -5,11 +5,16 @@
 
 from sycamore_core.clock import Clock
 from sycamore_core.decisions.direct import (
+    FULL_UPDATE_SECONDS,
     UPDATE_INTERVAL_SECONDS,
     UpdateRateLimit,
 )
+from sycamore_core.decisions.late_checks import LateChecks
 from sycamore_core.membership import Membership
 
+#: Number of intervals between full updates above which the entry was late.
+_MAX_INTERVALS = 1.5
+
 
 class UpdateSchedule:
     """The times at which one entry sends updates to its cell.
@@ -18,6 +23,11 @@
     ----------
     has_sent
         Set when a request has been sent, which is reported at once.
+
+    Attributes
+    ----------
+    late_checks
+        Tells whether this entry was late, so that updates of peers are unread.
     """
 
     def __init__(
@@ -30,6 +40,7 @@
         self.membership = membership
         self.clock = clock
         self.rate_limit = UpdateRateLimit()
+        self.late_checks = LateChecks(_MAX_INTERVALS * FULL_UPDATE_SECONDS)
 
     async def wait(self) -> None:
         """Wait until a request is sent or the regular interval ends."""
