Parse and pack a configuration once, however many peers exchange it

What callers would see: beside a configuration that the platform shows to some entries only, the event loop stands still once more for each peer that sends it or asks for it. The version was compared after the document had been parsed, and the message to a peer was compressed for each.

Evidence: with the version in force or an older one the document was parsed (`assert (3, [b'3']) == (3, [])`), with a newer one from three peers three times; each answer was packed anew.

Why it works: the message names its version, so that a known one is dropped unread; the packed message of the version in force is kept. An older word still never undoes a newer one: the version in the document decides as before.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
@@ -125,7 +125,13 @@
         return self.table is not None and bool(self.directory.records)
 
     def apply_peer_table(self, body: SettingsBody) -> None:
-        """Apply the configuration of a peer if it is newer."""
+        """Apply the configuration of a peer if it is newer.
+
+        Other configurations are not parsed: a large one holds up the event
+        loop, and several peers may send it.
+        """
+        if body.version <= self.version:
+            return
         try:
             published = self.feed.read_table(unpack_settings(body).body)
         except PlatformError as error:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/newer_settings.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/newer_settings.py
@@ -23,6 +23,7 @@
     def __init__(self, keeper: FleetKeeper) -> None:
         self.keeper = keeper
         self._requested_version = 0
+        self._packed: SettingsBody | None = None
 
     def compare(self, peer: Peer, version: int) -> None:
         """Request the configuration of a peer if it stays newer.
@@ -42,13 +43,24 @@
         published = self.keeper.published
         if published is None or self.keeper.version <= wanted.above:
             return
-        settings = PublishedSettings(self.keeper.version, published.source)
-        peer.post(pack_settings(settings))
+        peer.post(self._pack(published.source))
 
     def apply(self, peer: Peer, body: SettingsBody) -> None:
         """Apply a configuration that a peer has sent."""
         self.keeper.apply_peer_table(body)
 
+    def _pack(self, source: bytes) -> SettingsBody:
+        """Return the message with the configuration in force.
+
+        It is kept for the next peer: the platform may refuse many entries.
+        """
+        version = self.keeper.version
+        packed = self._packed
+        if packed is None or packed.version != version:
+            packed = pack_settings(PublishedSettings(version, source))
+            self._packed = packed
+        return packed
+
     def _request(self, peer: Peer, version: int) -> None:
         self._requested_version = 0
         if version > self.keeper.version:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_peer_tables.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_peer_tables.py
@@ -3,12 +3,13 @@
 import pytest
 from sycamore_core.clock import SystemClock
 from sycamore_core.ids import SettingsVersion
-from sycamore_core.messages import SettingsBody
+from sycamore_core.messages import Message, SettingsBody, SettingsWanted
 from sycamore_core.platform import PublishedSettings, pack_settings
 from sycamore_core.routing import PublishedTable
 
 from ..fleet.feed import TableChanged
 from ..fleet.keeper import FleetKeeper
+from ..mesh.newer_settings import NewerSettings
 from .builders import SNAPSHOT, FixedFeed
 
 
@@ -49,3 +50,28 @@
     for _ in range(3):
         keeper.apply_peer_table(body_of(8))
     assert (keeper.version, feed.parsed) == (8, [b'8'])
+
+
+class Inbox:
+    """A peer that keeps what is sent to it."""
+
+    def __init__(self) -> None:
+        self.messages: list[Message] = []
+
+    def post(self, message: Message) -> None:
+        self.messages.append(message)
+
+
+def test_configuration_is_packed_once_for_all_peers() -> None:
+    """Guards against a loop that is held up once for each peer that asks."""
+    keeper = FleetKeeper(CountingFeed(), SystemClock())
+    settings = NewerSettings(keeper)
+    inbox = Inbox()
+    for version in (3, 8):
+        keeper.apply_peer_table(body_of(version))
+        settings.answer(inbox, SettingsWanted(above=0))
+        settings.answer(inbox, SettingsWanted(above=0))
+    first, second, newer, last = inbox.messages
+    assert first is second
+    assert newer is last
+    assert (first.version, newer.version) == (3, 8)
