Serve a service whose engines are described by odd figures

What callers would see beside such a configuration: no answer to any request of the service. With a read rate of 0 each ends with a division by zero (`exchange_fault`, closed without an answer); with a negative number of steps a pass the forecast of an engine never ends, and the entry stands still with all its requests.

The store accepts only valid configurations, but no page says what is valid.

--- a/packages/sycamore-core/src/sycamore_core/routing/engines.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/engines.py
@@ -4,6 +4,14 @@
 
 _THOUSAND = 1000
 _MILLION = 1_000_000
+#: Slowest and fastest reading that plans are computed for, in tokens per
+#: millisecond.
+_MIN_READ_RATE = 0.001
+_MAX_READ_RATE = 1e9
+#: Longest time of one step, and of each part of it, in milliseconds.
+_MAX_STEP_MS = 1e9
+#: Largest count of slots, tokens or steps.
+_MAX_COUNT = 1e12
 
 
 class EngineCosts(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,6 +51,22 @@
     pair_ms: float
     pass_steps: int
 
+    @property
+    def is_usable(self) -> bool:
+        """Whether plans can be computed from these figures.
+
+        Without this, a rate of zero ends each request with a division by zero,
+        and with a negative number of steps a forecast never ends.
+        """
+        counts = (self.slots, self.memory_tokens, self.pass_steps)
+        times = (self.step_ms, self.writer_ms, self.context_ms, self.pair_ms)
+        # No comparison with a number that is not a number is true.
+        return (
+            all(1 <= count <= _MAX_COUNT for count in counts)
+            and all(0 <= time_ms <= _MAX_STEP_MS for time_ms in times)
+            and _MIN_READ_RATE <= self.read_tokens_per_ms <= _MAX_READ_RATE
+        )
+
     def slowed_by(self, slowdown: float) -> 'EngineCosts':
         """Return the cost model of an engine that is slower by a factor."""
         return msgspec.structs.replace(
