Keep a stream at its engine while no other one has a free slot

A stream that has begun was given up without asking whether another engine could take it; requests without an event are asked about already.

The watch now asks, before it reserves a retry.

The test that a stream without a retry is logged once had a fleet of one engine, which is kept for the other reason now; it has a second engine that could resume the stream, so that only the missing retry keeps it.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
@@ -172,10 +172,11 @@
 
         Without this, when all engines are busy for a second, every short
         request moves from one engine to another and is read twice, so that the
-        overload lasts ten seconds.
+        overload lasts ten seconds. A stream that has begun is cut if no other
+        engine has a free slot for it.
         """
         if self.has_event:
-            return True
+            return self.hold.has_alternative()
         waited = self._now() - self.last_event_at
         if self.hold.applies(waited, self._first_event_timeout_seconds()):
             return False
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_returned_permits.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_returned_permits.py
@@ -28,7 +28,7 @@
     pause_in_stream,
 )
 from .builders_overload import captured_lines
-from .builders_silence import PausingEndpoint, is_whole, leave_one_retry
+from .builders_silence import is_whole, leave_one_retry, pausing_pair
 
 PEER = PeerId('entry-7')
 CAUSE = 'silent'
@@ -88,9 +88,9 @@
 
 async def test_stream_that_stays_is_logged_once() -> None:
     """Guards against a line at each check of a stream without a retry."""
-    endpoint = PausingEndpoint('e1')
+    fleet = pausing_pair()
     lines: list[dict[str, object]] = []
-    async with running_entry(CHAT, endpoint) as entry:
+    async with running_entry(CHAT, *fleet) as entry:
         leave_one_retry(entry, MODEL)
         entry.context.retry_budget(MODEL).reserve = 0
         with captured_lines('attempt_kept', lines):
