Give up an attempt only if another endpoint may run the request

Callers got a 502 after 0.4 of the time that a call had left, or a stream that ended in the middle, although its endpoint would have gone on: the only replica answers after 1.5 s of 3 s, or pauses for 1.4 s.

Cause: the check for another endpoint said yes for each service without a cost model, and did not leave out the endpoints that had been given up before. With three permitted runs and two engines, a stream that was resumed left its second engine for the first, which it may not use.

Ruled out: the retry budget and the number of runs permitted the retry in all these cases.

The watch asks about the endpoints that the next attempt may use, those that answered with a failure of their own included, as the placement does.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -158,7 +158,8 @@
         self.last_endpoint = placement.primary.endpoint
         self.decisions.log_placement(call, placement)
         permit = MovePermit(self.context, call, may_move=self._may_move(call))
-        watch = SilenceWatch(self.context, call, placement, permit)
+        unusable = self.excluded - self.failed_at
+        watch = SilenceWatch(self.context, call, placement, permit, unusable)
         attempt = Attempt(watch, self.crashes.check_sending)
         self.attempts.begin()
         with permit:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/full_fleet_hold.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/full_fleet_hold.py
@@ -6,10 +6,12 @@
 """
 
 import math
+from collections.abc import Set
 
 import msgspec
 from sycamore_core.decisions.direct import remaining_ms
 from sycamore_core.decisions.overload import SilentAttempt, is_move_useful
+from sycamore_core.ids import EndpointId
 from sycamore_core.routing import EngineCosts
 
 from ..calls import AdmittedRequest
@@ -27,6 +29,11 @@
     It applies to ranked model services, and to plain services if there is a
     ranked service.
 
+    Parameters
+    ----------
+    excluded
+        Endpoints that must not run the request again.
+
     Attributes
     ----------
     is_logged
@@ -38,10 +45,12 @@
         context: ForwardingContext,
         call: AdmittedRequest,
         placement: Placement,
+        excluded: Set[EndpointId],
     ) -> None:
         self.context = context
         self.call = call
         self.placement = placement
+        self.unusable = {placement.primary.endpoint, *excluded}
         self.plain = PlainAdmission(context, call)
         self.is_logged = False
 
@@ -69,7 +78,9 @@
     def has_alternative(self) -> bool:
         """Return whether another endpoint accepts the request now."""
         costs = self.call.service.engine
-        return costs is None or math.isfinite(self.alternative_ms(costs))
+        if costs is None:
+            return self._plain_alternative() is not None
+        return math.isfinite(self.alternative_ms(costs))
 
     def alternative_ms(self, costs: EngineCosts) -> float:
         """Return the time to the first event at another engine, in ms."""
@@ -77,11 +88,18 @@
             self.call.service,
             costs,
             make_read_request(self.call, self._now()),
-            {self.placement.primary.endpoint},
+            self.unusable,
             self.call.allowed_zones,
         )
         return math.inf if other is None else other.plan.expected_ms
 
+    def _plain_alternative(self) -> Placement | None:
+        return self.context.dispatcher.place_plain(
+            self.call.service,
+            self.unusable,
+            self.call.allowed_zones,
+        )
+
     def _attempt_on_full_fleet(
         self, waited_ms: float, patience_ms: float
     ) -> SilentAttempt | None:
@@ -98,12 +116,7 @@
         if not self.plain.is_active:
             return None
         primary = self.placement.primary
-        dispatcher = self.context.dispatcher
-        other = dispatcher.place_plain(
-            self.call.service,
-            {primary.endpoint},
-            self.call.allowed_zones,
-        )
+        other = self._plain_alternative()
         if other is None:
             return None
         alternative = self.plain.forecast(other.primary)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
@@ -1,8 +1,10 @@
 """Ends an attempt if its endpoint sends nothing for too long."""
 
 import asyncio
+from collections.abc import Set
 
 from sycamore_core.decisions.direct import is_overdue, is_short_request
+from sycamore_core.ids import EndpointId
 from sycamore_core.routing import EngineCosts
 
 from ..callers.caller import CallerAnswer
@@ -58,6 +60,8 @@
     permit
         Permission to move to another endpoint. Without it, silence does not end
         the attempt, as the answer may still arrive.
+    excluded
+        Endpoints that must not run the request again.
 
     Attributes
     ----------
@@ -84,6 +88,7 @@
         call: AdmittedRequest,
         placement: Placement,
         permit: MovePermit,
+        excluded: Set[EndpointId],
     ) -> None:
         self.context = context
         self.call = call
@@ -92,7 +97,7 @@
         costs = call.service.engine
         tokens = call.terms.prompt_tokens
         self.is_short = costs is not None and is_short_request(costs, tokens)
-        self.hold = FullFleetHold(context, call, placement)
+        self.hold = FullFleetHold(context, call, placement, excluded)
         self.first_event_at: float | None = None
         self.faulty_address = ''
         self.answer: CallerAnswer | None = None
@@ -172,8 +177,8 @@
 
         Without this, when all engines are busy for a second, every short
         request moves from one engine to another and is read twice, so that the
-        overload lasts ten seconds. A stream that has begun is cut if no other
-        engine has a free slot for it.
+        overload lasts ten seconds. A stream that has begun, or a call of a
+        replica, ends without its answer if no other endpoint takes it.
         """
         if self.has_event:
             return self.hold.has_alternative()
@@ -181,7 +186,9 @@
         if self.hold.applies(waited, self._first_event_timeout_seconds()):
             return False
         costs = self.call.service.engine
-        return costs is None or self._is_worth_reading_again(costs)
+        if costs is None:
+            return self.hold.has_alternative()
+        return self._is_worth_reading_again(costs)
 
     def _is_worth_reading_again(self, costs: EngineCosts) -> bool:
         """Return whether another engine may read the prompt from the start."""
