Reserve the retry of a begun stream of every service

Callers of a stream whose service has no cost model saw it end in the middle after a pause of 0.9 s once the retry budget was spent, although the replica would have gone on.

Cause: a service without a cost model counted as one of plain calls, for which no retry is reserved.

test_plain_stream_that_pauses_is_kept_without_a_retry failed before (the answer ended after its first event) and passes now: the reservation is needed for each stream, so that without a retry the attempt stays.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/move_permit.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/move_permit.py
@@ -21,7 +21,7 @@
 
     NONE = 'none'
     HELD = 'held'
-    #: The service needs no reservation.
+    #: The request needs no reservation.
     NOT_NEEDED = 'not_needed'
 
 
@@ -81,8 +81,9 @@
         """Return whether a retry is reserved."""
         if self.permit is not None:
             return PermitState.HELD
-        is_plain = self.call.service.engine is None
-        return PermitState.NOT_NEEDED if is_plain else PermitState.NONE
+        is_stream = self.call.route.kind.is_stream
+        is_plain_call = self.call.service.engine is None and not is_stream
+        return PermitState.NOT_NEEDED if is_plain_call else PermitState.NONE
 
     def acquire(self, cause: str) -> bool:
         """Reserve a retry; return whether the attempt may be given up.
