Resume a plain stream without asking whether it is worth a call

Callers of a stream whose service has no cost model saw it end in the middle when its replica broke off and the others were busy.

Cause: the wait for a slot of a stream that has begun covers only the placement. The admission of plain calls comes after it and refuses calls that would be late; for a stream that has begun, a refusal is a cut.

test_plain_stream_that_has_begun_is_not_refused (it was listed as ..._waits_for_a_replica) failed before, with an answer that ended after its first event, and passes now: a stream that has begun skips the check. The replica queues it or rejects it itself.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
@@ -86,7 +86,9 @@
                 self.rejection.schedule_return(refusal, unusable)
                 raise
             self.rejection.check_interference(placement, unusable)
-            self.plain.check(placement)
+            if not is_resumption:
+                # A refusal would cut the answer that has begun.
+                self.plain.check(placement)
         return placement
 
     def _slot_wait(self, *, is_resumption: bool) -> SlotWait:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_given_up.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_given_up.py
@@ -100,7 +100,7 @@
     assert is_whole(answer)
 
 
-async def test_plain_stream_that_has_begun_waits_for_a_replica(
+async def test_plain_stream_that_has_begun_is_not_refused(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """Guards against cutting a stream because replicas are busy."""
