Use another retry for a stream that waited long for its slot

The operator's limit counts the arrivals of retries in a window. A stream that has begun may wait for a free slot until its deadline, and its retry was used when it was decided: streams of many seconds could arrive together once engines are free again, beside the retries of that time.

Cause: the proof of the budget holds for retries that arrive within 0.4 windows of their decision, which leaves half a second of a window of 10 s for the wait, beside 0.5 s for the connection and 2.9 s until the operating system gives up.

A stream that has waited for longer than 0.05 windows now needs a retry that is left when it is placed; without one it goes on waiting. test_retry_that_waited_for_a_slot_needs_a_retry_that_is_left failed before (the second engine was sent the request a window after the decision) and passes now.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/retry_budget.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/retry_budget.py
@@ -46,6 +46,9 @@
 #: 4 s of a window of 10 s it waits for a place, connects, and is delivered or
 #: given up by the operating system.
 MAX_DELAY_FRACTION = 0.4
+#: Part of that time in which the request waits for a place, in windows. The
+#: rest is for the connection and the operating system.
+_PLACING_FRACTION = 0.05
 #: Fraction of the slack that entries use. The rest is for entries that were
 #: added and that the others have not heard of: up to one for each three.
 _USABLE_FRACTION = 0.8
@@ -81,6 +84,14 @@
         """Return how long earned retries may be used, in seconds."""
         return self.window * (1 - MAX_DELAY_FRACTION)
 
+    @property
+    def placing_seconds(self) -> float:
+        """Return how long a retry may wait for a place, in seconds.
+
+        A retry that has waited for longer needs another retry of the budget.
+        """
+        return self.window * _PLACING_FRACTION
+
     def reserve_capacity(self, entries: int) -> float:
         """Return the retries that an entry may hold in reserve."""
         return self._share(entries) * _CAPACITY_FRACTION
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
@@ -73,9 +73,12 @@
         if not excluded:
             await self._wait_for_reports()
         slot_wait = self._slot_wait(is_resumption=is_resumption)
+        waiting_since = self._now() if is_resumption else None
         unplaced = UnplacedRequest(
             call=self.call,
-            place=lambda: self._place_avoiding(unusable, avoided),
+            place=lambda: self._permitted(
+                self._place_avoiding(unusable, avoided), waiting_since
+            ),
             build_refusal=lambda: self.rejection.build_refusal(unusable),
             excluded=frozenset(unusable),
         )
@@ -97,6 +100,37 @@
             return slot_waits.resumption
         return slot_waits.for_service(self.call.service)
 
+    def _permitted(
+        self, placement: Placement | None, waiting_since: float | None
+    ) -> Placement | None:
+        """Return a placement unless its retry may not be sent any more.
+
+        The limit on retries counts arrivals. Without this, streams that wait
+        for seconds would arrive together with the retries that are decided
+        then.
+
+        Parameters
+        ----------
+        waiting_since
+            When a stream began to wait for its resumption, in seconds; None
+            for other requests, which do not wait as long.
+        """
+        if placement is None or waiting_since is None:
+            return placement
+        budget = self.context.retry_budget(self.call.service.service)
+        now = self._now()
+        if now - waiting_since <= budget.bounds.placing_seconds:
+            return placement
+        if not budget.try_acquire(now):
+            return None
+        self.context.log.info(
+            'retry_renewed',
+            request_id=self.call.request_id,
+            waited_seconds=round(now - waiting_since, 3),
+            **budget.state(now).log_fields(),
+        )
+        return placement
+
     async def _wait_for_reports(self) -> None:
         """Wait for reports that peers sent while the prompt filled the link.
 
