Let three checks of silence be due in one turn of the event loop

The test of three streams that are given up for one free slot passed once by itself: the checks were due in different turns, so that the second one saw the slot taken. It blocks the event loop now, as the tests of the retry budget do, and states how many requests the other engine gets.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_given_up.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_given_up.py
@@ -22,8 +22,11 @@
     stream_head,
 )
 from .builders_silence import (
+    BEFORE_TIMEOUT_SECONDS,
+    SHORT_BLOCK_SECONDS,
     PausingEndpoint,
     ask_together,
+    block_loop,
     is_whole,
     patient,
 )
@@ -63,7 +66,10 @@
 
 
 async def test_one_free_slot_moves_one_of_three_pausing_streams() -> None:
-    """Guards against streams that are all given up for one free slot."""
+    """Guards against streams that are all given up for one free slot.
+
+    The checks of three streams are due in one turn of the event loop.
+    """
     first = PausingEndpoint('e1')
     other = RawEndpoint('e2', resume_slowly)
     async with running_entry(STREAM, first, other) as entry:
@@ -72,7 +78,10 @@
         while len(first.requests) < REQUESTS:
             await asyncio.sleep(0.01)
         empty(entry, 'e2', requests[:1])
+        await asyncio.sleep(BEFORE_TIMEOUT_SECONDS)
+        block_loop(SHORT_BLOCK_SECONDS)
         answers = await asking
+    assert len(other.requests) == 1
     assert all(map(is_whole, answers))
 
 
