Cut answers at a stop only when connections close

Callers that read an answer slowly saw it end in the middle 0.8 s before the end of the grace, although all of it was at hand, and streams ended then too.

Cause: the forced end cancels all exchanges, so that those without an answer refuse or fail their requests. One whose answer has begun can't say anything more: cancelling it is a cut, half a second before the connections close in any case.

Exchanges whose answer has begun now go on until the connections close.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
@@ -221,6 +221,8 @@
         Requests whose head has arrived and whose body has not.
     tasks
         Exchanges in progress.
+    answers
+        Their answers.
     lingering
         Connections that have their last answer.
     """
@@ -239,6 +241,7 @@
         self.idle: dict[int, HTTP1Connection] = {}
         self.reading: set[RequestReader] = set()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.answers: dict[asyncio.Task[None], CallerAnswer] = {}
         self.lingering = LingeringConnections()
 
     def start_request(
@@ -298,12 +301,19 @@
         """End all exchanges, because the process stops.
 
         One that has not begun could not answer if it were ended. It refuses
-        its request as it begins.
+        its request as it begins. One whose answer has begun goes on until its
+        connection closes: it could only be cut.
         """
-        for task in tuple(self.tasks):
-            if getcoroutinestate(task.get_coro()) != CORO_CREATED:
+        for task, answer in tuple(self.answers.items()):
+            is_created = getcoroutinestate(task.get_coro()) == CORO_CREATED
+            if not is_created and not answer.has_begun:
                 task.cancel()
 
+    def cut_answers(self) -> None:
+        """End the exchanges that are left, because the process ends."""
+        for task in tuple(self.tasks):
+            task.cancel()
+
     def begin(
         self,
         request: CallerRequest,
@@ -314,10 +324,15 @@
         answer = CallerAnswer(connection, self)
         task = asyncio.create_task(self._serve(request, answer))
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        self.answers[task] = answer
+        task.add_done_callback(self._forget)
         task.add_done_callback(lambda _: body.release())
         connection.set_close_callback(_DisconnectHandler(task, answer).on_close)
 
+    def _forget(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        self.answers.pop(task)
+
     async def _serve(
         self,
         request: CallerRequest,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/stopping.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/stopping.py
@@ -95,6 +95,13 @@
         while self._is_open() and self._now() < closing_until:
             await asyncio.sleep(_LAST_POLL_SECONDS)
             self._end_unread()
+        await self._close_all()
+
+    async def _close_all(self) -> None:
+        """Cut the answers that are left, and close all connections."""
+        self.connections.cut_answers()
+        # Exchanges close the connections of endpoints as they end.
+        await asyncio.sleep(0)
         self.connections.close_all()
 
     def _end_unread(self) -> None:
