Do not give up a stream on doubtful evidence without another engine

Callers saw a stream end in the middle, or wait for seconds, when a peer reported that its engine had ended while all other engines were full, although the engine went on.

Cause: the check for another engine was added to the watch for silence only. An attempt is given up for a peer's word or a removed registration as well, for which the entry asks the retry budget alone.

test_stream_stays_at_a_doubtful_end_while_others_are_full failed before (the answer ended after its first event) and passes now. The watch for silence still moves the stream once another engine has a slot.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
@@ -115,6 +115,8 @@
             return False
         if self.watch is None or self.channel is None:
             return True
+        if not self.watch.hold.has_alternative():
+            return False
         return self.watch.permit.acquire(end.evidence)
 
     def _check_not_ended(self) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_no_alternative.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_no_alternative.py
@@ -15,7 +15,8 @@
     running_entry,
 )
 from .builders_silence import PausingEndpoint, is_whole, patient
-from .test_resumption import SHORT_PROMPT
+from .test_held_permits import report_end
+from .test_resumption import SHORT_PROMPT, fill
 
 #: Time in which the only replica answers; the longest silence is shorter.
 SLOW_SECONDS = 1.5
@@ -71,3 +72,19 @@
     async with running_entry(served, endpoint) as entry:
         answer = await entry.ask(Id='q', Prompt=SHORT_PROMPT)
     assert is_whole(answer)
+
+
+async def test_stream_stays_at_a_doubtful_end_while_others_are_full() -> None:
+    """Guards against giving up a stream on a peer's word without a slot."""
+    served = patient(route(RouteKind.RESUMABLE_STREAM, MODEL), 6)
+    first = PausingEndpoint('e1')
+    other = PausingEndpoint('e2')
+    async with running_entry(served, first, other) as entry:
+        fill(entry, 'e2')
+        asking = asyncio.create_task(entry.ask(Id='q', Prompt=SHORT_PROMPT))
+        while not first.requests:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.2)
+        report_end(entry, first)
+        answer = await asking
+    assert is_whole(answer)
