Let streams that wait for an engine take turns in their checks

Each stream that has begun and waits for a slot compared all engines 20 times a second. An entry whose processor does only that is late with the events of all its other streams.

Cause: the retry budget bounds the number of streams, not the cost of a check, which grows with the number of engines. All of them find the same, and a slot that becomes free serves one of them, so that the streams of an entry together make as many checks as one.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/slot_wait.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/slot_wait.py
@@ -96,7 +96,11 @@
             is_expired = self.clock.monotonic() >= wait_end
             if is_expired or refusal.cause not in self.causes:
                 raise refusal
-            await asyncio.sleep(self.poll_seconds)
+            await asyncio.sleep(self.pause())
+
+    def pause(self) -> float:
+        """Return the time to the next check of a request, in seconds."""
+        return self.poll_seconds
 
     def wait_end(self, call: AdmittedRequest) -> float:
         """Return until when a request waits, on the monotonic clock."""
@@ -110,11 +114,37 @@
 
     A refusal would cut the answer that the caller has begun to receive. The
     stream takes no place in a queue, because it had a slot already.
+
+    Attributes
+    ----------
+    waiting
+        Number of streams that wait.
     """
 
     poll_seconds = _RESUMPTION_POLL_SECONDS
     causes = _CAPACITY_CAUSES
 
+    def __init__(self, clock: Clock) -> None:
+        super().__init__(clock)
+        self.waiting = 0
+
+    async def place(self, request: UnplacedRequest) -> Placement:
+        """Return endpoints for a stream as soon as there are any."""
+        self.waiting += 1
+        try:
+            return await super().place(request)
+        finally:
+            self.waiting -= 1
+
+    def pause(self) -> float:
+        """Return the time to the next check of a stream, in seconds.
+
+        Streams take turns, as each check finds what the others find. Without
+        this, ten streams that wait beside a hundred full engines would use all
+        of the processor.
+        """
+        return self.poll_seconds * self.waiting
+
     def wait_end(self, call: AdmittedRequest) -> float:
         """Return until when a stream waits, on the monotonic clock."""
         return call.deadline
