Keep idle connections for as long as callers may reuse them

What callers would see: a request on a kept connection that crosses the entry's close, if the operator's idle timeout is longer than 20 s; callers reuse connections that were idle for up to four fifths of it. Found by reading; with the present 15 s nothing shows.

Cause: the entry's own timeout of 20 s did not follow the configuration.

Measured: the new test, test_stopping, test_start, test_forced_stop, test_mesh and test_caller_server pass.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -23,6 +23,7 @@
     CallerRequest,
     RequestServer,
 )
+from .callers.caller_sweep import IDLE_TIMEOUT_SECONDS, CallerSweep
 from .callers.exchange import Exchange
 from .callers.readiness import Readiness
 from .callers.server import CallerServer, ConnectionGate
@@ -35,16 +36,9 @@
 from .stopping import GracefulStop
 from .wire import WireFormat
 
-#: Idle timeout of a caller's connection, in seconds. Callers reuse connections
-#: that were idle for up to 12 seconds; if the entry closed one while a request
-#: is on its way, the caller would have to repeat the request.
-_IDLE_TIMEOUT_SECONDS = 20.0
-#: Longest time to receive the body of a request, in seconds. It is refused
-#: then.
-_BODY_TIMEOUT_SECONDS = 10.0
-#: The same until the connection is closed in any case, in seconds.
+#: Longest time to receive the body of a request until its connection is closed
+#: in any case, in seconds.
 _BODY_CLOSE_SECONDS = 15.0
-_REQUEST_TIMEOUT = 408
 #: Largest header block and body of a request, in bytes.
 _MAX_HEADER_BYTES = 32_768
 _MAX_BODY_BYTES = 8_388_608
@@ -141,6 +135,8 @@
             major_faults=times.major_faults,
         )
         self.callers = self._serve_callers()
+        sweep = CallerSweep(self.context, self.connections, self.callers)
+        self._start_task(sweep.run())
         ready = self._serve_operators()
         self.start_tasks()
         await stop.wait()
@@ -218,7 +214,7 @@
         server = CallerServer(
             self.connections,
             admit=self.gate.admit,
-            idle_connection_timeout=_IDLE_TIMEOUT_SECONDS,
+            idle_connection_timeout=IDLE_TIMEOUT_SECONDS,
             body_timeout=_BODY_CLOSE_SECONDS,
             max_header_size=_MAX_HEADER_BYTES,
             max_body_size=_MAX_BODY_BYTES,
@@ -256,10 +252,6 @@
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_SECONDS)
             self.context.pool.close_expired()
-            self.connections.refuse_incomplete(
-                _REQUEST_TIMEOUT,
-                self.context.clock.monotonic() - _BODY_TIMEOUT_SECONDS,
-            )
 
     async def _stop(self, callers: HTTPServer) -> None:
         await GracefulStop(self.context, self.connections).run(callers)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_stopping.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_stopping.py
@@ -5,10 +5,10 @@
 import signal
 
 from sycamore_core.errors import SettingsError
-from sycamore_core.ids import EntryId, KeyId, ZoneId
-from sycamore_core.messages import PeerKeys
-from sycamore_core.routing import RouteKind
+from sycamore_core.ids import EntryId, ZoneId
+from sycamore_core.routing import CallerLimits, RouteKind
 
+from ..callers.caller_sweep import CallerSweep
 from ..fleet.feed import FleetSnapshot, Revision
 from ..process import ForwardingProcess
 from ..settings import ForwardingSettings
@@ -23,9 +23,8 @@
     route,
     running_entry,
 )
+from .builders_process import KEYS, NOWHERE, running_process
 
-NOWHERE = f'{HOST}:0'
-KEYS = PeerKeys({KeyId('k'): b'0123456789abcdef'}, KeyId('k'))
 EMPTY_SNAPSHOT = FleetSnapshot(Revision(1), None, ())
 
 
@@ -102,3 +101,17 @@
         answer = await asyncio.wait_for(reader.read(), 2)
     assert answer.endswith(b'recorded')
     assert b'Connection: close' in answer
+
+
+async def test_idle_connections_live_as_long_as_the_operator_says() -> None:
+    """Guards against closing a connection that its caller may still reuse."""
+    endpoint = RawEndpoint('e1', reply_with(full_answer()))
+    async with running_process(route(RouteKind.SAFE), endpoint) as entry:
+        process = entry.process
+        assert process.callers.conn_params.header_timeout == 20
+        process.context.keeper.table.limits = CallerLimits(idle_timeout=45)
+        sweep = CallerSweep(
+            process.context, process.connections, process.callers
+        )
+        sweep.sweep()
+        assert process.callers.conn_params.header_timeout == 45
