--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/stopping.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/stopping.py
@@ -62,6 +62,8 @@
         )
         callers.stop()
         await self._wait_for_requests()
+        if self._is_open():
+            self._log_forced_end()
         await self._end_requests()
 
     async def _wait_for_requests(self) -> None:
@@ -102,6 +104,14 @@
         self.connections.close_idle()
         self.connections.refuse_incomplete(_UNAVAILABLE, self._now())
 
+    def _log_forced_end(self) -> None:
+        self.log.info(
+            'stop_forced',
+            exchanges=len(self.connections.tasks),
+            incomplete_bodies=len(self.connections.reading),
+            connections=len(self.connections.open),
+        )
+
     def _is_open(self) -> bool:
         return bool(self.connections.open or self.connections.tasks)
 
