Read what has arrived before an endpoint counts as silent

After the event loop of an entry was blocked, by a large configuration or a freeze, requests left endpoints that had sent all the while: streams were resumed elsewhere or cut, calls ran twice or got a 504.

Cause: the watch compares clocks, and runs in the turn of the event loop in which the socket has become readable; the attempt takes the bytes one to three turns later.

A watch whose clock has run out, or to whom peers report the endpoint, now lets the event loop take five turns, judges again, and looks whether bytes lie unread. These count for the endpoint for three checks in a row (0.15 s apart): the rest of a half line may never come. Judgement and reservation follow each other without a wait. The head of a plain answer counts as a sign of its endpoint, as the first pieces of its body are not seen by the watch. An end that is not certain doesn't end an attempt whose bytes lie unread. Reading that is paused for a slow caller stays covered by `is_blocked`.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
@@ -233,6 +233,8 @@
             self.call.request_id,
         )
         self._check_ran(head)
+        if not self.call.route.kind.is_stream:
+            self.watch.heard_at = self._now()
         if self.call.route.kind.is_stream and head.is_success:
             if not head.is_signed:
                 raise AttemptError(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
@@ -109,12 +109,15 @@
     def _may_give_up(self, end: LifetimeEnd) -> bool:
         """Return whether the attempt ends although its endpoint may go on.
 
-        A request that was not sent needs no retry.
+        A request that was not sent needs no retry. What the endpoint has sent
+        may lie unread, as the event loop of the entry was late.
         """
         if self._is_within_forecast():
             return False
         if self.watch is None or self.channel is None:
             return True
+        if self.channel.has_unread_bytes:
+            return False
         return self.watch.permit.acquire(end.evidence)
 
     def _check_not_ended(self) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
@@ -14,6 +14,7 @@
 from .full_fleet_hold import FullFleetHold
 from .move_permit import MovePermit
 from .silence_report import SilenceReport
+from .unread_bytes import UnreadBytes
 
 _MS = 1000.0
 _CAUSE = 'silent'
@@ -73,6 +74,11 @@
         empty.
     hold
         Keeps the attempt at its endpoint while the fleet is full.
+    heard_at
+        When the head of the answer, or bytes that were not taken yet, last
+        showed that the endpoint goes on, on the monotonic clock.
+    unread
+        Finds bytes that arrived while the event loop was late.
     last_event_at
         Time of the last event, on the monotonic clock. Before the first event,
         the time at which the request was sent.
@@ -97,6 +103,8 @@
         self.faulty_address = ''
         self.answer: CallerAnswer | None = None
         self.last_event_at = context.clock.monotonic()
+        self.heard_at = self.last_event_at
+        self.unread = UnreadBytes()
 
     @property
     def is_endpoint_alive(self) -> bool:
@@ -135,30 +143,56 @@
         """
         early = EarlyMove(self.context, self.call, self.placement)
         due = self._now()
-        while True:
-            left = (
-                self._last_activity_at() + self._timeout_seconds() - self._now()
-            )
-            is_over = left <= 0 and self._is_worth_moving()
-            is_early = not is_over and self._may_move_early and early.is_due()
-            if (is_over or is_early) and self.permit.acquire(_CAUSE):
-                self.faulty_address = early.faulty_address
-                SilenceReport(self.context).record(
-                    self.call,
-                    channel,
-                    permit=self.permit.state,
-                    silent_seconds=self._now() - self._last_activity_at(),
-                    late_seconds=self._now() - due,
-                    has_event=self.has_event,
-                )
-                channel.close()
-                return
+        while not await self._gives_up(channel, early):
+            pause = max(self._seconds_left(), _RECHECK_SECONDS)
             if self._may_move_early:
                 # Peers may report its endpoints at any time.
-                left = 0
-            pause = max(left, _RECHECK_SECONDS)
+                pause = _RECHECK_SECONDS
             due = self._now() + pause
             await asyncio.sleep(pause)
+        SilenceReport(self.context).record(
+            self.call,
+            channel,
+            permit=self.permit.state,
+            silent_seconds=self._now() - self._last_activity_at(),
+            late_seconds=self._now() - due,
+            has_event=self.has_event,
+        )
+        channel.close()
+
+    async def _gives_up(
+        self,
+        channel: EndpointChannel,
+        early: EarlyMove,
+    ) -> bool:
+        """Return whether the attempt is given up now.
+
+        Nothing else runs between the last check and the reservation.
+        """
+        if not self._should_move(early):
+            return False
+        await self.unread.let_loop_read()
+        if not self._should_move(early):
+            return False
+        if self.unread.check(channel):
+            self.heard_at = self._now()
+            return False
+        return self.permit.acquire(_CAUSE)
+
+    def _should_move(self, early: EarlyMove) -> bool:
+        """Return whether the clock or the reports of peers end the attempt."""
+        self.faulty_address = ''
+        if self._seconds_left() <= 0 and self._is_worth_moving():
+            return True
+        if not (self._may_move_early and early.is_due()):
+            return False
+        self.faulty_address = early.faulty_address
+        return True
+
+    def _seconds_left(self) -> float:
+        """Return for how long the endpoint may be silent from now on."""
+        due = self._last_activity_at() + self._timeout_seconds()
+        return due - self._now()
 
     @property
     def _may_move_early(self) -> bool:
@@ -193,7 +227,14 @@
         if costs.read_ms(tokens) > _MAX_REREAD_MS:
             return False
         left_ms = (self.call.objective_at - self._now()) * _MS
-        return self._is_overdue(costs) and alternative_ms(costs) < left_ms
+        is_late = is_overdue(
+            self.call.request_id,
+            self.placement.plan.members,
+            self.context.dispatcher.loads,
+            costs,
+            self._now(),
+        )
+        return is_late and alternative_ms(costs) < left_ms
 
     def _must_move(self) -> bool:
         """Return whether a long prompt moves without a new estimate.
@@ -206,15 +247,6 @@
         timeout = self.call.route.time_limit * _LONG_TIMEOUT_SHARE
         return self._now() - self._last_activity_at() >= timeout
 
-    def _is_overdue(self, costs: EngineCosts) -> bool:
-        return is_overdue(
-            self.call.request_id,
-            self.placement.plan.members,
-            self.context.dispatcher.loads,
-            costs,
-            self._now(),
-        )
-
     @property
     def _alive_at(self) -> float:
         """Return when the endpoint last sent this entry an event."""
@@ -231,10 +263,11 @@
         """
         if self.answer is not None and self.answer.is_blocked:
             return self._now()
+        heard_at = max(self.last_event_at, self.heard_at)
         is_plain = not self.call.route.kind.is_stream
         if self.has_event or self.is_short or is_plain:
-            return self.last_event_at
-        return max(self.last_event_at, self._alive_at)
+            return heard_at
+        return max(heard_at, self._alive_at)
 
     def _timeout_seconds(self) -> float:
         """Return the longest permitted silence, in seconds."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_silence.py
@@ -8,7 +8,7 @@
 
 import msgspec
 from sycamore_core.decisions.direct import RetryBudgetLimit
-from sycamore_core.ids import ServiceId
+from sycamore_core.ids import EndpointId, PeerId, ServiceId
 from sycamore_core.routing import Route
 
 from .builders import (
@@ -22,6 +22,7 @@
     stream_head,
 )
 
+PEER = PeerId('entry-7')
 #: Limit that fills a reserve of one retry within minutes, so that what is left
 #: in a test is what the test sets.
 SLOW_LIMIT = RetryBudgetLimit(ratio=0, slack=2.1)
@@ -121,6 +122,15 @@
     return counts == {1} and answer.endswith(LAST_CHUNK)
 
 
+def report_end(entry: TestEntry, endpoint: RawEndpoint) -> None:
+    """Have a peer report that an endpoint has ended."""
+    keeper = entry.context.keeper
+    record = keeper.directory.find(EndpointId(endpoint.name))
+    assert record is not None
+    keeper.ended.removed._heard_at.clear()
+    keeper.ended.apply_peer_report((record.lifetime,), PEER)
+
+
 class ListeningThread:
     """The part of a server that a test needs, for a loop in a thread."""
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_held_permits.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_held_permits.py
@@ -3,7 +3,7 @@
 import asyncio
 
 import pytest
-from sycamore_core.ids import EndpointId, PeerId
+from sycamore_core.ids import EndpointId
 
 from .builders import MODEL, TestEntry, running_entry
 from .builders_ended import CHAT
@@ -17,12 +17,12 @@
     leave_one_retry,
     patient,
     pausing_pair,
+    report_end,
     request_count,
     wait_for_requests,
 )
 
 REQUESTS = 3
-PEER = PeerId('entry-7')
 STREAM = patient(CHAT, 6)
 
 
@@ -75,12 +75,3 @@
     """Let the entry use an endpoint again."""
     failures = entry.context.dispatcher.failures
     failures.record_answer(EndpointId(endpoint.name))
-
-
-def report_end(entry: TestEntry, endpoint: PausingEndpoint) -> None:
-    """Have a peer report that an endpoint has ended."""
-    keeper = entry.context.keeper
-    record = keeper.directory.find(EndpointId(endpoint.name))
-    assert record is not None
-    keeper.ended.removed._heard_at.clear()
-    keeper.ended.apply_peer_report((record.lifetime,), PEER)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_returned_permits.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_returned_permits.py
@@ -3,8 +3,6 @@
 import asyncio
 
 import pytest
-from sycamore_core.ids import EndpointId, PeerId
-from sycamore_core.routing import EndpointRecord
 
 from ..endpoints.move_permit import MovePermit
 from .builders import (
@@ -28,9 +26,13 @@
     pause_in_stream,
 )
 from .builders_overload import captured_lines
-from .builders_silence import PausingEndpoint, is_whole, leave_one_retry
+from .builders_silence import (
+    PausingEndpoint,
+    is_whole,
+    leave_one_retry,
+    report_end,
+)
 
-PEER = PeerId('entry-7')
 CAUSE = 'silent'
 
 
@@ -117,16 +119,3 @@
             report_end(entry, endpoint)
             text = await answer
     assert text.startswith(b'HTTP/1.1 200')
-
-
-def report_end(entry: TestEntry, endpoint: RawEndpoint) -> None:
-    """Have a peer report that an endpoint has ended."""
-    ended = entry.context.keeper.ended
-    ended.removed._heard_at.clear()
-    ended.apply_peer_report((registered(entry, endpoint).lifetime,), PEER)
-
-
-def registered(entry: TestEntry, endpoint: RawEndpoint) -> EndpointRecord:
-    record = entry.context.keeper.directory.find(EndpointId(endpoint.name))
-    assert record is not None
-    return record
