Give an attempt up only if another endpoint accepts the request

A stream that paused for 0.9 s, or whose endpoint a peer took for ended, was cut in the middle if no other endpoint accepted it (one replica left, all others at a rate limit, a backoff or evacuated); a silent plain call got a 502 then. The answers were on their way.

Cause: the watch asked for another endpoint only for a model request without an event; the scope never did. The permit now asks whether the candidates accept the request without the endpoints that the next attempt would leave out. A free slot is not asked for: in a full fleet the request waits for one with the others, and an attempt at a hung engine could never leave it otherwise. The check is repeated while the endpoint is silent, so that the attempt moves once another endpoint accepts it.

`attempt_kept` tells `has_alternative`.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -147,7 +147,12 @@
         """Make one attempt; return whether the request is over."""
         self.last_endpoint = placement.primary.endpoint
         self.decisions.log_placement(call, placement)
-        permit = MovePermit(self.context, call, may_move=self._may_move(call))
+        permit = MovePermit(
+            self.context,
+            call,
+            (self.excluded - self.failed_at) | {self.last_endpoint},
+            may_move=self._may_move(call),
+        )
         watch = SilenceWatch(self.context, call, placement, permit)
         attempt = Attempt(watch, self.crashes.check_sending)
         self.attempts.begin()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/move_permit.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/move_permit.py
@@ -3,14 +3,17 @@
 The permission is taken before the attempt is given up, and is used by the
 decision on the retry. Without this, many attempts that are given up at the same
 moment rely on the same retry. All but one of them end without an answer, or in
-the middle of it, although their endpoints may go on.
+the middle of it, although their endpoints may go on. So does an attempt that no
+other endpoint accepts.
 """
 
 import enum
+from collections.abc import Set
 from types import TracebackType
 from typing import Self
 
 from sycamore_core.decisions.direct import RetryPermit, SharedRetryBudget
+from sycamore_core.ids import EndpointId
 
 from ..calls import AdmittedRequest
 from ..context import ForwardingContext
@@ -40,8 +43,10 @@
 
     Parameters
     ----------
+    excluded
+        Endpoints that are not used after this attempt, its own among them.
     may_move
-        Whether another endpoint may run the request after this one, leaving out
+        Whether the request may run once more after this attempt, leaving out
         the retry budget.
 
     Attributes
@@ -56,11 +61,13 @@
         self,
         context: ForwardingContext,
         call: AdmittedRequest,
+        excluded: Set[EndpointId],
         *,
         may_move: bool,
     ) -> None:
         self.context = context
         self.call = call
+        self.excluded = excluded
         self.may_move = may_move
         self.permit: RetryPermit | None = None
         self.is_denial_logged = False
@@ -92,9 +99,10 @@
         cause
             Why the attempt should be given up, for the log.
         """
-        if self.may_move and self.state == PermitState.NONE:
+        is_useful = self.may_move and self._has_alternative()
+        if is_useful and self.state == PermitState.NONE:
             self.permit = self._budget.acquire(self._now())
-        is_permitted = self.may_move and self.state != PermitState.NONE
+        is_permitted = is_useful and self.state != PermitState.NONE
         if not is_permitted:
             self._log_denial(cause)
         return is_permitted
@@ -127,6 +135,16 @@
     def _budget(self) -> SharedRetryBudget:
         return self.context.retry_budget(self.call.service.service)
 
+    def _has_alternative(self) -> bool:
+        """Return whether another endpoint accepts the request now.
+
+        It may have no free slot: the request waits for one, with the others.
+        """
+        candidates = self.context.dispatcher.candidates
+        service, zones = self.call.service, self.call.allowed_zones
+        now = self._now()
+        return bool(candidates.accepting(service, self.excluded, now, zones))
+
     def _log_denial(self, cause: str) -> None:
         if self.is_denial_logged:
             return
@@ -136,6 +154,7 @@
             request_id=self.call.request_id,
             cause=cause,
             may_move=self.may_move,
+            has_alternative=self._has_alternative(),
             **self._budget.state(self._now()).log_fields(),
         )
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_ended_by_peers.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_ended_by_peers.py
@@ -90,19 +90,20 @@
 
 async def test_stream_that_cannot_be_resumed_outlasts_a_doubtful_end() -> None:
     """Guards against cutting a stream whose endpoint is only removed early."""
-    endpoint = StartedEndpoint('e1', pause_in_stream)
-    async with running_entry(CHAT, endpoint) as entry:
+    fleet = [StartedEndpoint(name, pause_in_stream) for name in ('e1', 'e2')]
+    async with running_entry(CHAT, *fleet) as entry:
         budget = entry.context.retry_budget(MODEL)
         budget.bounds = RetryBudgetLimit(ratio=0, slack=0)
         async with asked(entry, Prompt='4000') as answer:
-            await first_asked([endpoint])
+            first = await first_asked(fleet)
             await asyncio.sleep(PAUSE_SECONDS)
             ended = entry.context.keeper.ended
-            record = entry.context.keeper.directory.find(EndpointId('e1'))
+            record = entry.context.keeper.directory.find(EndpointId(first.name))
             ended.removed._heard_at.clear()
             ended.apply_peer_report((record.lifetime,), PEERS[0])
             text = await answer
     assert text.endswith(LAST_CHUNK)
+    assert sum(len(one.requests) for one in fleet) == 1
 
 
 async def test_lost_paths_to_many_endpoints_are_not_reported() -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_patience.py
@@ -161,13 +161,13 @@
 
 async def test_stream_that_has_begun_stays_without_retry_allowance() -> None:
     """Guards against cutting a stream that pauses and cannot be resumed."""
-    pausing = RawEndpoint('e1', pause_in_answer)
-    async with running_entry(STREAM, pausing) as entry:
+    fleet = [RawEndpoint(name, pause_in_answer) for name in ('e1', 'e2')]
+    async with running_entry(STREAM, *fleet) as entry:
         budget = entry.context.retry_budget(MODEL)
         budget.bounds = RetryBudgetLimit(ratio=0, slack=0)
         answer = await entry.ask(Prompt='4000')
     assert answer.endswith(LAST_CHUNK)
-    assert len(pausing.requests) == 1
+    assert sum(len(one.requests) for one in fleet) == 1
 
 
 async def ask_while_e2_is_busy(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_returned_permits.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_returned_permits.py
@@ -27,9 +27,9 @@
 )
 from .builders_overload import captured_lines
 from .builders_silence import (
-    PausingEndpoint,
     is_whole,
     leave_one_retry,
+    pausing_pair,
     report_end,
 )
 
@@ -61,8 +61,8 @@
 )
 async def test_unused_permit_comes_back(script: Script, patience: str) -> None:
     """Guards against retries that nobody gets as an attempt needs no other."""
-    endpoint = RawEndpoint('e1', script)
-    async with running_entry(CHAT, endpoint) as entry:
+    fleet = [RawEndpoint(name, script) for name in ('e1', 'e2')]
+    async with running_entry(CHAT, *fleet) as entry:
         async with asked(entry, Prompt='4000', Patience=patience) as answer:
             permit = await reserved(entry)
             await answer
@@ -70,13 +70,13 @@
         budget = entry.context.retry_budget(MODEL)
         assert not budget.held
         assert budget.try_acquire(entry_now(entry))
-        assert len(endpoint.requests) == 1
+        assert sum(len(one.requests) for one in fleet) == 1
 
 
 async def test_permit_comes_back_as_the_caller_leaves() -> None:
     """Guards against retries that callers take with them."""
-    endpoint = RawEndpoint('e1', one_event)
-    async with running_entry(CHAT, endpoint) as entry:
+    fleet = [RawEndpoint(name, one_event) for name in ('e1', 'e2')]
+    async with running_entry(CHAT, *fleet) as entry:
         reader, writer = await asyncio.open_connection(HOST, entry.port)
         writer.write(request_bytes(Prompt='4000'))
         await reader.readuntil(b'piece 0')
@@ -90,16 +90,15 @@
 
 async def test_stream_that_stays_is_logged_once() -> None:
     """Guards against a line at each check of a stream without a retry."""
-    endpoint = PausingEndpoint('e1')
     lines: list[dict[str, object]] = []
-    async with running_entry(CHAT, endpoint) as entry:
+    async with running_entry(CHAT, *pausing_pair()) as entry:
         leave_one_retry(entry, MODEL)
         entry.context.retry_budget(MODEL).reserve = 0
         with captured_lines('attempt_kept', lines):
             assert is_whole(await entry.ask(Prompt='4000'))
-    assert [(line['cause'], line['may_move']) for line in lines] == [
-        (CAUSE, True)
-    ]
+    assert [line['cause'] for line in lines] == [CAUSE]
+    assert lines[0]['may_move']
+    assert lines[0]['has_alternative']
 
 
 async def answer_late(
