Search the endpoints for a move only while a retry is left

Each silent attempt asks for its permit about seven times a second. In an outage many of them ask while the budget is spent, and each question listed all endpoints that accept requests (by reading; the cost was not measured). The budget is asked first now.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/move_permit.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/move_permit.py
@@ -99,12 +99,15 @@
         cause
             Why the attempt should be given up, for the log.
         """
-        is_useful = self.may_move and self._has_alternative()
-        if is_useful and self.state == PermitState.NONE:
-            self.permit = self._budget.acquire(self._now())
-        is_permitted = is_useful and self.state != PermitState.NONE
+        # Many attempts ask again and again while no retry is left, so that the
+        # endpoints are searched last.
+        is_permitted = (
+            self.may_move and self._has_retry() and self._has_alternative()
+        )
         if not is_permitted:
             self._log_denial(cause)
+        elif self.state == PermitState.NONE:
+            self.permit = self._budget.acquire(self._now())
         return is_permitted
 
     def use(self) -> bool:
@@ -135,6 +138,12 @@
     def _budget(self) -> SharedRetryBudget:
         return self.context.retry_budget(self.call.service.service)
 
+    def _has_retry(self) -> bool:
+        """Return whether a retry is reserved, is left, or is not needed."""
+        if self.state != PermitState.NONE:
+            return True
+        return self._budget.has_capacity(self._now())
+
     def _has_alternative(self) -> bool:
         """Return whether another endpoint accepts the request now.
 
