--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
@@ -98,7 +98,7 @@
         costs = call.service.engine
         tokens = call.terms.prompt_tokens
         self.is_short = costs is not None and is_short_request(costs, tokens)
-        self.hold = FullFleetHold(context, call, placement)
+        self.hold = FullFleetHold(context, call, placement, permit.excluded)
         self.first_event_at: float | None = None
         self.faulty_address = ''
         self.answer: CallerAnswer | None = None
@@ -206,8 +206,8 @@
 
         Without this, when all engines are busy for a second, every short
         request moves from one engine to another and is read twice, so that the
-        overload lasts ten seconds. A stream that has begun is cut if no other
-        engine has a free slot for it.
+        overload lasts ten seconds. A stream that has begun, or a call of a
+        replica, ends without its answer if no other endpoint takes it.
         """
         if self.has_event:
             return self.hold.has_alternative()
@@ -215,7 +215,9 @@
         if self.hold.applies(waited, self._first_event_timeout_seconds()):
             return False
         costs = self.call.service.engine
-        return costs is None or self._is_worth_reading_again(costs)
+        if costs is None:
+            return self.hold.has_alternative()
+        return self._is_worth_reading_again(costs)
 
     def _is_worth_reading_again(self, costs: EngineCosts) -> bool:
         """Return whether another engine may read the prompt from the start."""
