--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/full_fleet_hold.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/full_fleet_hold.py
@@ -32,7 +32,8 @@
     Parameters
     ----------
     excluded
-        Endpoints that must not run the request again.
+        Endpoints that must not run the request after this attempt, its own
+        among them.
 
     Attributes
     ----------
@@ -50,7 +51,7 @@
         self.context = context
         self.call = call
         self.placement = placement
-        self.unusable = {placement.primary.endpoint, *excluded}
+        self.unusable = excluded
         self.plain = PlainAdmission(context, call)
         self.is_logged = False
 
