Hold the free slot for which a stream that has begun is given up

Callers saw streams that paused at the same moment all leave their engine for one free slot elsewhere: one of them took it, and the others waited for an engine while their own went on answering.

Cause: the watch asks whether another engine has a free slot, and the slot is taken when the request is placed again, an await or more later. In between, the other streams ask and get the same answer. It is the same fault as with the retry budget, for a slot.

The slot is now recorded as load, for this entry and its peers, together with the reservation of the retry, and given back in the step in which the request is placed, or as the request ends. Only streams that have begun need it: other requests can be refused or failed completely.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -14,6 +14,7 @@
 from ..crashes import CrashWatch
 from ..decision_log import DecisionLog
 from ..endpoints.attempt import Attempt
+from ..endpoints.held_slot import HeldSlot
 from ..endpoints.move_permit import MovePermit
 from ..endpoints.relay import AnswerRelay
 from ..endpoints.silence import SilenceWatch
@@ -45,6 +46,8 @@
         Decides whether a failed attempt is followed by another.
     call
         The admitted request; None if it was not admitted.
+    slot
+        Slot for the next attempt; None before the first attempt.
     excluded
         Endpoints that must not be used again.
     failed_at
@@ -71,11 +74,11 @@
         self.answer = answer
         self.attempts = AttemptLog()
         self.retries = RetryControl(context, self.attempts)
-        self.decisions = DecisionLog(context)
         self.crashes = CrashWatch(context)
         self.excluded: set[EndpointId] = set()
         self.failed_at: set[EndpointId] = set()
         self.call: AdmittedRequest | None = None
+        self.slot: HeldSlot | None = None
         self.request_id = context.wire.request_id(request.headers)
         self.outcome = RequestOutcome(
             context, answer, self.attempts, self.request_id
@@ -156,10 +159,11 @@
     ) -> bool:
         """Make one attempt; return whether the request is over."""
         self.last_endpoint = placement.primary.endpoint
-        self.decisions.log_placement(call, placement)
+        DecisionLog(self.context).log_placement(call, placement)
         permit = MovePermit(
             self.context,
             call,
+            self._held_slot(call),
             (self.excluded - self.failed_at) | {self.last_endpoint},
             may_move=self._may_move(call),
         )
@@ -192,6 +196,7 @@
             can be relayed.
         """
         try:
+            self._release_slot()
             placement = await placer.place(
                 self.excluded,
                 self.failed_at,
@@ -251,6 +256,15 @@
         await self.outcome.fail()
         return True
 
+    def _held_slot(self, call: AdmittedRequest) -> HeldSlot:
+        if self.slot is None:
+            self.slot = HeldSlot(self.context, call)
+        return self.slot
+
+    def _release_slot(self) -> None:
+        if self.slot is not None:
+            self.slot.release()
+
     def _exclude(self, attempt: Attempt, error: AttemptError) -> EndpointId:
         """Exclude the endpoint of a failed attempt; return it.
 
@@ -318,6 +332,7 @@
             # a complete one, nor wait for the remainder.
             self.answer.abort()
         self.crashes.granted.finish()
+        self._release_slot()
         self.outcome.report_unanswered()
         outcomes = self.context.metrics.outcomes
         outcomes.requests.add(self.outcome.label)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
@@ -120,7 +120,10 @@
             return False
         if not self.watch.hold.has_alternative():
             return False
-        return self.watch.permit.acquire(end.evidence)
+        return self.watch.permit.acquire(
+            end.evidence,
+            needs_slot=self.watch.has_event,
+        )
 
     def _check_not_ended(self) -> None:
         """Raise if a lifetime had ended before the attempt began.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/move_permit.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/move_permit.py
@@ -17,6 +17,7 @@
 
 from ..calls import AdmittedRequest
 from ..context import ForwardingContext
+from .held_slot import HeldSlot
 
 
 class PermitState(enum.StrEnum):
@@ -43,6 +44,8 @@
 
     Parameters
     ----------
+    slot
+        Slot for the next attempt.
     excluded
         Endpoints that are not used after this attempt, its own among them.
     may_move
@@ -61,12 +64,14 @@
         self,
         context: ForwardingContext,
         call: AdmittedRequest,
+        slot: HeldSlot,
         excluded: Set[EndpointId],
         *,
         may_move: bool,
     ) -> None:
         self.context = context
         self.call = call
+        self.slot = slot
         self.excluded = excluded
         self.may_move = may_move
         self.permit: RetryPermit | None = None
@@ -92,18 +97,23 @@
         is_plain_call = self.call.service.engine is None and not is_stream
         return PermitState.NOT_NEEDED if is_plain_call else PermitState.NONE
 
-    def acquire(self, cause: str) -> bool:
+    def acquire(self, cause: str, *, needs_slot: bool = False) -> bool:
         """Reserve a retry; return whether the attempt may be given up.
 
         Parameters
         ----------
         cause
             Why the attempt should be given up, for the log.
+        needs_slot
+            Whether another endpoint must have a free slot, which is held.
         """
         # Many attempts ask again and again while no retry is left, so that the
         # endpoints are searched last.
         is_permitted = (
-            self.may_move and self._has_retry() and self._has_alternative()
+            self.may_move
+            and self._has_retry()
+            and self._has_alternative()
+            and (not needs_slot or self.slot.acquire(self.excluded))
         )
         if not is_permitted:
             self._log_denial(cause)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
@@ -177,7 +177,7 @@
         if self.unread.check(channel):
             self.heard_at = self._now()
             return False
-        return self.permit.acquire(_CAUSE)
+        return self.permit.acquire(_CAUSE, needs_slot=self.has_event)
 
     def _should_move(self, early: EarlyMove) -> bool:
         """Return whether the clock or the reports of peers end the attempt."""
