Never write an endpoint's failure into an answer that has begun

Callers of a stream that had begun got the head and body of a failure in the middle of it, which is no answer in the protocol: the engine broke off, the engine that should resume the stream answered 500, and no third one was left.

Cause: the failure of the second engine is kept, in case no other engine takes the request, and the refusal of the next placement relays it without asking whether the caller has an answer already.

test_failure_of_a_resumption_is_not_written_into_the_stream failed before (two heads in one answer) and passes now: the answer is aborted, as after any other end of a stream that can't be resumed.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/outcome.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/outcome.py
@@ -86,7 +86,14 @@
         await self.answer.send(BAD_GATEWAY, self._own_headers(), b'')
 
     async def relay_failure(self, relay: AnswerRelay) -> None:
-        """Forward the failure that an endpoint answered with."""
+        """Forward the failure that an endpoint answered with.
+
+        An answer that has begun is aborted: its caller would read the failure
+        as a part of it.
+        """
+        if self.answer.has_begun:
+            await self.fail()
+            return
         self.label = 'endpoint_failed'
         await relay.relay_failure()
 
