Look for another engine only while a retry is left

Each stream that pauses compared all engines seven times a second, also while no retry was left and the result could not matter. A fleet loses its retries just when many streams pause, and an entry whose processor searches engines is late with the events of its other streams.

Cause: the watch asked for another engine before the permit, which asks for the retry first and holds the slot that it finds. The question of the watch is the same as that of the held slot, and goes.

test_pausing_streams_search_no_engine_without_a_retry failed before and passes now; the tests of streams that stay while other engines are full, or excluded, pass as before.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
@@ -206,11 +206,12 @@
 
         Without this, when all engines are busy for a second, every short
         request moves from one engine to another and is read twice, so that the
-        overload lasts ten seconds. A stream that has begun, or a call of a
-        replica, ends without its answer if no other endpoint takes it.
+        overload lasts ten seconds. A call of a replica ends without its answer
+        if no other endpoint takes it.
         """
         if self.has_event:
-            return self.hold.has_alternative()
+            # The permit asks for a slot, once a retry is left.
+            return True
         waited = self._now() - self.last_event_at
         if self.hold.applies(waited, self._first_event_timeout_seconds()):
             return False
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_given_up.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_given_up.py
@@ -8,6 +8,7 @@
 from sycamore_core.routing import RouteKind
 
 from ..callers.refusals import Refusal, RefusalCause
+from ..placement.dispatcher import DirectDispatcher
 from ..placement.plain_admission import PlainAdmission
 from .builders import (
     LAST_CHUNK,
@@ -29,6 +30,7 @@
     block_loop,
     is_whole,
     patient,
+    wait_for_requests,
 )
 from .test_resumption import SHORT_PROMPT, break_off, empty, fill, resume
 
@@ -130,3 +132,26 @@
         monkeypatch.undo()
         answer = await asking
     assert answer.endswith(LAST_CHUNK)
+
+
+async def test_pausing_streams_search_no_engine_without_a_retry(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an entry whose processor only looks for engines.
+
+    Each search compares all engines.
+    """
+    fleet = [PausingEndpoint('e1'), PausingEndpoint('e2')]
+    searches: list[object] = []
+
+    def search(*arguments: object) -> None:
+        searches.append(arguments)
+
+    async with running_entry(STREAM, *fleet) as entry:
+        limit_retries(entry, MODEL, NO_RETRY, 0)
+        asking = asyncio.create_task(ask_together(entry, REQUESTS))
+        await wait_for_requests(fleet, REQUESTS)
+        monkeypatch.setattr(DirectDispatcher, 'place_model', search)
+        answers = await asking
+    assert all(map(is_whole, answers))
+    assert not searches
