--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
@@ -2,10 +2,13 @@
 
 import abc
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable, Coroutine
+from inspect import CORO_CREATED, getcoroutinestate
 
 import msgspec
+from sycamore_core.telemetry import Log
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPConnection,
@@ -25,8 +28,14 @@
     FlowControl,
     ReaderSide,
 )
+from .lingering import DroppedRequest, LingeringConnections
 from .request_body import RequestBody
 
+_UNAVAILABLE = 503
+#: Delay after which a caller may retry a request whose exchange did not begin,
+#: in seconds.
+_RETRY_AFTER = '0.40'
+
 
 class CallerRequest(msgspec.Struct, frozen=True):
     """A complete request of a caller.
@@ -68,9 +77,12 @@
     is_over
         Whether the answer is complete or was aborted.
     is_complete
-        Whether all of the answer was handed to the connection.
+        Whether all of the answer was written.
     closes
-        Whether the connection closes after this answer.
+        Whether the connection closes after this answer, once it has begun.
+    caller_has_left
+        Whether the caller has closed the connection before the end of its
+        answer.
     is_blocked
         Whether bytes wait because the caller does not read.
     """
@@ -78,25 +90,18 @@
     def __init__(
         self,
         connection: HTTP1Connection,
-        flow: FlowControl,
+        connections: 'CallerConnections',
     ) -> None:
         self.connection = connection
-        self.flow = flow
+        self.connections = connections
+        self.flow = connections.flow
         self.has_begun = False
         self.is_over = False
         self.is_complete = False
         self.closes = False
+        self.caller_has_left = False
         self.is_blocked = False
-        connection.stream.set_nodelay(True)
-        # The system would hold megabytes for a caller that does not read.
-        connection.stream.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_SNDBUF, CONNECTION_BYTES // 2
-        )
-
-    @property
-    def is_disconnected(self) -> bool:
-        """Whether the connection to the caller is closed."""
-        return self.connection.stream.closed()
+        _set_options(connection.stream)
 
     async def send(
         self, status: int, headers: HTTPHeaders, body: bytes
@@ -122,6 +127,7 @@
             If the caller has closed the connection, or reads nothing.
         """
         self.has_begun = True
+        self.closes = self.connections.server.is_draining
         if self.closes:
             headers['Connection'] = 'close'
         reason = responses.get(status, 'Unknown')
@@ -137,19 +143,29 @@
             await self._drain(self.connection.write(part), len(part))
 
     async def finish(self) -> None:
-        """Mark the answer as complete."""
+        """End the answer, and wait until its last bytes are written.
+
+        Raises
+        ------
+        CallerDisconnectedError
+            If the caller has closed the connection, or reads nothing.
+        """
         self.is_over = True
-        self.is_complete = True
         stream = self.connection.stream
+        lingering = self.connections.lingering
+        if self.closes:
+            lingering.add(stream)
         self.connection.finish()
+        if stream.writing():
+            await self._drain(stream.write(b''), 0)
+        self.is_complete = True
         if self.closes:
-            # Waiting for the caller to close as well would delay a shutdown.
-            await asyncio.sleep(0)
-            stream.close()
+            lingering.shut_down(stream)
 
     def abort(self) -> None:
         """Close the connection, so that the caller sees a truncated answer."""
         self.is_over = True
+        self.connections.lingering.discard(self.connection.stream)
         self.connection.close()
 
     async def _drain(self, written: asyncio.Future[None], size: int) -> None:
@@ -164,6 +180,17 @@
             self.is_blocked = False
 
 
+def _set_options(stream: IOStream) -> None:
+    # A connection that has just ended refuses options. Its request is served
+    # all the same, which shows that the caller has left.
+    with contextlib.suppress(OSError):
+        stream.set_nodelay(True)
+        # The system would hold megabytes for a caller that does not read.
+        stream.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, CONNECTION_BYTES // 2
+        )
+
+
 class RequestServer(abc.ABC):
     """Serves callers' requests."""
 
@@ -186,10 +213,16 @@
 
     Attributes
     ----------
+    open
+        All connections, with their latest request.
     idle
         Connections that await a request.
+    reading
+        Requests whose head has arrived and whose body has not.
     tasks
         Exchanges in progress.
+    lingering
+        Connections that have their last answer.
     """
 
     def __init__(
@@ -201,8 +234,12 @@
         self.server = server
         self.flow = flow
         self.monotonic = monotonic
+        self.log = Log('callers')
+        self.open: dict[object, HTTP1Connection] = {}
         self.idle: dict[int, HTTP1Connection] = {}
+        self.reading: set[RequestReader] = set()
         self.tasks: set[asyncio.Task[None]] = set()
+        self.lingering = LingeringConnections()
 
     def start_request(
         self,
@@ -211,11 +248,19 @@
     ) -> HTTPMessageDelegate:
         """Return the reader of the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
+        self.open[server_conn] = request_conn
+        request_conn.stream.start_request()
+        if request_conn.stream in self.lingering.streams:
+            return DroppedRequest(self.lingering, request_conn.stream)
         self.idle[id(request_conn)] = request_conn
         return RequestReader(self, request_conn)
 
     def on_close(self, server_conn: object) -> None:
-        """Do nothing; each reader removes its own connection."""
+        """Forget a connection that is closed."""
+        connection = self.open.pop(server_conn, None)
+        if connection is not None:
+            self.idle.pop(id(connection), None)
+            self.lingering.discard(connection.stream)
 
     def close_idle(self) -> None:
         """Close the connections on which no byte of a request has arrived.
@@ -225,10 +270,40 @@
         the request runs.
         """
         for key, connection in tuple(self.idle.items()):
-            if is_idle(connection.stream):
+            if connection.stream.is_idle:
                 self.idle.pop(key)
                 connection.close()
 
+    def refuse_incomplete(self, status: int, arrived_until: float) -> None:
+        """Refuse requests whose bodies have not arrived completely.
+
+        Parameters
+        ----------
+        status
+            Status that promises that the request has not run.
+        arrived_until
+            Time on the monotonic clock, in seconds; requests whose head
+            arrived later are left.
+        """
+        for reader in tuple(self.reading):
+            if reader.arrived_at <= arrived_until:
+                reader.refuse(status)
+
+    def close_all(self) -> None:
+        """Close all connections at once, so that no request is read."""
+        for connection in tuple(self.open.values()):
+            connection.close()
+
+    def end_exchanges(self) -> None:
+        """End all exchanges, because the process stops.
+
+        One that has not begun could not answer if it were ended. It refuses
+        its request as it begins.
+        """
+        for task in tuple(self.tasks):
+            if getcoroutinestate(task.get_coro()) != CORO_CREATED:
+                task.cancel()
+
     def begin(
         self,
         request: CallerRequest,
@@ -236,28 +311,37 @@
         body: RequestBody,
     ) -> None:
         """Start the exchange of a request that has been read completely."""
-        answer = CallerAnswer(connection, self.flow)
-        answer.closes = self.server.is_draining
-        task = asyncio.create_task(self.server.serve(request, answer))
+        answer = CallerAnswer(connection, self)
+        task = asyncio.create_task(self._serve(request, answer))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
         task.add_done_callback(lambda _: body.release())
         connection.set_close_callback(_DisconnectHandler(task, answer).on_close)
 
-
-def is_idle(stream: IOStream) -> bool:
-    """Return whether a connection is closed or has no bytes to read."""
-    if stream.closed():
-        return True
-    if not stream.reading():
-        # Bytes have been read, and their reader is about to run.
-        return False
-    try:
-        return not stream.socket.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return True
+    async def _serve(
+        self,
+        request: CallerRequest,
+        answer: CallerAnswer,
+    ) -> None:
+        """Serve a request, and refuse it if its exchange cannot begin."""
+        try:
+            await self.server.serve(request, answer)
+        except Exception as error:
+            self.log.error('exchange_fault', error=repr(error))
+            if not answer.is_over:
+                await self._refuse(answer)
+            if not answer.is_complete:
+                answer.abort()
+
+    async def _refuse(self, answer: CallerAnswer) -> None:
+        """Refuse a request of which no endpoint has heard.
+
+        An exchange ends its answer whatever happens, so that this request has
+        had none.
+        """
+        headers = HTTPHeaders({'Retry-After': _RETRY_AFTER})
+        with contextlib.suppress(CallerDisconnectedError):
+            await answer.send(_UNAVAILABLE, headers, b'')
 
 
 class _DisconnectHandler:
@@ -274,6 +358,7 @@
     def on_close(self) -> None:
         """Cancel the exchange, unless its answer is over."""
         if not self.answer.is_over:
+            self.answer.caller_has_left = True
             self.task.cancel()
 
 
@@ -290,6 +375,7 @@
         self.start: RequestStartLine | None = None
         self.headers = HTTPHeaders()
         self.arrived_at: float = 0
+        self.is_refused = False
         self._body = RequestBody(connections.flow.held)
 
     def headers_received(
@@ -303,15 +389,20 @@
         self.start = start_line
         self.headers = headers
         self.arrived_at = self.connections.monotonic()
+        self.connections.reading.add(self)
         self._body.reserve(headers.get('Content-Length', ''))
 
     def data_received(self, chunk: bytes) -> None:
         """Store bytes of the body."""
-        self._body.add(chunk)
+        if not self.is_refused:
+            self._body.add(chunk)
 
     def finish(self) -> None:
         """Start the exchange of the complete request."""
         assert self.start is not None
+        self.connections.reading.discard(self)
+        if self.is_refused:
+            return
         if self.connection.stream.closed():
             # The caller has disconnected, or this entry has closed the
             # connection. Nobody would receive the answer.
@@ -329,4 +420,26 @@
     def on_connection_close(self) -> None:
         """Remove a connection that closed before a complete request."""
         self.connections.idle.pop(id(self.connection), None)
+        self.connections.reading.discard(self)
+        self._body.release()
+
+    def refuse(self, status: int) -> None:
+        """Refuse a request whose body has not arrived; drop the rest of it."""
+        self.is_refused = True
+        self.connections.reading.discard(self)
         self._body.release()
+        self.connections.log.info(
+            'incomplete_body_refused',
+            status=status,
+            seconds=round(self.connections.monotonic() - self.arrived_at, 3),
+        )
+        headers = HTTPHeaders(
+            {
+                'Connection': 'close',
+                'Content-Length': '0',
+                'Retry-After': _RETRY_AFTER,
+            },
+        )
+        start = ResponseStartLine('HTTP/1.1', status, responses[status])
+        self.connection.write_headers(start, headers)
+        self.connections.lingering.shut_down(self.connection.stream)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -84,24 +84,32 @@
     async def run(self) -> None:
         """Answer the request, and log and count its outcome."""
         try:
-            await self._serve()
+            await self._serve_or_fail()
         except CallerDisconnectedError as error:
             self.outcome.disconnect(error)
         except asyncio.CancelledError:
             self.outcome.cancel()
             raise
         except Exception as error:
-            # A defect in the entry. The caller sees a failure that does not
-            # tell whether the request has run; other requests continue.
-            self.outcome.record_defect()
-            self.context.log.error(
-                'exchange_fault',
-                request_id=self.request_id,
-                error=repr(error),
-            )
+            # A second defect, in the answer to the first.
+            self.outcome.record_defect(error)
         finally:
             self._finish()
 
+    async def _serve_or_fail(self) -> None:
+        """Answer the request, also if the entry stops or has a defect."""
+        try:
+            await self._serve()
+        except CallerDisconnectedError:
+            raise
+        except asyncio.CancelledError:
+            if self.answer.caller_has_left:
+                raise
+            # Only the end of the process cancels other exchanges.
+            await self.outcome.stop()
+        except Exception as error:
+            await self.outcome.answer_defect(error)
+
     async def _serve(self) -> None:
         try:
             call = await admit(self.context, self.request)
@@ -183,6 +191,7 @@
                 self.excluded,
                 self.failed_at,
                 avoided,
+                is_resumption=self.answer.has_begun,
             )
         except Refusal:
             if relay.failure is None:
@@ -295,7 +304,7 @@
             self.context.metrics.observe_first_event(tokens, elapsed)
 
     def _finish(self) -> None:
-        if not self.answer.is_over:
+        if not self.answer.is_complete:
             # After any fault, the caller must not take a truncated answer for
             # a complete one, nor wait for the remainder.
             self.answer.abort()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -32,24 +32,22 @@
 from .metrics import MetricsPage
 from .new_context import context_from_settings
 from .settings import ForwardingSettings
+from .stopping import GracefulStop
 from .wire import WireFormat
 
 #: Idle timeout of a caller's connection, in seconds. Callers reuse connections
 #: that were idle for up to 12 seconds; if the entry closed one while a request
 #: is on its way, the caller would have to repeat the request.
 _IDLE_TIMEOUT_SECONDS = 20.0
-#: Longest time to receive the body of a request, in seconds.
+#: Longest time to receive the body of a request, in seconds. It is refused
+#: then.
 _BODY_TIMEOUT_SECONDS = 10.0
+#: The same until the connection is closed in any case, in seconds.
+_BODY_CLOSE_SECONDS = 15.0
+_REQUEST_TIMEOUT = 408
 #: Largest header block and body of a request, in bytes.
 _MAX_HEADER_BYTES = 32_768
 _MAX_BODY_BYTES = 8_388_608
-#: How long a stopping entry accepts new connections, in seconds. The balancer
-#: checks readiness once a second and acts on the second failed check.
-_BALANCER_DELAY_SECONDS = 2.8
-#: Part of the time to stop that remains when the last exchanges are cancelled,
-#: in seconds.
-_FORCED_STOP_SECONDS = 0.8
-_POLL_SECONDS = 0.05
 _SWEEP_INTERVAL_SECONDS = 0.5
 #: Delay from the start to the creation of the metrics exporter, in seconds.
 #: Creating it takes 0.1 s, which would delay the first callers.
@@ -142,11 +140,11 @@
             queued_seconds=round(times.queued_seconds, 3),
             major_faults=times.major_faults,
         )
-        callers = self._serve_callers()
+        self.callers = self._serve_callers()
         ready = self._serve_operators()
         self.start_tasks()
         await stop.wait()
-        await self._stop(callers)
+        await GracefulStop(self.context, self.connections).run(self.callers)
         ready.stop()
         await self.close()
 
@@ -221,7 +219,7 @@
             self.connections,
             admit=self.gate.admit,
             idle_connection_timeout=_IDLE_TIMEOUT_SECONDS,
-            body_timeout=_BODY_TIMEOUT_SECONDS,
+            body_timeout=_BODY_CLOSE_SECONDS,
             max_header_size=_MAX_HEADER_BYTES,
             max_body_size=_MAX_BODY_BYTES,
         )
@@ -258,32 +256,10 @@
         while True:
             await asyncio.sleep(_SWEEP_INTERVAL_SECONDS)
             self.context.pool.close_expired()
-
-    async def _stop(self, callers: HTTPServer) -> None:
-        """Close callers' connections after open requests have finished."""
-        clock = self.context.clock
-        began = clock.monotonic()
-        self.context.is_stopping = True
-        in_progress = len(self.connections.tasks)
-        self.log.info('stopping', exchanges=in_progress)
-        await asyncio.sleep(_BALANCER_DELAY_SECONDS)
-        callers.stop()
-        deadline = (
-            began + self.context.settings.stop_seconds - _FORCED_STOP_SECONDS
-        )
-        while clock.monotonic() < deadline:
-            self.connections.close_idle()
-            if not self.connections.tasks and not self.connections.idle:
-                break
-            await asyncio.sleep(_POLL_SECONDS)
-        if self.context.slot_waits.refuse_waiting():
-            # The refusals are sent before the remaining tasks are cancelled.
-            await asyncio.sleep(_POLL_SECONDS)
-        for task in tuple(self.connections.tasks):
-            task.cancel()
-        remaining = {*self.connections.tasks, *self.context.background}
-        if remaining:
-            await asyncio.wait(remaining, timeout=_POLL_SECONDS)
+            self.connections.refuse_incomplete(
+                _REQUEST_TIMEOUT,
+                self.context.clock.monotonic() - _BODY_TIMEOUT_SECONDS,
+            )
 
 
 def _listen(server: HTTPServer, address: str) -> None:
