--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/__init__.py
@@ -39,6 +39,7 @@
 from .retry_budget import (
     RetryBudgetLimit,
     RetryBudgetState,
+    RetryPermit,
     SharedRetryBudget,
 )
 from .return_times import (
@@ -52,6 +53,7 @@
     with_jitter,
 )
 from .shared_sends import SharedSends
+from .stop_forecast import AnswerForecast
 from .update_pace import UPDATE_INTERVAL_SECONDS, UpdateRateLimit
 from .worth import is_worth_reading
 
@@ -65,7 +67,9 @@
     'RetryBudgetLimit',
     'RetryBudgetState',
     'RetryPermission',
+    'RetryPermit',
     'RequestedBackoffs',
+    'AnswerForecast',
     'AttemptEnd',
     'AttemptLog',
     'CallerTime',
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -14,6 +14,7 @@
 from ..crashes import CrashWatch
 from ..decision_log import DecisionLog
 from ..endpoints.attempt import Attempt
+from ..endpoints.move_permit import MovePermit
 from ..endpoints.relay import AnswerRelay
 from ..endpoints.silence import SilenceWatch
 from ..errors import (
@@ -28,6 +29,7 @@
 from .outcome import RequestOutcome
 from .refusals import Refusal
 from .retry_control import RetryControl
+from .stop_admission import StopAdmission
 
 _MS = 1000.0
 
@@ -112,6 +114,7 @@
 
     async def _serve(self) -> None:
         try:
+            StopAdmission(self.context).check_arrival()
             call = await admit(self.context, self.request)
         except Refusal as refusal:
             await self.outcome.refuse(refusal)
@@ -154,19 +157,16 @@
         """Make one attempt; return whether the request is over."""
         self.last_endpoint = placement.primary.endpoint
         self.decisions.log_placement(call, placement)
-        watch = SilenceWatch(
-            self.context,
-            call,
-            placement,
-            may_move=self._may_move(call),
-        )
+        permit = MovePermit(self.context, call, may_move=self._may_move(call))
+        watch = SilenceWatch(self.context, call, placement, permit)
         attempt = Attempt(watch, self.crashes.check_sending)
         self.attempts.begin()
-        try:
-            with self.crashes.track_attempt(attempt):
-                await attempt.run(relay)
-        except AttemptError as error:
-            return await self._handle_failure(call, attempt, error, relay)
+        with permit:
+            try:
+                with self.crashes.track_attempt(attempt):
+                    await attempt.run(relay)
+            except AttemptError as error:
+                return await self._handle_failure(call, attempt, error, relay)
         self.attempts.record(AttemptEnd.ANSWERED)
         self.crashes.record_answer(call)
         self.outcome.label = 'answered'
@@ -187,17 +187,21 @@
             can be relayed.
         """
         try:
-            return await placer.place(
+            placement = await placer.place(
                 self.excluded,
                 self.failed_at,
                 avoided,
                 is_resumption=self.answer.has_begun,
             )
+            if not self.attempts.may_have_run:
+                # Any other request could only be failed.
+                StopAdmission(self.context).check(placer.call, placement)
         except Refusal:
             if relay.failure is None:
                 raise
-        await self.outcome.relay_failure(relay)
-        return None
+            await self.outcome.relay_failure(relay)
+            return None
+        return placement
 
     async def _handle_failure(
         self,
@@ -211,7 +215,7 @@
         self.attempts.answer_has_begun = self.answer.has_begun
         await self.crashes.handle_failed_attempt(call, attempt, error)
         failed_endpoint = self._exclude(attempt, error)
-        decision = self.retries.decide(call, error.end)
+        decision = self.retries.decide(call, error.end, attempt.watch.permit)
         step = decision.step
         if isinstance(error, EndpointEndedError):
             self._log_ended(attempt, error)
