Don't wait for begun streams at the forced end of a stop

Cause: since begun answers are left alone at the forced end, one begun stream makes both waits of GracefulStop last as long as they may, .35 and .15 s.

Only the exchanges whose callers still get an answer are awaited now. A stream goes on while these are written and connections close, .15 s at least.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
@@ -297,17 +297,24 @@
         for connection in tuple(self.open.values()):
             connection.close()
 
-    def end_exchanges(self) -> None:
+    def end_exchanges(self) -> set[asyncio.Task[None]]:
         """End all exchanges, because the process stops.
 
         One that has not begun could not answer if it were ended. It refuses
         its request as it begins. One whose answer has begun goes on until its
         connection closes: it could only be cut.
+
+        Return the exchanges whose callers get a refusal or a failure now.
         """
-        for task, answer in tuple(self.answers.items()):
-            is_created = getcoroutinestate(task.get_coro()) == CORO_CREATED
-            if not is_created and not answer.has_begun:
+        unanswered = {
+            task
+            for task, answer in self.answers.items()
+            if not answer.has_begun
+        }
+        for task in unanswered:
+            if getcoroutinestate(task.get_coro()) != CORO_CREATED:
                 task.cancel()
+        return unanswered
 
     def cut_answers(self) -> None:
         """End the exchanges that are left, because the process ends."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/stopping.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/stopping.py
@@ -82,14 +82,16 @@
     async def _end_requests(self) -> None:
         """Answer all open requests, and wait until the answers are written.
 
-        Nothing is read afterwards, so that no request is read and dropped.
+        Nothing is read afterwards, so that no request is read and dropped. An
+        answer that has begun is not awaited: it may go on for longer than the
+        process has left to end by itself.
         """
         if self.context.slot_waits.refuse_waiting():
             # The refusals are sent before the remaining tasks are cancelled.
             await asyncio.sleep(_POLL_SECONDS)
         self._end_unread()
-        self.connections.end_exchanges()
-        remaining = {*self.connections.tasks, *self.context.background}
+        unanswered = self.connections.end_exchanges()
+        remaining = {*unanswered, *self.context.background}
         if remaining:
             await asyncio.wait(remaining, timeout=_LAST_ANSWERS_SECONDS)
         closing_until = self._now() + _LAST_CLOSES_SECONDS
