Read what has arrived before the time limit of a request ends it

Callers saw a 504, or a stream cut in the middle, although the complete answer of their endpoint lay in the socket of the entry. The request's deadline was an asyncio timeout. When the event loop stood still across it (a configuration, a signal, a freeze), the timer and the bytes come in the same turn, and the timer cancels the request before anything has been parsed.

The limit now lets the loop read first: it goes on for eight turns, and for the time by which its timer was late, at most 0.2 s (what a late process takes to read before it judges others). An answer or a failure that lay ready is delivered; everything else ends as before. No attempt begins past the deadline: a placement is refused as TIME_LIMIT, and a connection that is made past it sends nothing. Such a request gets 504 if it may have run, else "not run".

Not covered: a retry that is decided within those 0.2 s is taken from the budget and not sent.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -18,6 +18,7 @@
 from ..endpoints.move_permit import MovePermit
 from ..endpoints.relay import AnswerRelay
 from ..endpoints.silence import SilenceWatch
+from ..endpoints.time_limit import ending_within
 from ..errors import (
     AttemptError,
     CallerDisconnectedError,
@@ -28,7 +29,7 @@
 from .admission import admit
 from .caller import CallerAnswer, CallerRequest
 from .outcome import RequestOutcome
-from .refusals import Refusal
+from .refusals import Refusal, RefusalCause
 from .retry_control import RetryControl
 from .stop_admission import StopAdmission
 
@@ -124,11 +125,17 @@
             return
         self.call = call
         try:
-            async with asyncio.timeout(call.deadline - self._now()):
+            async with ending_within(call.deadline - self._now()):
                 await self._attempt_until_answered(call)
         except TimeoutError:
             await self.outcome.time_out()
         except Refusal as refusal:
+            await self._refuse(refusal)
+
+    async def _refuse(self, refusal: Refusal) -> None:
+        if refusal.cause == RefusalCause.TIME_LIMIT:
+            await self.outcome.time_out()
+        else:
             await self.outcome.refuse(refusal)
 
     async def _attempt_until_answered(self, call: AdmittedRequest) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/calls.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/calls.py
@@ -47,6 +47,14 @@
         """Return the caller's time left, which bounds its retry delay."""
         return CallerTime(self.deadline - now, stable_fraction(self.request_id))
 
+    def is_late(self, now: float) -> bool:
+        """Return whether the deadline has passed.
+
+        A late event loop may still take what has arrived by then, but nothing
+        more is sent to an endpoint.
+        """
+        return now >= self.deadline
+
     @property
     def objective_at(self) -> float:
         """Return when the answer, or its first event, is due."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
@@ -155,6 +155,11 @@
         and each sends its request although the endpoint has requested a
         backoff. A zone may be evacuated while a connection to it is opened.
         """
+        if self.call.is_late(self._now()):
+            raise AttemptError(
+                AttemptEnd.NOT_ACCEPTING,
+                'the deadline of the request has passed',
+            )
         if self.check_sending is not None:
             self.check_sending(self.call)
         candidates = self.context.dispatcher.candidates
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/time_limit.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/time_limit.py
@@ -6,9 +6,16 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+import contextlib
+from collections.abc import AsyncIterator, Coroutine
 from typing import Any, TypeVar
 
+from sycamore_core.decisions.late_checks import READING_SECONDS
+
+#: Turns of the event loop in which a short answer gets from the socket to the
+#: caller, after the turn in which a timer has fired.
+_READ_TURNS = 8
+
 _Result = TypeVar('_Result')
 
 
@@ -55,3 +62,55 @@
         if not task.cancel() and not task.cancelled():
             # An error that nobody waits for any more needs no trace.
             task.exception()
+
+
+@contextlib.asynccontextmanager
+async def ending_within(seconds: float) -> AsyncIterator[None]:
+    """Run a block that is cancelled after a time limit.
+
+    The block may first take what arrived until then: it goes on for some turns
+    of the event loop, and for the time by which the timer was late, up to
+    `READING_SECONDS`.
+
+    Raises
+    ------
+    TimeoutError
+        If the block was cancelled.
+    """
+    async with asyncio.timeout(None) as timeout:
+        limit = _ReadingLimit(timeout, seconds)
+        try:
+            yield
+        finally:
+            limit.handle.cancel()
+
+
+class _ReadingLimit:
+    """Ends a block after its time limit, once the event loop has read.
+
+    Attributes
+    ----------
+    due
+        The time limit, on the clock of the event loop, in seconds.
+    handle
+        The next call of this limit.
+    """
+
+    def __init__(self, timeout: asyncio.Timeout, seconds: float) -> None:
+        self.timeout = timeout
+        self.loop = asyncio.get_running_loop()
+        self.due = self.loop.time() + seconds
+        self.handle: asyncio.Handle = self.loop.call_at(self.due, self._begin)
+
+    def _begin(self) -> None:
+        now = self.loop.time()
+        ends_at = now + min(now - self.due, READING_SECONDS)
+        self._let_read(_READ_TURNS, ends_at)
+
+    def _let_read(self, turns: int, ends_at: float) -> None:
+        if turns:
+            self.handle = self.loop.call_soon(
+                self._let_read, turns - 1, ends_at
+            )
+        else:
+            self.timeout.reschedule(ends_at)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
@@ -5,7 +5,7 @@
 
 from sycamore_core.ids import EndpointId
 
-from ..callers.refusals import Refusal
+from ..callers.refusals import Refusal, RefusalCause
 from ..calls import AdmittedRequest
 from ..context import ForwardingContext
 from .dispatcher import Placement
@@ -65,8 +65,10 @@
         Raises
         ------
         Refusal
-            If no endpoint is free, and none is expected to be in time.
+            If no endpoint is free, and none is expected to be in time. Its
+            cause is `TIME_LIMIT` if the deadline has passed.
         """
+        self._check_deadline()
         unusable = excluded
         if failed_at and not self._has_accepting(excluded):
             unusable = excluded - failed_at
@@ -94,6 +96,11 @@
                 self.plain.check(placement)
         return placement
 
+    def _check_deadline(self) -> None:
+        """Refuse a request that only takes what had arrived at its deadline."""
+        if self.call.is_late(self._now()):
+            raise Refusal(RefusalCause.TIME_LIMIT)
+
     def _slot_wait(self, *, is_resumption: bool) -> SlotWait:
         slot_waits = self.context.slot_waits
         if is_resumption:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_time_limit.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_time_limit.py
@@ -4,8 +4,9 @@
 import time
 
 import pytest
+from sycamore_core.decisions.late_checks import READING_SECONDS
 
-from ..endpoints.time_limit import run_within, wait_within
+from ..endpoints.time_limit import ending_within, run_within, wait_within
 
 LIMIT_SECONDS = 0.2
 
@@ -57,3 +58,43 @@
 
     with pytest.raises(ConnectionRefusedError):
         await run_within(fail(), LIMIT_SECONDS)
+
+
+async def test_block_ends_at_the_limit() -> None:
+    """Guards against a block that goes on although the loop is in time."""
+    began = time.monotonic()
+    with pytest.raises(TimeoutError):
+        async with ending_within(LIMIT_SECONDS):
+            await asyncio.Event().wait()
+    assert time.monotonic() - began >= LIMIT_SECONDS
+
+
+async def test_block_ends_after_a_stall() -> None:
+    """Guards against a block that gets as much time again as it had."""
+    with pytest.raises(TimeoutError):
+        async with ending_within(LIMIT_SECONDS):
+            time.sleep(20 * LIMIT_SECONDS)
+            resumed = time.monotonic()
+            await asyncio.Event().wait()
+    assert READING_SECONDS <= time.monotonic() - resumed < 10 * LIMIT_SECONDS
+
+
+async def test_block_that_ended_is_not_cancelled() -> None:
+    """Guards against a limit that cancels what follows its block."""
+    async with ending_within(LIMIT_SECONDS):
+        time.sleep(2 * LIMIT_SECONDS)
+    await asyncio.sleep(2 * LIMIT_SECONDS)
+
+
+async def test_cancellation_of_a_block_is_no_time_limit() -> None:
+    """Guards against a caller that leaves and is taken for a late request."""
+
+    async def wait() -> None:
+        async with ending_within(LIMIT_SECONDS):
+            await asyncio.Event().wait()
+
+    waiting = asyncio.create_task(wait())
+    await asyncio.sleep(0)
+    waiting.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await waiting
