Read before the waits of requests end after a late event loop

Four waits ended by the clock alone while what they waited for lay unread in a socket, each a request that was refused or sent on wrongly:

- the wait for a free slot (0.12 of the objective): refused as overloaded beside a slot whose answer had arrived;
- the wait for the first list at the start: refused as not ready;
- the answer of the peer that grants trials: the suspect request was refused, and the trial that it had got was lost;
- the crash probe after a broken attempt: the request went to its next endpoint before the crash was known.

The last three use the time limits that grant the lateness once more. The check for a slot lets the loop read first if its pause ended late; its end stays. No wait lasts longer while the loop is in time.

Checked and found sound: the queue of ranked services (expiry is the last start that meets the deadline, and that time is gone), the wait for another slot of a begun stream (checks once more, and nothing is sent past the deadline), its further retry after 0.05 of a window (counts arrivals), idle connections to endpoints (a new one is opened), the pauses of updates, reads and reloads (end nobody's request), probes, orders and connections (granted before).

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
@@ -13,6 +13,7 @@
 from .context import ForwardingContext
 from .crash_reporter import CrashReporter
 from .endpoints.attempt import Attempt
+from .endpoints.time_limit import is_done_within
 from .errors import AttemptError, CallerDisconnectedError
 from .granted_trials import GrantedTrials
 
@@ -132,7 +133,7 @@
             return
         probe = self.reporter.probe_broken(call, attempt)
         if attempt.watch.had_just_begun:
-            await asyncio.wait((probe,), timeout=_CRASH_PROBE_TIMEOUT_SECONDS)
+            await is_done_within(probe, _CRASH_PROBE_TIMEOUT_SECONDS)
 
     def _check_quarantine(self, call: AdmittedRequest) -> None:
         """Refuse a request that can get no trial now."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/time_limit.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/time_limit.py
@@ -33,15 +33,29 @@
     TimeoutError
         If there is no result in time.
     """
+    if not await is_done_within(future, seconds):
+        raise TimeoutError
+    return future.result()
+
+
+async def is_done_within(future: asyncio.Future[Any], seconds: float) -> bool:
+    """Return whether a future has a result or an error in time.
+
+    Lateness is granted as by `wait_within`.
+    """
     loop = asyncio.get_running_loop()
     due = loop.time() + seconds
     await asyncio.wait((future,), timeout=seconds)
     if not future.done():
         late_seconds = max(0, loop.time() - due)
         await asyncio.wait((future,), timeout=min(late_seconds, seconds))
-    if not future.done():
-        raise TimeoutError
-    return future.result()
+    return future.done()
+
+
+async def let_loop_read() -> None:
+    """Let the event loop read and take what arrived before this call."""
+    for _ in range(_READ_TURNS):
+        await asyncio.sleep(0)
 
 
 async def run_within(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/first_list.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/first_list.py
@@ -6,9 +6,11 @@
 """
 
 import asyncio
+import contextlib
 
 from sycamore_core.clock import Clock
 
+from ..endpoints.time_limit import run_within
 from .feed import FleetFeed, FleetSnapshot
 
 #: Time after which the platform is read once more, besides the pending reads,
@@ -41,12 +43,9 @@
 
     async def wait(self, seconds: float) -> None:
         """Wait until endpoints are listed or the time has passed."""
-        try:
-            async with asyncio.timeout(seconds):
-                await self.listed.wait()
-        except TimeoutError:
-            # The caller checks `FleetKeeper.is_ready`.
-            return
+        # The caller checks `FleetKeeper.is_ready` afterwards.
+        with contextlib.suppress(TimeoutError):
+            await run_within(self.listed.wait(), seconds)
 
     async def fetch(self) -> FleetSnapshot:
         """Return the state of the platform; repeat the read while it is silent.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/slot_wait.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/slot_wait.py
@@ -11,6 +11,7 @@
 
 from ..callers.refusals import Refusal, RefusalCause
 from ..calls import AdmittedRequest
+from ..endpoints.time_limit import let_loop_read
 from .dispatcher import Placement
 
 #: Fraction of its objective for which a request waits for a free slot. A slot
@@ -96,7 +97,7 @@
             is_expired = self.clock.monotonic() >= wait_end
             if is_expired or refusal.cause not in self.causes:
                 raise refusal
-            await asyncio.sleep(self.pause())
+            await self._wait_for_change()
 
     def pause(self) -> float:
         """Return the time to the next check of a request, in seconds."""
@@ -108,6 +109,17 @@
         wait_end = self.clock.monotonic() + objective * _SLOT_WAIT_FRACTION
         return min(wait_end, call.deadline)
 
+    async def _wait_for_change(self) -> None:
+        """Wait for the next check of a request.
+
+        The answers that free slots lie unread if the event loop was late.
+        """
+        pause = self.pause()
+        due = self.clock.monotonic() + pause
+        await asyncio.sleep(pause)
+        if self.clock.monotonic() - due > self.poll_seconds:
+            await let_loop_read()
+
 
 class ResumptionSlotWait(PolledSlotWait):
     """Waits until the deadline for an endpoint that resumes a stream.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_late.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_late.py
@@ -2,11 +2,51 @@
 
 import asyncio
 import contextlib
+import socket
 import threading
+import time
 from collections.abc import Awaitable, Callable, Iterator
 
 from .builders import RawEndpoint
 
+#: Turns of the event loop from the read of a word to its effect.
+WORD_TURNS = 3
+
+
+class UnreadWord:
+    """A word that lies in a socket until the event loop reads it.
+
+    Parameters
+    ----------
+    on_word
+        Called some turns of the event loop after the word was read.
+    """
+
+    def __init__(self, on_word: Callable[[], None]) -> None:
+        self.on_word = on_word
+        receiver, sender = socket.socketpair()
+        self.receiver = receiver
+        self.sender = sender
+        loop = asyncio.get_running_loop()
+        loop.add_reader(self.receiver, self._read)
+
+    def send_and_block(self, seconds: float) -> None:
+        """Send the word, and block the event loop before it is read."""
+        self.sender.send(b'x')
+        time.sleep(seconds)
+
+    def _read(self) -> None:
+        asyncio.get_running_loop().remove_reader(self.receiver)
+        self.receiver.close()
+        self.sender.close()
+        self._wait(WORD_TURNS)
+
+    def _wait(self, turns: int) -> None:
+        if turns:
+            asyncio.get_running_loop().call_soon(self._wait, turns - 1)
+        else:
+            self.on_word()
+
 
 @contextlib.contextmanager
 def other_loop() -> Iterator[asyncio.AbstractEventLoop]:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/trials.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/trials.py
@@ -19,6 +19,8 @@
 from sycamore_core.telemetry.tallies import Tally
 from sycamore_core.transport import Node, Peer
 
+from .endpoints.time_limit import wait_within
+
 #: Longest wait for the answer of a peer, in seconds. A connection to a peer in
 #: another region may have to be opened first.
 _ANSWER_TIMEOUT_SECONDS = 0.25
@@ -197,8 +199,7 @@
         self.pending[trait] = answered
         self.node.peer(address).post(TrialWanted(trait))
         try:
-            async with asyncio.timeout(_ANSWER_TIMEOUT_SECONDS):
-                decision = await answered
+            decision = await wait_within(answered, _ANSWER_TIMEOUT_SECONDS)
         except TimeoutError:
             return TrialDecision(denial=TrialDenial.NO_ANSWER)
         finally:
