Accept what waits as an entry stops listening

What callers saw: a connection that was made about 2.8 s after SIGTERM was reset although the system had acknowledged the whole request.

Cause: a stop closes the listening socket in the turn of the event loop after its timer. A connection that the system completes during the turn of the timer lies in the queue of the socket: it would be accepted behind the close. The close resets it. The longer the turn, the more are lost.

Fix: as the server stops, it takes from the listening sockets what waits, closes them, and serves these connections as any other: requests are served, refused by the stop, or closed by the gate of an overloaded entry.

Not affected: the page of readiness is closed when the entry has said for seconds that it is not ready, and the page of metrics with the process; both are asked again by those who read them.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/server.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/server.py
@@ -1,7 +1,8 @@
 """Server for callers that accepts what the entry can keep up with."""
 
 import asyncio
-from collections.abc import Callable
+import socket
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any
 
 from sycamore_core.clock import Clock
@@ -103,6 +104,20 @@
         super().initialize(connections, **options)
         self.connections = connections
         self.admit = admit
+        self.log = Log('callers')
+
+    def stop(self) -> None:
+        """Accept no further connection, and serve those that are waiting.
+
+        The system has acknowledged what their callers sent, and would reset
+        them as the listening sockets close.
+        """
+        waiting = tuple(self._accept_waiting(self._sockets.values()))
+        super().stop()
+        if waiting:
+            self.log.info('waiting_connections_accepted', count=len(waiting))
+        for accepted, address in waiting:
+            self.handle_stream(IOStream(accepted), address)
 
     def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Serve a new connection, or close it."""
@@ -120,3 +135,16 @@
         """Tell the connections of one that is closed; tornado does not."""
         super().on_close(server_conn)
         self.connections.on_close(server_conn)
+
+    def _accept_waiting(
+        self, listening: Iterable[socket.socket]
+    ) -> Iterator[tuple[socket.socket, Any]]:
+        """Yield the connections that the system has made, until none waits."""
+        for sock in listening:
+            try:
+                while True:
+                    yield sock.accept()
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                self.log.error('accept_failed', reason=str(error))
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_caller_server.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_caller_server.py
@@ -1,18 +1,13 @@
 """Connections of callers to an entry that cannot keep up."""
 
 import asyncio
-import contextlib
-from collections.abc import AsyncIterator
 
 from sycamore_core.decisions.direct import CONNECTION_CHECK_SECONDS
 from sycamore_core.decisions.direct.connection_limit import (
     LATE_CHECKS,
     MIN_ACCEPTED,
 )
-from sycamore_core.routing import RouteKind
-from sycamore_core.telemetry import Log
 
-from ..callers.server import CallerServer, ConnectionGate
 from .builders import (
     HOST,
     RawEndpoint,
@@ -20,31 +15,15 @@
     full_answer,
     reply_with,
     request_bytes,
-    route,
     running_entry,
 )
 from .builders_answers import is_answered
+from .builders_server import SAFE, gated_entry
 
-SAFE = route(RouteKind.SAFE)
 LATE_SECONDS = 0.4
 CALLERS = 6
 
 
-@contextlib.asynccontextmanager
-async def gated_entry() -> AsyncIterator[tuple[TestEntry, ConnectionGate]]:
-    """Run an entry whose gate is checked by the test alone."""
-    endpoint = RawEndpoint('e0', reply_with(full_answer()))
-    async with running_entry(SAFE, endpoint) as entry:
-        context = entry.context
-        gate = ConnectionGate(
-            context.clock, Log('process'), context.metrics.refusals
-        )
-        entry.server.stop()
-        entry.server = CallerServer(entry.connections, admit=gate.admit)
-        entry.server.listen(0, HOST)
-        yield entry, gate
-
-
 async def ask(entry: TestEntry) -> bytes:
     """Return the answer on a new connection; empty if it was closed."""
     try:
