Ignore signals once a stop is done

What was seen: a process that had got SIGTERM ended with -15 instead of 0, once, in a soak with a second SIGTERM near the end of the stop.

Cause: as `asyncio.run` closes its event loop it removes the loop's handlers, which sets the default action. A signal from then until the process is gone, a few milliseconds later, kills it. To remove a handler before and to ignore the signal then leaves a gap all the same; blocking it in the main thread does not help, as the threads of the messaging library do not block it.

Fix: the handlers are set with `signal.signal`, not by the loop, and replaced in one step by "ignore" at the end of `run`. They wake the loop as its own did.

Start: SIGHUP is ignored until then, as before. SIGTERM and SIGINT keep their default action until `run`; no socket listens yet, so that nothing is lost.

The test of waiting requests called a private method of the process, which is gone; it calls the same stop directly.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -32,6 +32,7 @@
 from .mesh.entry_mesh import EntryMesh
 from .metrics import MetricsPage
 from .new_context import context_from_settings
+from .process_signals import ProcessSignals
 from .settings import ForwardingSettings
 from .stopping import GracefulStop
 from .wire import WireFormat
@@ -114,35 +115,16 @@
         return Exchange(self.context, request, answer).run()
 
     async def run(self) -> None:
-        """Serve until a stop signal arrives, then finish open requests."""
-        stop = _event_for_signals(signal.SIGTERM, signal.SIGINT)
-        self._start_task(
-            self._reload_when_changed(_event_for_signals(signal.SIGHUP))
-        )
-        settings = self.context.settings
-        limit = settings.retry_limit
-        times = ProcessTimes.read()
-        self.log.info(
-            'started',
-            entry=settings.name,
-            zone=settings.zone,
-            retry_ratio=limit.ratio,
-            retry_slack=limit.slack,
-            retry_window_seconds=limit.window,
-            start_seconds=round(process_age_seconds(), 3),
-            cpu_seconds=round(times.cpu_seconds, 3),
-            queued_seconds=round(times.queued_seconds, 3),
-            major_faults=times.major_faults,
-        )
-        self.callers = self._serve_callers()
-        sweep = CallerSweep(self.context, self.connections, self.callers)
-        self._start_task(sweep.run())
-        ready = self._serve_operators()
-        self.start_tasks()
-        await stop.wait()
-        await self._stop(self.callers)
-        ready.stop()
-        await self.close()
+        """Serve until a stop signal arrives, then finish open requests.
+
+        From the end on, signals are ignored.
+        """
+        signals = ProcessSignals()
+        signals.handle()
+        try:
+            await self._run_until_stopped(signals)
+        finally:
+            signals.ignore()
 
     def start_tasks(self) -> None:
         """Start all background tasks; callers are not yet served."""
@@ -185,6 +167,19 @@
         await self.mesh.node.close()
         self.log.info('stopped', entry=self.context.entry)
 
+    async def _run_until_stopped(self, signals: ProcessSignals) -> None:
+        self._start_task(self._reload_when_changed(signals.reload))
+        _log_start(self.log, self.context.settings)
+        self.callers = self._serve_callers()
+        sweep = CallerSweep(self.context, self.connections, self.callers)
+        self._start_task(sweep.run())
+        ready = self._serve_operators()
+        self.start_tasks()
+        await signals.stop.wait()
+        await GracefulStop(self.context, self.connections).run(self.callers)
+        ready.stop()
+        await self.close()
+
     def _observe_lateness(self, seconds: float) -> None:
         self.context.metrics.observe_lateness(seconds)
         self.gate.observe(seconds)
@@ -253,18 +248,24 @@
             await asyncio.sleep(_SWEEP_INTERVAL_SECONDS)
             self.context.pool.close_expired()
 
-    async def _stop(self, callers: HTTPServer) -> None:
-        await GracefulStop(self.context, self.connections).run(callers)
+
+def _log_start(log: Log, settings: ForwardingSettings) -> None:
+    limit = settings.retry_limit
+    times = ProcessTimes.read()
+    log.info(
+        'started',
+        entry=settings.name,
+        zone=settings.zone,
+        retry_ratio=limit.ratio,
+        retry_slack=limit.slack,
+        retry_window_seconds=limit.window,
+        start_seconds=round(process_age_seconds(), 3),
+        cpu_seconds=round(times.cpu_seconds, 3),
+        queued_seconds=round(times.queued_seconds, 3),
+        major_faults=times.major_faults,
+    )
 
 
 def _listen(server: HTTPServer, address: str) -> None:
     host, _, port = address.rpartition(':')
     server.listen(int(port), host)
-
-
-def _event_for_signals(*signals: signal.Signals) -> asyncio.Event:
-    event = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for signum in signals:
-        loop.add_signal_handler(signum, event.set)
-    return event
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_process.py
@@ -4,7 +4,7 @@
 import contextlib
 import os
 import signal
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 
 from sycamore_core.ids import EntryId, KeyId, ZoneId
 from sycamore_core.messages import PeerKeys
@@ -25,6 +25,8 @@
 KEYS = PeerKeys({KeyId('k'): b'0123456789abcdef'}, KeyId('k'))
 #: Time from the signal to the end of the process, in seconds.
 STOP_SECONDS = 4.0
+#: Signals that a process handles.
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 class ProcessUnderTest:
@@ -65,6 +67,17 @@
         return answer
 
 
+@contextlib.contextmanager
+def restored_signals() -> Iterator[None]:
+    """Restore the handlers of signals, which an ended process ignores."""
+    before = {number: signal.getsignal(number) for number in SIGNALS}
+    try:
+        yield
+    finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
+
+
 @contextlib.asynccontextmanager
 async def running_process(
     served: Route,
@@ -82,13 +95,14 @@
     process = ForwardingProcess.from_settings(
         lambda: settings, feed, SimpleWire(), KEYS
     )
-    tested = ProcessUnderTest(process)
-    while not process.context.keeper.is_ready:
-        await asyncio.sleep(0.01)
-    try:
-        yield tested
-    finally:
-        await _end(tested, endpoints)
+    with restored_signals():
+        tested = ProcessUnderTest(process)
+        while not process.context.keeper.is_ready:
+            await asyncio.sleep(0.01)
+        try:
+            yield tested
+        finally:
+            await _end(tested, endpoints)
 
 
 async def _end(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_queue_forwarding.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_queue_forwarding.py
@@ -17,6 +17,7 @@
 from ..context import ForwardingContext
 from ..placement.dispatcher import Placement
 from ..placement.slot_wait import UnplacedRequest
+from ..stopping import GracefulStop
 from .builders import (
     HOST,
     LAST_CHUNK,
@@ -139,7 +140,8 @@
     process.context.settings = msgspec.structs.replace(
         process.context.settings, stop_seconds=1
     )
-    await process._stop(HTTPServer(process.connections))
+    stop = GracefulStop(process.context, process.connections)
+    await stop.run(HTTPServer(process.connections))
     with pytest.raises(Refusal):
         await asking
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_stopping.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_stopping.py
@@ -23,7 +23,7 @@
     route,
     running_entry,
 )
-from .builders_process import KEYS, NOWHERE, running_process
+from .builders_process import KEYS, NOWHERE, restored_signals, running_process
 
 EMPTY_SNAPSHOT = FleetSnapshot(Revision(1), None, ())
 
@@ -55,15 +55,16 @@
     process = ForwardingProcess.from_settings(
         settings.read, feed, SimpleWire(), KEYS
     )
-    running = asyncio.create_task(process.run())
-    await asyncio.sleep(0.1)
-    os.kill(os.getpid(), signal.SIGHUP)
-    while settings.reads < 2:
-        await asyncio.sleep(0.01)
-    assert not running.done()
-    assert process.context.settings.stop_seconds == 2
-    os.kill(os.getpid(), signal.SIGTERM)
-    await running
+    with restored_signals():
+        running = asyncio.create_task(process.run())
+        await asyncio.sleep(0.1)
+        os.kill(os.getpid(), signal.SIGHUP)
+        while settings.reads < 2:
+            await asyncio.sleep(0.01)
+        assert not running.done()
+        assert process.context.settings.stop_seconds == 2
+        os.kill(os.getpid(), signal.SIGTERM)
+        await running
 
 
 async def test_unreadable_settings_keep_current_ones() -> None:
