--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_forced_stop.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_forced_stop.py
@@ -22,7 +22,7 @@
     running_entry,
     stream_head,
 )
-from .builders_process import running_process
+from .builders_process import STOP_SECONDS, running_process
 
 UNSAFE = msgspec.structs.replace(
     route(RouteKind.UNSAFE, time_limit=30), objective=0.1
@@ -32,6 +32,8 @@
 BAD_GATEWAY = b'HTTP/1.1 502 '
 #: A time of the stop when no new connection is accepted any more, in seconds.
 LATE_SECONDS = 2.9
+#: Part of the time to stop at whose end a stream may be cut.
+LAST_PART = 1 / 6
 
 
 async def begin_stream(
@@ -93,6 +95,20 @@
     assert b'HTTP/1.1 50' not in answer
 
 
+async def test_stop_leaves_streams_until_its_last_sixth() -> None:
+    """Guards against a stream that a short stop cuts too early."""
+    loop = asyncio.get_running_loop()
+    served = route(RouteKind.STREAM, MODEL, time_limit=30)
+    endpoint = RawEndpoint('e1', begin_stream)
+    async with running_process(served, endpoint) as entry:
+        reader, _ = await entry.begin_request()
+        began = loop.time()
+        entry.stop()
+        await asyncio.wait_for(reader.read(), STOP_SECONDS)
+        lasted = loop.time() - began
+    assert lasted >= STOP_SECONDS * (1 - LAST_PART)
+
+
 async def test_body_that_is_on_its_way_is_awaited() -> None:
     """Guards against a process that ends while it reads a request."""
     endpoint = RawEndpoint('e1', reply_with(full_answer('recorded')))
