Name the statuses and delays of refusals in one module

503 was named in three modules, and the delay of 0.4 s was written a second time as the text of a header, because refusals import the connections of callers. Behaviour and headers are the same.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/admission.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/admission.py
@@ -18,7 +18,8 @@
 from ..fleet.keeper import FleetKeeper
 from ..wire import CallTerms
 from .caller import CallerRequest
-from .refusals import RETRY_AFTER_SECONDS, Refusal, RefusalCause
+from .refusals import Refusal, RefusalCause
+from .statuses import RETRY_AFTER_SECONDS
 
 #: Assumed timeout of a caller that sends none, in seconds, while no route is
 #: known.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
@@ -30,11 +30,7 @@
 )
 from .lingering import DroppedRequest, LingeringConnections
 from .request_body import RequestBody
-
-_UNAVAILABLE = 503
-#: Delay after which a caller may retry a request whose exchange did not begin,
-#: in seconds.
-_RETRY_AFTER = '0.40'
+from .statuses import UNAVAILABLE, retry_after_field
 
 
 class CallerRequest(msgspec.Struct, frozen=True):
@@ -354,9 +350,9 @@
         An exchange ends its answer whatever happens, so that this request has
         had none.
         """
-        headers = HTTPHeaders({'Retry-After': _RETRY_AFTER})
+        headers = HTTPHeaders({'Retry-After': retry_after_field()})
         with contextlib.suppress(CallerDisconnectedError):
-            await answer.send(_UNAVAILABLE, headers, b'')
+            await answer.send(UNAVAILABLE, headers, b'')
 
 
 class _DisconnectHandler:
@@ -452,7 +448,7 @@
             {
                 'Connection': 'close',
                 'Content-Length': '0',
-                'Retry-After': _RETRY_AFTER,
+                'Retry-After': retry_after_field(),
             },
         )
         start = ResponseStartLine('HTTP/1.1', status, responses[status])
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller_sweep.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller_sweep.py
@@ -5,6 +5,7 @@
 from ..context import ForwardingContext
 from .caller import CallerConnections
 from .server import CallerServer
+from .statuses import REQUEST_TIMEOUT
 
 #: Shortest idle timeout of a caller's connection, in seconds. Callers reuse
 #: connections that were idle for up to four fifths of the timeout that the
@@ -14,7 +15,6 @@
 #: Longest time to receive the body of a request, in seconds. It is refused
 #: then.
 BODY_TIMEOUT_SECONDS = 10.0
-_REQUEST_TIMEOUT = 408
 _INTERVAL_SECONDS = 0.5
 
 
@@ -41,7 +41,7 @@
         """Refuse bodies that are late, and set the idle timeout."""
         now = self.context.clock.monotonic()
         self.connections.refuse_incomplete(
-            _REQUEST_TIMEOUT, now - BODY_TIMEOUT_SECONDS
+            REQUEST_TIMEOUT, now - BODY_TIMEOUT_SECONDS
         )
         table = self.context.keeper.table
         if table is not None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/refusals.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/refusals.py
@@ -10,6 +10,7 @@
 from tornado.httputil import HTTPHeaders
 
 from .caller import CallerAnswer
+from .statuses import RETRY_AFTER_SECONDS, UNAVAILABLE, retry_after_field
 
 
 class RefusalCause(enum.StrEnum):
@@ -52,15 +53,10 @@
         RefusalCause.UNKNOWN_KEY: 401,
     },
 )
-_UNAVAILABLE = 503
 #: The endpoint gave no answer that can be forwarded.
 BAD_GATEWAY = 502
 #: The endpoint gave no answer in time.
 GATEWAY_TIMEOUT = 504
-#: Default retry delay of a caller, in seconds. After this time, a process that
-#: has just started, or an endpoint that has just refused, usually accepts
-#: requests.
-RETRY_AFTER_SECONDS = 0.4
 #: Retry delay of a caller whose entry stops, in seconds. Another entry serves
 #: the caller at once.
 STOPPING_RETRY_SECONDS = 0.1
@@ -133,8 +129,8 @@
     refusal: Refusal,
 ) -> None:
     """Send a refusal to the caller."""
-    status = _STATUS.get(refusal.cause, _UNAVAILABLE)
-    if status == _UNAVAILABLE:
-        headers['Retry-After'] = f'{refusal.retry_after:.2f}'
+    status = _STATUS.get(refusal.cause, UNAVAILABLE)
+    if status == UNAVAILABLE:
+        headers['Retry-After'] = retry_after_field(refusal.retry_after)
     headers['Content-Type'] = 'text/plain'
     await answer.send(status, headers, refusal.cause.value.encode())
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/stopping.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/stopping.py
@@ -6,6 +6,7 @@
 from tornado.httpserver import HTTPServer
 
 from .callers.caller import CallerConnections
+from .callers.statuses import UNAVAILABLE
 from .context import ForwardingContext
 
 #: How long a stopping entry accepts new connections, in seconds. The balancer
@@ -20,7 +21,6 @@
 _LAST_CLOSES_SECONDS = 0.15
 _POLL_SECONDS = 0.05
 _LAST_POLL_SECONDS = 0.01
-_UNAVAILABLE = 503
 
 
 class GracefulStop:
@@ -109,7 +109,7 @@
     def _end_unread(self) -> None:
         """End the connections that have no request which was read whole."""
         self.connections.close_idle()
-        self.connections.refuse_incomplete(_UNAVAILABLE, self._now())
+        self.connections.refuse_incomplete(UNAVAILABLE, self._now())
 
     def _log_forced_end(self) -> None:
         self.log.info(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_evacuation.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_evacuation.py
@@ -11,7 +11,7 @@
 from sycamore_core.membership import members
 from sycamore_core.routing import EndpointRecord, RouteKind
 
-from ..callers.refusals import RETRY_AFTER_SECONDS
+from ..callers.statuses import RETRY_AFTER_SECONDS
 from ..context import ForwardingContext
 from ..endpoints.channel import EndpointChannel
 from ..endpoints.reservations import RENEW_SECONDS
