--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
@@ -4,7 +4,7 @@
 import asyncio
 import contextlib
 import socket
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from inspect import CORO_CREATED, getcoroutinestate
 
 import msgspec
@@ -30,11 +30,7 @@
 )
 from .lingering import DroppedRequest, LingeringConnections
 from .request_body import RequestBody
-
-_UNAVAILABLE = 503
-#: Delay after which a caller may retry a request whose exchange did not begin,
-#: in seconds.
-_RETRY_AFTER = '0.40'
+from .statuses import UNAVAILABLE, retry_after_field
 
 
 class CallerRequest(msgspec.Struct, frozen=True):
@@ -219,10 +215,8 @@
         Connections that await a request.
     reading
         Requests whose head has arrived and whose body has not.
-    tasks
-        Exchanges in progress.
     answers
-        Their answers.
+        Exchanges in progress, and their answers.
     lingering
         Connections that have their last answer.
     """
@@ -240,10 +234,14 @@
         self.open: dict[object, HTTP1Connection] = {}
         self.idle: dict[int, HTTP1Connection] = {}
         self.reading: set[RequestReader] = set()
-        self.tasks: set[asyncio.Task[None]] = set()
         self.answers: dict[asyncio.Task[None], CallerAnswer] = {}
         self.lingering = LingeringConnections()
 
+    @property
+    def tasks(self) -> Collection[asyncio.Task[None]]:
+        """Exchanges in progress."""
+        return self.answers.keys()
+
     def start_request(
         self,
         server_conn: object,
@@ -330,16 +328,11 @@
         """Start the exchange of a request that has been read completely."""
         answer = CallerAnswer(connection, self)
         task = asyncio.create_task(self._serve(request, answer))
-        self.tasks.add(task)
         self.answers[task] = answer
-        task.add_done_callback(self._forget)
+        task.add_done_callback(self.answers.pop)
         task.add_done_callback(lambda _: body.release())
         connection.set_close_callback(_DisconnectHandler(task, answer).on_close)
 
-    def _forget(self, task: asyncio.Task[None]) -> None:
-        self.tasks.discard(task)
-        self.answers.pop(task)
-
     async def _serve(
         self,
         request: CallerRequest,
@@ -361,9 +354,9 @@
         An exchange ends its answer whatever happens, so that this request has
         had none.
         """
-        headers = HTTPHeaders({'Retry-After': _RETRY_AFTER})
+        headers = HTTPHeaders({'Retry-After': retry_after_field()})
         with contextlib.suppress(CallerDisconnectedError):
-            await answer.send(_UNAVAILABLE, headers, b'')
+            await answer.send(UNAVAILABLE, headers, b'')
 
 
 class _DisconnectHandler:
@@ -459,7 +452,7 @@
             {
                 'Connection': 'close',
                 'Content-Length': '0',
-                'Retry-After': _RETRY_AFTER,
+                'Retry-After': retry_after_field(),
             },
         )
         start = ResponseStartLine('HTTP/1.1', status, responses[status])
