--- a/packages/sycamore-core/src/sycamore_core/routing/routes.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/routes.py
@@ -1,4 +1,8 @@
-"""Routes, services and workspaces of the operator's configuration."""
+"""Routes, services and workspaces of the operator's configuration.
+
+They are out of sight of the garbage collector, as they refer to nothing that
+could refer to them, and there may be thousands.
+"""
 
 import enum
 
@@ -31,14 +35,14 @@
         return self in {RouteKind.STREAM, RouteKind.RESUMABLE_STREAM}
 
 
-class ServiceShare(msgspec.Struct, frozen=True):
+class ServiceShare(msgspec.Struct, frozen=True, gc=False):
     """Share of the requests of a route that one service receives."""
 
     service: ServiceId
     weight: float
 
 
-class Route(msgspec.Struct, frozen=True, kw_only=True):
+class Route(msgspec.Struct, frozen=True, gc=False, kw_only=True):
     """Requests to one host whose paths share a prefix.
 
     Attributes
@@ -79,7 +83,7 @@
     allowed_regions: frozenset[RegionId] = frozenset()
 
 
-class ServiceRecord(msgspec.Struct, frozen=True, kw_only=True):
+class ServiceRecord(msgspec.Struct, frozen=True, gc=False, kw_only=True):
     """A service and, for a model service, the cost model of its engines.
 
     Attributes
@@ -99,7 +103,7 @@
     cold_per_s: float = 0
 
 
-class WorkspaceRecord(msgspec.Struct, frozen=True):
+class WorkspaceRecord(msgspec.Struct, frozen=True, gc=False):
     """A workspace that sends requests.
 
     Attributes
