Keep a given-up stream until the next attempt has an event

What callers saw: a stream that had begun was cut in the middle although its engine was only paused. The attempt was given up for silence, or for evidence of an end that was not certain, with a retry and a slot in hand; then the next engine refused the connection, crashed as it read the request, or rejected it.

Cause: the connection of the first engine was closed before the next attempt had begun. A retry and a slot say nothing about the connection and the answer of the next engine.

Fix: reading is interrupted instead. It ends once all bytes that have arrived are taken, never in the middle of a write to the caller, and the connection, the head of the answer and the half event that was read are kept (`FallbackStream`). The connection is closed before the first event of another attempt is forwarded, and as the exchange ends in any way. If the begun answer would be cut instead (no retry, or a refusal), the stream goes on where it was (`ResumedAttempt`): it is watched, listens for ends and counts as load as any attempt does, but is no run and no retry, as nothing is sent anew. Beside a fallback no attempt waits for a slot: the first engine may go on meanwhile, and its watch moves the stream once a slot and a retry are free. An attempt that goes on is no longer listed as abandoned, so that it is not blamed for a later crash.

Ids of events need no care: nothing of another run is forwarded as long as there is a fallback.

--- a/packages/sycamore-core/src/sycamore_core/decisions/crashes/abandoned.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/crashes/abandoned.py
@@ -72,6 +72,16 @@
         if len(self._by_endpoint) > _MAX_ENDPOINTS:
             self._by_endpoint.pop(next(iter(self._by_endpoint)))
 
+    def remove(
+        self, content: ContentDigest, endpoint: EndpointLifetime
+    ) -> None:
+        """Remove an attempt, as its request goes on at the endpoint."""
+        attempts = self._by_endpoint.get(endpoint, [])
+        for attempt in attempts:
+            if attempt.content == content:
+                attempts.remove(attempt)
+                return
+
     def has_any(self, endpoint: EndpointLifetime, now: float) -> bool:
         """Return whether an endpoint may still run an abandoned request."""
         attempts = self._by_endpoint.get(endpoint, ())
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -14,19 +14,20 @@
 from ..crashes import CrashWatch
 from ..decision_log import DecisionLog
 from ..endpoints.attempt import Attempt
-from ..endpoints.held_slot import HeldSlot
-from ..endpoints.move_permit import MovePermit
+from ..endpoints.fallback_stream import FallbackStream, KeptFallback
 from ..endpoints.relay import AnswerRelay
-from ..endpoints.silence import SilenceWatch
+from ..endpoints.resumed_attempt import ResumedAttempt
 from ..errors import (
     AttemptError,
     CallerDisconnectedError,
-    EndpointEndedError,
 )
 from ..placement.dispatcher import Placement
 from ..placement.placing import Placer
 from .admission import admit
+from .attempt_watches import AttemptWatches
 from .caller import CallerAnswer, CallerRequest
+from .excluded_endpoints import ExcludedEndpoints
+from .failure_log import FailureLog
 from .outcome import RequestOutcome
 from .refusals import Refusal
 from .retry_control import RetryControl
@@ -46,13 +47,12 @@
         Decides whether a failed attempt is followed by another.
     call
         The admitted request; None if it was not admitted.
-    slot
-        Slot for the next attempt; None before the first attempt.
+    watches
+        Makes the watches of attempts, and holds the slot of the next one.
+    fallback
+        A stream that was given up, until another attempt replaces it.
     excluded
-        Endpoints that must not be used again.
-    failed_at
-        Excluded endpoints that answered with a failure of their own. They are
-        used again if no other endpoint accepts the request.
+        Endpoints at which attempts have failed.
     outcome
         Records how the request ended. Sends the caller a refusal or a failure
         if no endpoint answered.
@@ -75,10 +75,10 @@
         self.attempts = AttemptLog()
         self.retries = RetryControl(context, self.attempts)
         self.crashes = CrashWatch(context)
-        self.excluded: set[EndpointId] = set()
-        self.failed_at: set[EndpointId] = set()
+        self.fallback = KeptFallback(context)
+        self.excluded = ExcludedEndpoints(context)
         self.call: AdmittedRequest | None = None
-        self.slot: HeldSlot | None = None
+        self.watches = AttemptWatches(context, self.attempts, self.excluded)
         self.request_id = context.wire.request_id(request.headers)
         self.outcome = RequestOutcome(
             context, answer, self.attempts, self.request_id
@@ -132,7 +132,12 @@
             await self.outcome.refuse(refusal)
 
     async def _attempt_until_answered(self, call: AdmittedRequest) -> None:
-        relay = AnswerRelay(self.answer, call.route, self._record_first_event)
+        relay = AnswerRelay(
+            self.answer,
+            call.route,
+            self._record_first_event,
+            self.fallback.close,
+        )
         placer = Placer(self.context, call)
         self.retries.record_first_attempt(call)
         if call.service.engine is not None:
@@ -143,44 +148,82 @@
             )
         is_over = False
         while not is_over:
-            await self.crashes.check(call)
-            avoided = self.crashes.endpoints_to_avoid(call)
-            placement = await self._place(placer, relay, avoided)
-            if placement is None:
-                return
-            await self.crashes.claim_trial(call)
-            is_over = await self._attempt_at(placement, call, relay)
+            is_over = await self._attempt_next(placer, relay)
+
+    async def _attempt_next(self, placer: Placer, relay: AnswerRelay) -> bool:
+        """Make the next attempt; return whether the request is over.
+
+        Raises
+        ------
+        Refusal
+            If the request is not sent, and has no fallback.
+        """
+        call = placer.call
+        try:
+            placement = await self._place_checked(placer, relay)
+        except Refusal as refusal:
+            fallback = self.fallback.take(refusal.cause)
+            if fallback is None:
+                raise
+            return await self._resume(fallback, call, relay)
+        if placement is None:
+            return True
+        self.last_endpoint = placement.primary.endpoint
+        DecisionLog(self.context).log_placement(call, placement)
+        self.attempts.begin()
+        attempt = Attempt(
+            self.watches.make(call, placement), self.crashes.check_sending
+        )
+        return await self._run_attempt(attempt, call, relay)
 
-    async def _attempt_at(
+    async def _resume(
         self,
-        placement: Placement,
+        fallback: FallbackStream,
         call: AdmittedRequest,
         relay: AnswerRelay,
     ) -> bool:
-        """Make one attempt; return whether the request is over."""
-        self.last_endpoint = placement.primary.endpoint
-        DecisionLog(self.context).log_placement(call, placement)
-        permit = MovePermit(
-            self.context,
-            call,
-            self._held_slot(call),
-            (self.excluded - self.failed_at) | {self.last_endpoint},
-            may_move=self._may_move(call),
-        )
-        watch = SilenceWatch(self.context, call, placement, permit)
-        attempt = Attempt(watch, self.crashes.check_sending)
-        self.attempts.begin()
-        with permit:
+        """Go on with a stream that was given up; return whether it is over."""
+        self.watches.release_slot()
+        self.last_endpoint = fallback.placement.primary.endpoint
+        watch = self.watches.make(call, fallback.placement)
+        attempt = ResumedAttempt(watch, fallback)
+        self.crashes.record_resumed(attempt)
+        return await self._run_attempt(attempt, call, relay)
+
+    async def _run_attempt(
+        self, attempt: Attempt, call: AdmittedRequest, relay: AnswerRelay
+    ) -> bool:
+        """Run one attempt; return whether the request is over."""
+        with attempt.watch.permit:
             try:
                 with self.crashes.track_attempt(attempt):
                     await attempt.run(relay)
             except AttemptError as error:
+                if attempt.fallback is not None:
+                    self.fallback.keep(attempt.fallback, error.end)
                 return await self._handle_failure(call, attempt, error, relay)
-        self.attempts.record(AttemptEnd.ANSWERED)
+        self._record_end(attempt, AttemptEnd.ANSWERED)
         self.crashes.record_answer(call)
         self.outcome.label = 'answered'
         return True
 
+    async def _place_checked(
+        self, placer: Placer, relay: AnswerRelay
+    ) -> Placement | None:
+        """Return the endpoints for a request that may be sent there.
+
+        Raises
+        ------
+        Refusal
+            If the request may not be sent, or has no endpoint.
+        """
+        await self.crashes.check(placer.call)
+        avoided = self.crashes.endpoints_to_avoid(placer.call)
+        placement = await self._place(placer, relay, avoided)
+        if placement is not None:
+            await self.crashes.claim_trial(placer.call)
+        return placement
+
     async def _place(
         self,
         placer: Placer,
@@ -196,18 +239,19 @@
             can be relayed.
         """
         try:
-            self._release_slot()
+            self.watches.release_slot()
             placement = await placer.place(
-                self.excluded,
-                self.failed_at,
+                self.excluded.endpoints,
+                self.excluded.failed_at,
                 avoided,
                 is_resumption=self.answer.has_begun,
+                may_wait=self.fallback.kept is None,
             )
             if not self.attempts.may_have_run:
                 # Any other request could only be failed.
                 StopAdmission(self.context).check(placer.call, placement)
         except Refusal:
-            if relay.failure is None:
+            if relay.failure is None or self.answer.has_begun:
                 raise
             await self.outcome.relay_failure(relay)
             return None
@@ -221,32 +265,25 @@
         relay: AnswerRelay,
     ) -> bool:
         """Handle a failed attempt; return whether the request is over."""
-        self.attempts.record(error.end)
+        self._record_end(attempt, error.end)
         self.attempts.answer_has_begun = self.answer.has_begun
         await self.crashes.handle_failed_attempt(call, attempt, error)
-        failed_endpoint = self._exclude(attempt, error)
+        failed_endpoint = self.excluded.exclude(attempt, error)
         decision = self.retries.decide(call, error.end, attempt.watch.permit)
-        step = decision.step
-        if isinstance(error, EndpointEndedError):
-            self._log_ended(attempt, error)
-        self.context.log.info(
-            'attempt_failed',
-            request_id=call.request_id,
-            endpoint=attempt.placement.primary.endpoint,
-            at_fault=failed_endpoint,
-            how=error.end,
-            detail=error.detail,
-            sent=self.attempts.sent,
-            may_have_run=self.attempts.may_have_run,
-            events=relay.last_event_id,
-            content=call.content.digest_for_log(error.end),
-            step=step,
-            retry=decision.permission,
-            **decision.budget.log_fields(),
+        FailureLog(self.context, self.attempts).record(
+            attempt,
+            error,
+            decision,
+            failed_endpoint=failed_endpoint,
+            last_event_id=relay.last_event_id,
         )
+        step = decision.step
         if step == NextStep.RETRY:
             self.context.metrics.retries.count(error.end)
             return False
+        fallback = self.fallback.take(error.end)
+        if fallback is not None:
+            return await self._resume(fallback, call, relay)
         if step == NextStep.REFUSE:
             caller_time = call.caller_time(self._now())
             raise Refusal.from_endpoint(caller_time, error.detail)
@@ -256,64 +293,12 @@
         await self.outcome.fail()
         return True
 
-    def _held_slot(self, call: AdmittedRequest) -> HeldSlot:
-        if self.slot is None:
-            self.slot = HeldSlot(self.context, call)
-        return self.slot
-
-    def _release_slot(self) -> None:
-        if self.slot is not None:
-            self.slot.release()
-
-    def _exclude(self, attempt: Attempt, error: AttemptError) -> EndpointId:
-        """Exclude the endpoint of a failed attempt; return it.
-
-        If the error names another endpoint, that one is excluded instead.
-        """
-        if isinstance(error, EndpointEndedError):
-            return self._exclude_ended(error)
-        dispatcher = self.context.dispatcher
-        failed_endpoint = attempt.placement.primary.endpoint
-        if error.faulty_address:
-            other = dispatcher.endpoint_at(error.faulty_address)
-            failed_endpoint = other or failed_endpoint
-        self.excluded.add(failed_endpoint)
-        if error.end == AttemptEnd.FAILED:
-            self.failed_at.add(failed_endpoint)
-        is_named = bool(error.faulty_address) and error.end.was_sent
-        if is_named or attempt.shows_fault(error):
-            dispatcher.record_failure(failed_endpoint)
-        return failed_endpoint
-
-    def _exclude_ended(self, error: EndpointEndedError) -> EndpointId:
-        """Exclude an endpoint whose lifetime ended; return it.
-
-        Its next start, or the endpoint that has its address now, has not
-        failed. Silence may have another cause than the end, so that peers are
-        told of a failure.
-        """
-        endpoint = error.cause.lifetime.endpoint
-        self.excluded.add(endpoint)
-        if error.cause.evidence.is_silence:
-            self.context.dispatcher.record_failure(endpoint)
-        return endpoint
-
-    def _log_ended(self, attempt: Attempt, error: EndpointEndedError) -> None:
-        lifetime = error.cause.lifetime
-        self.context.log.info(
-            'attempt_ended_with_endpoint',
-            request_id=self.request_id,
-            endpoint=lifetime.endpoint,
-            started_ms=lifetime.started_ms,
-            evidence=error.cause.evidence,
-            is_primary=lifetime == attempt.placement.primary.lifetime,
-            was_sent=error.end.was_sent,
-        )
-
-    def _may_move(self, call: AdmittedRequest) -> bool:
-        is_idempotent = call.route.kind.is_idempotent
-        possible_runs = self.attempts.may_have_run + 1
-        return is_idempotent and possible_runs < call.route.max_attempts
+    def _record_end(self, attempt: Attempt, end: AttemptEnd) -> None:
+        """Record how an attempt ended; a resumed one was counted before."""
+        if attempt.is_resumed:
+            self.attempts.last_end = end
+        else:
+            self.attempts.record(end)
 
     def _record_first_event(self) -> None:
         elapsed = self._now() - self.request.arrived_at
@@ -331,8 +316,9 @@
             # After any fault, the caller must not take a truncated answer for
             # a complete one, nor wait for the remainder.
             self.answer.abort()
+        self.fallback.close()
         self.crashes.granted.finish()
-        self._release_slot()
+        self.watches.release_slot()
         self.outcome.report_unanswered()
         outcomes = self.context.metrics.outcomes
         outcomes.requests.add(self.outcome.label)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/crashes.py
@@ -98,12 +98,20 @@
     def track_attempt(self, attempt: Attempt) -> Iterator[None]:
         """Record where the request runs, and whether it may go on there."""
         try:
-            with self._track_place(attempt):
+            with self.context.suspects.track_place(
+                attempt.call.content, attempt.placement.primary.endpoint
+            ):
                 yield
         except BaseException as error:
             self._record_abandoned(attempt, error)
             raise
 
+    def record_resumed(self, attempt: Attempt) -> None:
+        """Record that a request goes on where it had been given up."""
+        self.quarantine.abandoned.remove(
+            attempt.call.content.digest, attempt.placement.primary.lifetime
+        )
+
     def record_output(self, call: AdmittedRequest) -> None:
         """Record that the request has had output."""
         if self._has_known_content(call):
@@ -158,21 +166,6 @@
         if seconds:
             await asyncio.sleep(seconds)
 
-    @contextlib.contextmanager
-    def _track_place(self, attempt: Attempt) -> Iterator[None]:
-        """Record that an endpoint runs a possible suspect in an attempt."""
-        if not self._has_known_content(attempt.call):
-            yield
-            return
-        places = self.context.suspects.places
-        content = attempt.call.content.digest
-        endpoint = attempt.placement.primary.endpoint
-        places.begin(content, endpoint)
-        try:
-            yield
-        finally:
-            places.end(content, endpoint)
-
     def _record_abandoned(self, attempt: Attempt, error: BaseException) -> None:
         """Record that an endpoint may still run a request that was given up."""
         how = _how_abandoned(error)
@@ -226,7 +219,7 @@
 
     def _has_known_content(self, call: AdmittedRequest) -> bool:
         """Return whether the quarantine may have a record of the content."""
-        return self.quarantine.book.may_contain(call.content.partial_digest)
+        return self.context.suspects.is_known(call.content)
 
     def _now(self) -> float:
         return self.context.clock.monotonic()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
@@ -13,25 +13,19 @@
 from ..calls import AdmittedRequest
 from ..errors import AttemptError
 from ..placement.read_requests import make_read_request
-from ..wire import AnswerHead, Helper, OutgoingTerms
+from ..wire import AnswerHead, Helper
 from .answer_observer import AnswerObserver
 from .beginning import Beginning
 from .channel import EndpointChannel
 from .end_scope import EndScope
+from .fallback_stream import FallbackStream
 from .interval_meter import IntervalMeter
+from .outgoing_request import OutgoingRequest
 from .relay import AnswerRelay
+from .relayed_stream import RelayedStream
 from .reservations import Reservations, check_helpers
 from .silence import SilenceWatch
 
-#: Lowest priority in the queue of an endpoint.
-_LOWEST_PRIORITY = 9
-#: Priority of an ordinary short request, which is read before longer prompts.
-_SHORT_REQUEST_PRIORITY = 3
-_LONG_REQUEST_PRIORITY = 5
-#: Shortest remaining time that is sent to an endpoint, in seconds. It is the
-#: smallest unit of the wire format.
-_MIN_SECONDS_LEFT = 0.001
-
 
 class Attempt:
     """One request at one endpoint and its helpers.
@@ -43,8 +37,18 @@
         the request and its placement.
     check_sending
         Raises an `AttemptError` if the request may not be sent any more.
+
+    Attributes
+    ----------
+    stream
+        The stream that is relayed; None for other answers, and before.
+    fallback
+        The stream of an attempt that was given up, if it may go on.
     """
 
+    #: Whether the request was sent, and counted, by an earlier attempt.
+    is_resumed = False
+
     def __init__(
         self,
         watch: SilenceWatch,
@@ -59,6 +63,9 @@
         self.beginning = Beginning(watch)
         self.intervals = IntervalMeter(watch)
         self.check_sending = check_sending
+        self.stream: RelayedStream | None = None
+        self.fallback: FallbackStream | None = None
+        self.reservations: Reservations | None = None
         self._connect_seconds: float = 0
         self.usage = self.context.shares.meter_attempt(
             self.call,
@@ -73,26 +80,13 @@
         AttemptError
             If the caller has not received a complete answer.
         """
-        dispatcher = self.context.dispatcher
-        self.watch.answer = relay.answer
-        self.intervals.relay = relay
         started_at = self._now()
         timing = self.watch.hold.plain.measure(self.placement)
-        dispatcher.record_request(self.placement)
-        dispatcher.begin(self.call.request_id, self._assignments())
-        try:
-            with (
-                self.usage.metered(),
-                self.context.running.track(self.placement.zones),
-            ):
-                async with self.scope.run(self.context, self.placement):
-                    await self._run_reserved(relay)
-        finally:
-            dispatcher.end(self.call.request_id, self.placement)
-        dispatcher.failures.record_answer(self.placement.primary.endpoint)
-        self.beginning.record()
+        self.context.dispatcher.record_request(self.placement)
+        await self._run_counted(relay)
         if self.watch.is_short:
-            dispatcher.record_short_request(self._now() - started_at)
+            elapsed = self._now() - started_at
+            self.context.dispatcher.record_short_request(elapsed)
         if timing is not None:
             timing.end(self._now())
 
@@ -106,16 +100,40 @@
             return not self.watch.is_endpoint_alive
         return error.end in {AttemptEnd.BROKEN, AttemptEnd.NOT_SENT}
 
+    async def _run_counted(self, relay: AnswerRelay) -> None:
+        """Run the attempt while its endpoints count it."""
+        dispatcher = self.context.dispatcher
+        self.watch.answer = relay.answer
+        self.intervals.relay = relay
+        dispatcher.begin(self.call.request_id, self._assignments())
+        try:
+            with (
+                self.usage.metered(is_resumed=self.is_resumed),
+                self.context.running.track(self.placement.zones),
+            ):
+                async with self.scope.run(self.context, self.placement):
+                    await self._run_reserved(relay)
+        finally:
+            dispatcher.end(self.call.request_id, self.placement)
+        dispatcher.failures.record_answer(self.placement.primary.endpoint)
+        self.beginning.record()
+
     async def _run_reserved(self, relay: AnswerRelay) -> None:
         if not self.placement.plan.helper_tokens:
             await self._run_on_channel(relay, ())
             return
         reservations = Reservations(self.context, self.placement)
+        self.reservations = reservations
         try:
             await reservations.acquire()
             await self._run_on_channel(relay, reservations.granted)
         finally:
-            reservations.release()
+            self._release_reservations()
+
+    def _release_reservations(self) -> None:
+        """Release the memory at the helpers, unless the stream may go on."""
+        if self.reservations is not None and self.fallback is None:
+            self.reservations.release()
 
     async def _run_on_channel(
         self,
@@ -144,10 +162,23 @@
             self._check_still_accepts(self._connect_seconds)
             self._send(channel, relay, reserved)
             await self._relay(channel, relay)
+        except AttemptError:
+            self._keep_or_close(channel)
+            raise
         except BaseException:
             channel.close()
             raise
 
+    def _keep_or_close(self, channel: EndpointChannel) -> None:
+        """Keep a stream that was given up, in case it can not be resumed."""
+        stream = self.stream
+        if stream is not None and stream.may_go_on:
+            self.fallback = FallbackStream(
+                self.watch, stream, self.reservations
+            )
+        else:
+            channel.close()
+
     def _check_still_accepts(self, connect_seconds: float) -> None:
         """Raise if the request, an endpoint or a helper may not be used now.
 
@@ -173,27 +204,15 @@
         relay: AnswerRelay,
         reserved: tuple[Helper, ...],
     ) -> None:
-        call = self.call
-        headers = self.context.wire.request_headers(
-            call.request.headers,
-            OutgoingTerms(
-                endpoint=self.placement.primary.endpoint,
-                seconds_left=max(
-                    _MIN_SECONDS_LEFT,
-                    self.call.deadline - self._now(),
-                ),
-                workspace=call.workspace,
-                priority=self._priority(),
-                helpers=self._helpers(reserved),
-                after_event=relay.after_event,
-            ),
-        )
-        body = call.request.body
-        if body or call.request.start.method in {'POST', 'PUT', 'PATCH'}:
-            headers['Content-Length'] = str(len(body))
         self.watch.last_event_at = self._now()
         self.scope.channel = channel
-        channel.send(call.request.start, headers, body, call.request_id)
+        request = OutgoingRequest(
+            self.context,
+            self.call,
+            self.placement,
+            is_short=self.watch.is_short,
+        )
+        request.send(channel, relay.after_event, reserved)
 
     async def _relay(
         self,
@@ -232,7 +251,7 @@
             head,
             self.call.request_id,
         )
-        self._check_ran(head)
+        _check_ran(head)
         if not self.call.route.kind.is_stream:
             self.watch.heard_at = self._now()
         if self.call.route.kind.is_stream and head.is_success:
@@ -241,18 +260,11 @@
                     AttemptEnd.BROKEN,
                     'the answer is not signed',
                 )
-            await relay.relay_stream(head, channel, self._on_event)
+            self.stream = RelayedStream(head, channel)
+            await relay.relay_stream(self.stream, self._on_event)
         else:
             await relay.relay_whole(head, channel, self._begin_forwarding)
 
-    def _check_ran(self, head: AnswerHead) -> None:
-        if head.has_not_run or head.is_other_instance:
-            raise AttemptError(
-                AttemptEnd.NOT_RUN,
-                f'status {head.status}',
-                head.faulty_address,
-            )
-
     def _begin_forwarding(self) -> None:
         """Let an incomplete answer go on, as no other attempt can replace it.
 
@@ -277,20 +289,6 @@
             self.usage.record_first_event()
         self.beginning.record_event()
 
-    def _helpers(self, reserved: tuple[Helper, ...]) -> tuple[Helper, ...]:
-        by_address = {helper.address: helper for helper in reserved}
-        return tuple(
-            by_address.get(record.address, Helper(record.address))
-            for record in self.placement.helpers
-        )
-
-    def _priority(self) -> int:
-        if self.call.service.engine is None:
-            return min(_LOWEST_PRIORITY, self.call.route.priority)
-        if self.watch.is_short:
-            return _SHORT_REQUEST_PRIORITY
-        return _LONG_REQUEST_PRIORITY
-
     def _assignments(self) -> dict[EndpointId, Assignment]:
         request = make_read_request(self.call, self._now())
         plan = self.placement.plan
@@ -298,3 +296,12 @@
 
     def _now(self) -> float:
         return self.context.clock.monotonic()
+
+
+def _check_ran(head: AnswerHead) -> None:
+    if head.has_not_run or head.is_other_instance:
+        raise AttemptError(
+            AttemptEnd.NOT_RUN,
+            f'status {head.status}',
+            head.faulty_address,
+        )
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
@@ -101,6 +101,11 @@
     ----------
     held
         Bytes that the process holds.
+
+    Attributes
+    ----------
+    is_interrupted
+        Whether the buffered bytes are the last that are taken for now.
     """
 
     def __init__(self, held: HeldBytes) -> None:
@@ -109,6 +114,7 @@
         self.headers: HTTPHeaders | None = None
         self.is_complete = False
         self.is_over = False
+        self.is_interrupted = False
         self._chunks: list[bytes] = []
         self._waiting_bytes = 0
         self._held_bytes = 0
@@ -151,8 +157,25 @@
         self.is_over = True
         self._arrived.set()
 
+    def interrupt(self) -> None:
+        """Let nothing wait for more bytes until the answer goes on."""
+        self.is_interrupted = True
+        self._arrived.set()
+
+    def go_on(self) -> None:
+        """End an interruption."""
+        self.is_interrupted = False
+
     async def wait(self) -> None:
-        """Wait until something has arrived since the last call."""
+        """Wait until something has arrived since the last call.
+
+        Raises
+        ------
+        AttemptError
+            If the answer is interrupted.
+        """
+        if self.is_interrupted:
+            raise AttemptError(AttemptEnd.SILENT, 'the attempt was given up')
         await self._arrived.wait()
         self._arrived.clear()
 
@@ -273,7 +296,7 @@
         Raises
         ------
         AttemptError
-            If the connection ends before the headers.
+            If the connection ends, or is interrupted, before the headers.
         """
         while self.head is None:
             start = self.reader.start
@@ -294,7 +317,8 @@
         Raises
         ------
         AttemptError
-            If the connection ends before the body is complete.
+            If the connection ends, or is interrupted, before the body is
+            complete. All that had arrived was returned by then.
         """
         while True:
             chunk = self.reader.pop_body()
@@ -305,6 +329,18 @@
                 return b''
             await self.reader.wait()
 
+    def interrupt(self) -> None:
+        """Let reading end once the bytes that have arrived are taken.
+
+        The connection stays open. The answer goes on once the reader does.
+        """
+        self.reader.interrupt()
+
+    @property
+    def is_interrupted(self) -> bool:
+        """Whether the answer was interrupted and may go on."""
+        return self.reader.is_interrupted and not self.reader.is_over
+
     @property
     def content_length(self) -> str | None:
         """Return the length of the answer, if its head has it."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
@@ -69,7 +69,11 @@
         if is_unsure and not self._may_give_up(end):
             return
         self.cause = end
-        self._timeout.reschedule(asyncio.get_running_loop().time())
+        if is_unsure and self.channel is not None:
+            # The answer may go on if no other attempt replaces it.
+            self.channel.interrupt()
+        else:
+            self._timeout.reschedule(asyncio.get_running_loop().time())
 
     @contextlib.asynccontextmanager
     async def run(
@@ -132,7 +136,7 @@
         may be after the request was sent.
         """
         if self.cause is not None:
-            raise EndpointEndedError(AttemptEnd.NOT_SENT, self.cause)
+            raise EndpointEndedError(self.attempt_end, self.cause)
 
     def _is_interruption(self, error: AttemptError | TimeoutError) -> bool:
         """Return whether an attempt failed because the lifetime ended.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/relay.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/relay.py
@@ -10,8 +10,9 @@
 from ..errors import AttemptError
 from ..wire import AnswerHead
 from .channel import EndpointChannel
-from .events import EventSplitter, StreamEvent
+from .events import StreamEvent
 from .held_body import HeldBody
+from .relayed_stream import RelayedStream
 
 _NO_EVENT = -1
 #: Statuses from which callers conclude that a request has not run.
@@ -21,6 +22,13 @@
 class AnswerRelay:
     """Relays the answer to one request, across all attempts.
 
+    Parameters
+    ----------
+    on_first_bytes
+        Called before the first bytes of an answer are forwarded.
+    on_events
+        Called before events are forwarded, and before a stream is completed.
+
     Attributes
     ----------
     last_event_id
@@ -36,10 +44,12 @@
         answer: CallerAnswer,
         route: Route,
         on_first_bytes: Callable[[], None],
+        on_events: Callable[[], None],
     ) -> None:
         self.answer = answer
         self.route = route
         self.on_first_bytes = on_first_bytes
+        self.on_events = on_events
         self.last_event_id = _NO_EVENT
         self.forward_seconds: float = 0
         self.failure: tuple[AnswerHead, bytes] | None = None
@@ -80,8 +90,7 @@
 
     async def relay_stream(
         self,
-        head: AnswerHead,
-        channel: EndpointChannel,
+        stream: RelayedStream,
         on_event: Callable[[], None],
     ) -> None:
         """Forward events as they arrive, until the stream ends.
@@ -89,21 +98,23 @@
         Raises
         ------
         AttemptError
-            If the stream breaks. Complete events have been forwarded by then.
+            If the stream breaks or is interrupted. Complete events have been
+            forwarded by then.
         """
-        splitter = EventSplitter()
-        chunk = await channel.read_chunk()
+        chunk = await stream.channel.read_chunk()
         while chunk:
             on_event()
             events = [
-                event for event in splitter.feed(chunk) if self._is_new(event)
+                event
+                for event in stream.splitter.feed(chunk)
+                if self._is_new(event)
             ]
             began = time.monotonic()
             if events:
-                await self._forward(head, events)
+                await self._forward(stream, events)
             self.forward_seconds = time.monotonic() - began
-            chunk = await channel.read_chunk()
-        await self._finish(head, splitter.remainder)
+            chunk = await stream.channel.read_chunk()
+        await self._finish(stream)
 
     async def relay_failure(self) -> None:
         """Forward the last answer that reports a failure."""
@@ -151,19 +162,22 @@
 
     async def _forward(
         self,
-        head: AnswerHead,
+        stream: RelayedStream,
         events: list[StreamEvent],
     ) -> None:
+        self.on_events()
+        stream.has_forwarded = True
         payload = b''.join(event.payload for event in events)
         self.last_event_id = max(self.last_event_id, events[-1].number)
         if self.answer.has_begun:
             await self.answer.write(payload)
             return
         self.on_first_bytes()
+        head = stream.head
         await self.answer.begin(head.status, head.headers, payload)
 
-    async def _finish(self, head: AnswerHead, remainder: bytes) -> None:
-        if remainder.strip():
+    async def _finish(self, stream: RelayedStream) -> None:
+        if stream.splitter.remainder.strip():
             raise AttemptError(
                 AttemptEnd.BROKEN,
                 'the stream ends within an event',
@@ -174,5 +188,6 @@
                     AttemptEnd.BROKEN,
                     'the stream has no event',
                 )
-            await self.answer.begin(head.status, head.headers)
+            await self.answer.begin(stream.head.status, stream.head.headers)
+        self.on_events()
         await self.answer.finish()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
@@ -135,7 +135,7 @@
         return is_first
 
     async def run(self, channel: EndpointChannel) -> None:
-        """Close the channel once it has been silent for too long.
+        """Interrupt the answer once it has been silent for too long.
 
         Without this, the caller of an endpoint that hangs, or whose connection
         is broken, waits until its deadline although another endpoint could
@@ -158,7 +158,7 @@
             late_seconds=self._now() - due,
             has_event=self.has_event,
         )
-        channel.close()
+        channel.interrupt()
 
     async def _gives_up(
         self,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/outcome_metrics.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/outcome_metrics.py
@@ -17,15 +17,20 @@
     silent_attempts
         Counts of attempts that were given up because their endpoint was
         silent, by the state of their socket.
+    resumed_fallbacks
+        Counts of streams that went on after they had been given up, by the
+        reason why no other attempt replaced them.
     """
 
     def __init__(self) -> None:
         self.requests = Tally('end')
         self.unanswered = Tally('reason')
         self.silent_attempts = Tally('socket')
+        self.resumed_fallbacks = Tally('reason')
 
     def export(self, metrics: Metrics) -> None:
         """Add these metrics to the page."""
         metrics.export_tally('forwarded_requests', self.requests)
         metrics.export_tally('unanswered_requests', self.unanswered)
         metrics.export_tally('silent_attempts', self.silent_attempts)
+        metrics.export_tally('resumed_fallbacks', self.resumed_fallbacks)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
@@ -45,6 +45,7 @@
         avoided: Set[EndpointId],
         *,
         is_resumption: bool,
+        may_wait: bool = True,
     ) -> Placement:
         """Return the endpoints for the next attempt.
 
@@ -61,6 +62,8 @@
             Endpoints that are used only if no other endpoint is free.
         is_resumption
             Whether the caller has received a part of the answer.
+        may_wait
+            Whether a resumption waits for a free slot.
 
         Raises
         ------
@@ -72,7 +75,9 @@
             unusable = excluded - failed_at
         if not excluded:
             await self._wait_for_reports()
-        slot_wait = self._slot_wait(is_resumption=is_resumption)
+        slot_wait = self._slot_wait(
+            is_resumption=is_resumption, may_wait=may_wait
+        )
         waiting_since = self._now() if is_resumption else None
         unplaced = UnplacedRequest(
             call=self.call,
@@ -94,8 +99,10 @@
                 self.plain.check(placement)
         return placement
 
-    def _slot_wait(self, *, is_resumption: bool) -> SlotWait:
+    def _slot_wait(self, *, is_resumption: bool, may_wait: bool) -> SlotWait:
         slot_waits = self.context.slot_waits
+        if not may_wait:
+            return slot_waits.immediate
         if is_resumption:
             return slot_waits.resumption
         return slot_waits.for_service(self.call.service)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/slot_wait.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/slot_wait.py
@@ -68,6 +68,17 @@
         """
 
 
+class ImmediateSlotWait(SlotWait):
+    """Places requests that have no reason to wait for a slot."""
+
+    async def place(self, request: UnplacedRequest) -> Placement:
+        """Return endpoints that have a free slot now."""
+        placement = request.place()
+        if placement is None:
+            raise request.build_refusal()
+        return placement
+
+
 class PolledSlotWait(SlotWait):
     """Checks at intervals whether a slot has become free.
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/slot_waits.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/slot_waits.py
@@ -10,7 +10,12 @@
 from .free_slots import FreeSlots
 from .queue_log import QueueLog
 from .queued_wait import QueuedSlotWait
-from .slot_wait import PolledSlotWait, ResumptionSlotWait, SlotWait
+from .slot_wait import (
+    ImmediateSlotWait,
+    PolledSlotWait,
+    ResumptionSlotWait,
+    SlotWait,
+)
 from .wait_policy import WaitPolicy
 from .waiting_report import WaitingPeerReport
 
@@ -26,6 +31,8 @@
         Requests that wait at peers.
     resumption
         How streams that have begun wait for an endpoint that resumes them.
+    immediate
+        How streams are placed that can go on where they are.
     policy
         Decides how long and in which order requests wait.
     report
@@ -43,6 +50,7 @@
         self.log = log
         self.polled = PolledSlotWait(dispatcher.clock)
         self.resumption = ResumptionSlotWait(dispatcher.clock)
+        self.immediate = ImmediateSlotWait()
         self.queued: dict[ServiceId, QueuedSlotWait] = {}
         self.claims = PeerClaims()
         self.policy = WaitPolicy()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/shares.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/shares.py
@@ -233,16 +233,22 @@
         self._running: RunningWork | None = None
 
     @contextlib.contextmanager
-    def metered(self) -> Iterator[None]:
-        """Meter the attempt while the block runs."""
-        self.begin()
+    def metered(self, *, is_resumed: bool = False) -> Iterator[None]:
+        """Meter the attempt while the block runs.
+
+        Parameters
+        ----------
+        is_resumed
+            Whether its prompt was read and charged before.
+        """
+        self.begin(is_resumed=is_resumed)
         try:
             yield
         finally:
             self.end()
 
-    def begin(self) -> None:
-        """Record that the attempt begins."""
+    def begin(self, *, is_resumed: bool = False) -> None:
+        """Record that the attempt begins or is resumed."""
         if self.costs is None:
             return
         now = self.shares.clock.monotonic()
@@ -250,6 +256,8 @@
         work = AttemptWork.from_request(
             request, self.costs, self.plan.expected_ms
         )
+        if is_resumed:
+            work = msgspec.structs.replace(work, read_ms=0)
         workspace = self.call.workspace or _PUBLIC
         self._running = self.shares.fleet.begin(workspace, work, now)
 
