Write what was read before an ended attempt is left

What callers saw: half an event, directly followed by the next event of another engine, in a stream that ended as complete. It takes a caller that reads slowly, events whose pieces are written one after the other (over 64 KB in all), and an engine whose lifetime ends for certain meanwhile, such as a newer start.

Cause: the attempt was cancelled wherever it waited, also within a write to the caller. The id of the last event had been recorded by then, so that the next engine went on after an event of which only a part was written.

Fix: once the request was sent, the end of a lifetime closes the connection of its engine, or interrupts the reading if the end is not certain. The attempt ends as it asks for more bytes; all that was read is written before. A caller that does not read delays that, but nothing else could be written to it, and it is disconnected after the usual time.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
@@ -69,11 +69,7 @@
         if is_unsure and not self._may_give_up(end):
             return
         self.cause = end
-        if is_unsure and self.channel is not None:
-            # The answer may go on if no other attempt replaces it.
-            self.channel.interrupt()
-        else:
-            self._timeout.reschedule(asyncio.get_running_loop().time())
+        self._interrupt(is_unsure=is_unsure)
 
     @contextlib.asynccontextmanager
     async def run(
@@ -86,7 +82,7 @@
         Raises
         ------
         EndpointEndedError
-            If the end of a lifetime interrupted the block, wherever it waited.
+            If the end of a lifetime interrupted the block.
         """
         records = (placement.primary, *placement.helpers)
         lifetimes = {record.lifetime for record in records}
@@ -129,6 +125,24 @@
             needs_slot=self.watch.has_event,
         )
 
+    def _interrupt(self, *, is_unsure: bool) -> None:
+        """End the attempt where it waits for its endpoint.
+
+        What was read is written first. Otherwise, the caller would receive
+        half an event, followed by those of the next endpoint.
+
+        Parameters
+        ----------
+        is_unsure
+            Whether the answer may go on if no other attempt replaces it.
+        """
+        if self.channel is None:
+            self._timeout.reschedule(asyncio.get_running_loop().time())
+        elif is_unsure:
+            self.channel.interrupt()
+        else:
+            self.channel.close()
+
     def _check_not_ended(self) -> None:
         """Raise if a lifetime had ended before the attempt began.
 
