Reserve no time of return for a stream that stays

The refusal of a stream that has a fallback is not sent: the stream goes on where it was. It took a time of the schedule all the same, by which callers of ranked services are told when to come back, so that the next caller that is really refused was told a later time.

A refusal now takes a time only if the request may wait, that is if it has no fallback. The test of the fallback beside full engines asks for that; it fails without the change.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
@@ -63,7 +63,8 @@
         is_resumption
             Whether the caller has received a part of the answer.
         may_wait
-            Whether a resumption waits for a free slot.
+            Whether the request waits for a free slot. Otherwise it goes on
+            elsewhere, so that its caller does not return.
 
         Raises
         ------
@@ -91,7 +92,8 @@
             try:
                 placement = await slot_wait.place(unplaced)
             except Refusal as refusal:
-                self.rejection.schedule_return(refusal, unusable)
+                if may_wait:
+                    self.rejection.schedule_return(refusal, unusable)
                 raise
             self.rejection.check_interference(placement, unusable)
             if not is_resumption:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_fallback_stream.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_fallback_stream.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ..fleet.feed import EndpointChanged
+from ..placement.rejection import RejectionPolicy
 from .builders import (
     LAST_CHUNK,
     MODEL,
@@ -132,8 +133,19 @@
         assert is_rest_whole(await read_rest(reader))
 
 
-async def test_stream_does_not_wait_for_a_slot_beside_its_fallback() -> None:
-    """Guards against a stream that waits although its first engine goes on."""
+async def test_stream_does_not_wait_for_a_slot_beside_its_fallback(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a stream that waits although its first engine goes on.
+
+    No time is reserved for the return of its caller, who stays.
+    """
+    returns: list[object] = []
+
+    def schedule(*arguments: object) -> None:
+        returns.append(arguments)
+
+    monkeypatch.setattr(RejectionPolicy, 'schedule_return', schedule)
     fleet = engine_pair(GO_ON, never_reply)
     full = StartedEndpoint('e3', never_reply)
     async with begun_stream(*fleet, full) as (entry, reader):
@@ -143,6 +155,7 @@
             assert is_rest_whole(await read_rest(reader))
         empty(entry, 'e3', requests)
     assert not full.requests
+    assert not returns
 
 
 async def test_resumed_fallback_moves_once_a_slot_is_free() -> None:
