--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/placing.py
@@ -45,6 +45,7 @@
         avoided: Set[EndpointId],
         *,
         is_resumption: bool,
+        may_wait: bool = True,
     ) -> Placement:
         """Return the endpoints for the next attempt.
 
@@ -61,6 +62,9 @@
             Endpoints that are used only if no other endpoint is free.
         is_resumption
             Whether the caller has received a part of the answer.
+        may_wait
+            Whether the request waits for a free slot. Otherwise it goes on
+            elsewhere, so that its caller does not return.
 
         Raises
         ------
@@ -74,7 +78,9 @@
             unusable = excluded - failed_at
         if not excluded:
             await self._wait_for_reports()
-        slot_wait = self._slot_wait(is_resumption=is_resumption)
+        slot_wait = self._slot_wait(
+            is_resumption=is_resumption, may_wait=may_wait
+        )
         waiting_since = self._now() if is_resumption else None
         unplaced = UnplacedRequest(
             call=self.call,
@@ -88,7 +94,8 @@
             try:
                 placement = await slot_wait.place(unplaced)
             except Refusal as refusal:
-                self.rejection.schedule_return(refusal, unusable)
+                if may_wait:
+                    self.rejection.schedule_return(refusal, unusable)
                 raise
             self.rejection.check_interference(placement, unusable)
             if not is_resumption:
@@ -101,8 +108,10 @@
         if self.call.is_late(self._now()):
             raise Refusal(RefusalCause.TIME_LIMIT)
 
-    def _slot_wait(self, *, is_resumption: bool) -> SlotWait:
+    def _slot_wait(self, *, is_resumption: bool, may_wait: bool) -> SlotWait:
         slot_waits = self.context.slot_waits
+        if not may_wait:
+            return slot_waits.immediate
         if is_resumption:
             return slot_waits.resumption
         return slot_waits.for_service(self.call.service)
