Keep late connections within the delay that the retry budget allows for

A connection whose time limit passed while the event loop stood still got as much time again: 1 s in place of 0.5. With 0.5 s for a place and 2.9 s until the system gives up what is unacknowledged, a retry could arrive 4.4 s after its decision; the proof of the budget has 4 s.

The lateness is granted for 0.1 s at most, which makes 4.0 s in all.

Tried first: a delay of 0.44 of a window in the proof.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget_replay.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_retry_budget_replay.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ..retry_budget import RetryBudgetLimit
+from ..retry_budget import MAX_DELAY_FRACTION, RetryBudgetLimit
 from .builders_budgets import LIMIT, FailingLoad, ReservingBudget, replay
 
 #: Failed attempts that the budget may end where few attempts fail.
@@ -40,6 +40,29 @@
     assert result.largest_excess(LIMIT) <= 0
 
 
+@pytest.mark.parametrize('slack', [5, 20, 102])
+def test_retries_of_the_longest_delay_stay_within_the_limit(
+    slack: float,
+) -> None:
+    """Guards against a delay for which the budget has no room.
+
+    All requests of a busy service fail from the moment on from which all
+    retries are held back, so that what was saved until then is used as well.
+    """
+    limit = RetryBudgetLimit(slack=slack)
+    held_from = 18 - limit.window * MAX_DELAY_FRACTION
+    load = FailingLoad(
+        requests_per_s=200,
+        failing=1,
+        fails_from=held_from,
+        fails_to=28.2,
+        seconds=30,
+        arrives_at=lambda at: 18 if held_from <= at < 18 else at,
+        limit=limit,
+    )
+    assert replay(load).largest_excess(limit) <= 0
+
+
 def knows_a_third_at_first(
     entry: int, process_seconds: float, entries: int
 ) -> int:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
@@ -36,6 +36,10 @@
 #: Timeout of a connection attempt, in seconds. Endpoints accept within a few
 #: milliseconds; an endpoint that does not is gone or unreachable.
 CONNECT_SECONDS = 0.5
+#: Longest time that is added to it if the event loop was late, in seconds. The
+#: system has made the connection meanwhile. A longer time would delay retries
+#: by more than their budget allows for.
+LATE_CONNECT_SECONDS = 0.1
 #: Bytes of an answer that are buffered for a slow caller before reading stops.
 #: The next piece is added to them. As many bytes are being written meanwhile.
 _BUFFER_BYTES = CONNECTION_BYTES // 2 - PIECE_BYTES
@@ -45,7 +49,7 @@
 #: Without it, a broken network would keep the connection for many minutes. The
 #: probes of an idle connection count as well: the second one is due after 2 s,
 #: and the third, 3 s after the last acknowledgement, ends the connection.
-_UNACKNOWLEDGED_TIMEOUT_MS = 2900
+UNACKNOWLEDGED_TIMEOUT_MS = 2900
 #: Idle time until the first probe of a connection, interval of the probes, in
 #: seconds, and number of unanswered probes that end the connection. Together
 #: they detect within 3 s that an instance is gone.
@@ -54,7 +58,7 @@
 _PROBES = 2
 _TCP_OPTIONS = (
     (socket.TCP_NODELAY, 1),
-    (socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_TIMEOUT_MS),
+    (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
     (socket.TCP_KEEPIDLE, _PROBE_IDLE_SECONDS),
     (socket.TCP_KEEPINTVL, _PROBE_INTERVAL_SECONDS),
     (socket.TCP_KEEPCNT, _PROBES),
@@ -234,7 +238,11 @@
         """
         stream = EndpointStream(_new_socket())
         try:
-            await wait_within(stream.connect((host, port)), CONNECT_SECONDS)
+            await wait_within(
+                stream.connect((host, port)),
+                CONNECT_SECONDS,
+                LATE_CONNECT_SECONDS,
+            )
         except (StreamClosedError, TimeoutError, OSError) as error:
             stream.close()
             raise AttemptError(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/time_limit.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/time_limit.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import AsyncIterator, Coroutine
 from typing import Any, TypeVar
 
@@ -22,23 +23,33 @@
 async def wait_within(
     future: asyncio.Future[_Result],
     seconds: float,
+    longest_grant: float = math.inf,
 ) -> _Result:
     """Return the result of a future; it is not cancelled.
 
     The time by which the timer was late is granted once more, up to the time
     limit: the event loop did not look at the answer meanwhile.
 
+    Parameters
+    ----------
+    longest_grant
+        Longest time that is granted, in seconds.
+
     Raises
     ------
     TimeoutError
         If there is no result in time.
     """
-    if not await is_done_within(future, seconds):
+    if not await is_done_within(future, seconds, longest_grant):
         raise TimeoutError
     return future.result()
 
 
-async def is_done_within(future: asyncio.Future[Any], seconds: float) -> bool:
+async def is_done_within(
+    future: asyncio.Future[Any],
+    seconds: float,
+    longest_grant: float = math.inf,
+) -> bool:
     """Return whether a future has a result or an error in time.
 
     Lateness is granted as by `wait_within`.
@@ -48,7 +59,8 @@
     await asyncio.wait((future,), timeout=seconds)
     if not future.done():
         late_seconds = max(0, loop.time() - due)
-        await asyncio.wait((future,), timeout=min(late_seconds, seconds))
+        grant = min(late_seconds, seconds, longest_grant)
+        await asyncio.wait((future,), timeout=grant)
     return future.done()
 
 
