Ask the permit alone whether an attempt may move

`has_alternative` stood for two questions: whether an endpoint has a free slot (FullFleetHold) and whether one accepts the request (MovePermit). The watch of plain calls and doubtful evidence of an end asked the first, and the permit asked again in the same step.

The permit's question is `_is_accepted_elsewhere` now (the field of `attempt_kept` keeps its name). The other is gone: for plain services it was the same question, and evidence of an end that is not certain asks the permit for a slot, which is held, also for requests without an event. That is stricter: before, such a slot was asked for and not held.

A plain call that stays at the only replica now writes `attempt_kept` once.

Left as it is: `_gives_up` judges before and after the turns of the event loop. A cheaper first judgement would let attempts that stay wake the loop five times at each check, and most of them stay; nothing was measured.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
@@ -118,12 +118,7 @@
             return True
         if self.channel.has_unread_bytes:
             return False
-        if not self.watch.hold.has_alternative():
-            return False
-        return self.watch.permit.acquire(
-            end.evidence,
-            needs_slot=self.watch.has_event,
-        )
+        return self.watch.permit.acquire(end.evidence, needs_slot=True)
 
     def _interrupt(self, *, is_unsure: bool) -> None:
         """End the attempt where it waits for its endpoint.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/full_fleet_hold.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/full_fleet_hold.py
@@ -76,13 +76,6 @@
             self._record(attempt)
         return applies
 
-    def has_alternative(self) -> bool:
-        """Return whether another endpoint accepts the request now."""
-        costs = self.call.service.engine
-        if costs is None:
-            return self._plain_alternative() is not None
-        return math.isfinite(self.alternative_ms(costs))
-
     def alternative_ms(self, costs: EngineCosts) -> float:
         """Return the time to the first event at another engine, in ms."""
         other = self.context.dispatcher.place_model(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/move_permit.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/move_permit.py
@@ -112,7 +112,7 @@
         is_permitted = (
             self.may_move
             and self._has_retry()
-            and self._has_alternative()
+            and self._is_accepted_elsewhere()
             and (not needs_slot or self.slot.acquire(self.excluded))
         )
         if not is_permitted:
@@ -155,7 +155,7 @@
             return True
         return self._budget.has_capacity(self._now())
 
-    def _has_alternative(self) -> bool:
+    def _is_accepted_elsewhere(self) -> bool:
         """Return whether another endpoint accepts the request now.
 
         It may have no free slot: the request waits for one, with the others.
@@ -174,7 +174,7 @@
             request_id=self.call.request_id,
             cause=cause,
             may_move=self.may_move,
-            has_alternative=self._has_alternative(),
+            has_alternative=self._is_accepted_elsewhere(),
             **self._budget.state(self._now()).log_fields(),
         )
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
@@ -216,9 +216,8 @@
         if self.hold.applies(waited, self._first_event_timeout_seconds()):
             return False
         costs = self.call.service.engine
-        if costs is None:
-            return self.hold.has_alternative()
-        return self._is_worth_reading_again(costs)
+        # The permit asks whether another replica accepts a call.
+        return costs is None or self._is_worth_reading_again(costs)
 
     def _is_worth_reading_again(self, costs: EngineCosts) -> bool:
         """Return whether another engine may read the prompt from the start."""
