Read requests in a module of their own

caller.py held requests, answers, connections and the reader of requests. The request and the reader are now modules; connections of which a request is awaited or read are the base class that the reader knows. `exchange.py` still imports `CallerRequest` by way of caller.py.

A task that failed raises its SIGTERM in the process itself, without its id; tried by hand with a task that raises: the process stops and exits with 0.

All tests of forwarding pass (2 workers).

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/admission.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/admission.py
@@ -17,7 +17,7 @@
 from ..errors import WireError
 from ..fleet.keeper import FleetKeeper
 from ..wire import CallTerms
-from .caller import CallerRequest
+from .caller_request import CallerRequest
 from .refusals import Refusal, RefusalCause
 from .statuses import RETRY_AFTER_SECONDS
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
@@ -1,4 +1,4 @@
-"""HTTP connections of callers: reading requests and writing answers."""
+"""HTTP connections of callers, and the answers on them."""
 
 import abc
 import asyncio
@@ -7,15 +7,12 @@
 from collections.abc import Callable, Collection, Coroutine
 from inspect import CORO_CREATED, getcoroutinestate
 
-import msgspec
-from sycamore_core.telemetry import Log
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
     HTTPMessageDelegate,
     HTTPServerConnectionDelegate,
-    RequestStartLine,
     ResponseStartLine,
     responses,
 )
@@ -28,41 +25,13 @@
     FlowControl,
     ReaderSide,
 )
-from .lingering import DroppedRequest, LingeringConnections
+from .caller_request import CallerRequest
+from .lingering import DroppedRequest
 from .request_body import RequestBody
+from .request_reader import RequestIntake, RequestReader
 from .statuses import UNAVAILABLE, retry_after_field
 
 
-class CallerRequest(msgspec.Struct, frozen=True):
-    """A complete request of a caller.
-
-    Attributes
-    ----------
-    arrived_at
-        When the head had been received, on the monotonic clock, in seconds.
-    exceeds_memory
-        Whether the body was dropped because the process holds too many bytes.
-    """
-
-    start: RequestStartLine
-    headers: HTTPHeaders
-    body: bytes
-    arrived_at: float
-    exceeds_memory: bool = False
-
-    @property
-    def host(self) -> str:
-        """Return the host of the `Host` header, without the port."""
-        host, _, _ = self.headers.get('Host', '').partition(':')
-        return host
-
-    @property
-    def path(self) -> str:
-        """Return the path without the query."""
-        path, _, _ = self.start.path.partition('?')
-        return path
-
-
 class CallerAnswer:
     """Writes the answer to one request.
 
@@ -204,21 +173,15 @@
         """Whether connections close after their current answer."""
 
 
-class CallerConnections(HTTPServerConnectionDelegate):
+class CallerConnections(RequestIntake, HTTPServerConnectionDelegate):
     """All connections of callers.
 
     Attributes
     ----------
     open
         All connections, with their latest request.
-    idle
-        Connections that await a request.
-    reading
-        Requests whose head has arrived and whose body has not.
     answers
         Exchanges in progress, and their answers.
-    lingering
-        Connections that have their last answer.
     """
 
     def __init__(
@@ -227,15 +190,10 @@
         monotonic: Callable[[], float],
         flow: FlowControl,
     ) -> None:
+        super().__init__(monotonic, flow)
         self.server = server
-        self.flow = flow
-        self.monotonic = monotonic
-        self.log = Log('callers')
         self.open: dict[object, HTTP1Connection] = {}
-        self.idle: dict[int, HTTP1Connection] = {}
-        self.reading: set[RequestReader] = set()
         self.answers: dict[asyncio.Task[None], CallerAnswer] = {}
-        self.lingering = LingeringConnections()
 
     @property
     def tasks(self) -> Collection[asyncio.Task[None]]:
@@ -263,33 +221,6 @@
             self.idle.pop(id(connection), None)
             self.lingering.discard(connection.stream)
 
-    def close_idle(self) -> None:
-        """Close the connections on which no byte of a request has arrived.
-
-        If a connection were closed after a request has been read, or while
-        its bytes are in the socket's buffer, the caller could not tell whether
-        the request runs.
-        """
-        for key, connection in tuple(self.idle.items()):
-            if connection.stream.is_idle:
-                self.idle.pop(key)
-                connection.close()
-
-    def refuse_incomplete(self, status: int, arrived_until: float) -> None:
-        """Refuse requests whose bodies have not arrived completely.
-
-        Parameters
-        ----------
-        status
-            Status that promises that the request has not run.
-        arrived_until
-            Time on the monotonic clock, in seconds; requests whose head
-            arrived later are left.
-        """
-        for reader in tuple(self.reading):
-            if reader.arrived_at <= arrived_until:
-                reader.refuse(status)
-
     def close_all(self) -> None:
         """Close all connections at once, so that no request is read."""
         for connection in tuple(self.open.values()):
@@ -368,86 +299,3 @@
         if not self.answer.is_over:
             self.answer.caller_has_left = True
             self.task.cancel()
-
-
-class RequestReader(HTTPMessageDelegate):
-    """Reads one request of a connection."""
-
-    def __init__(
-        self,
-        connections: CallerConnections,
-        connection: HTTP1Connection,
-    ) -> None:
-        self.connections = connections
-        self.connection = connection
-        self.start: RequestStartLine | None = None
-        self.headers = HTTPHeaders()
-        self.arrived_at: float = 0
-        self.is_refused = False
-        self._body = RequestBody(connections.flow.held)
-
-    def headers_received(
-        self,
-        start_line: RequestStartLine | ResponseStartLine,
-        headers: HTTPHeaders,
-    ) -> None:
-        """Store the head of the request."""
-        assert isinstance(start_line, RequestStartLine)
-        self.connections.idle.pop(id(self.connection), None)
-        self.start = start_line
-        self.headers = headers
-        self.arrived_at = self.connections.monotonic()
-        self.connections.reading.add(self)
-        self._body.reserve(headers.get('Content-Length', ''))
-
-    def data_received(self, chunk: bytes) -> None:
-        """Store bytes of the body."""
-        if not self.is_refused:
-            self._body.add(chunk)
-
-    def finish(self) -> None:
-        """Start the exchange of the complete request."""
-        assert self.start is not None
-        self.connections.reading.discard(self)
-        if self.is_refused:
-            return
-        if self.connection.stream.closed():
-            # The caller has disconnected, or this entry has closed the
-            # connection. Nobody would receive the answer.
-            self._body.release()
-            return
-        request = CallerRequest(
-            self.start,
-            self.headers,
-            self._body.take(),
-            self.arrived_at,
-            self._body.is_dropped,
-        )
-        self.connections.begin(request, self.connection, self._body)
-
-    def on_connection_close(self) -> None:
-        """Remove a connection that closed before a complete request."""
-        self.connections.idle.pop(id(self.connection), None)
-        self.connections.reading.discard(self)
-        self._body.release()
-
-    def refuse(self, status: int) -> None:
-        """Refuse a request whose body has not arrived; drop the rest of it."""
-        self.is_refused = True
-        self.connections.reading.discard(self)
-        self._body.release()
-        self.connections.log.info(
-            'incomplete_body_refused',
-            status=status,
-            seconds=round(self.connections.monotonic() - self.arrived_at, 3),
-        )
-        headers = HTTPHeaders(
-            {
-                'Connection': 'close',
-                'Content-Length': '0',
-                'Retry-After': retry_after_field(),
-            },
-        )
-        start = ResponseStartLine('HTTP/1.1', status, responses[status])
-        self.connection.write_headers(start, headers)
-        self.connections.lingering.shut_down(self.connection.stream)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/calls.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/calls.py
@@ -6,7 +6,7 @@
 from sycamore_core.ids import RequestId, WorkspaceId, ZoneId
 from sycamore_core.routing import Rank, Route, ServiceRecord
 
-from .callers.caller import CallerRequest
+from .callers.caller_request import CallerRequest
 from .content import RequestContent
 from .wire import CallTerms
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/content.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/content.py
@@ -6,7 +6,7 @@
 from sycamore_core.hashes import stable_digest
 from sycamore_core.ids import ContentDigest, PartDigest, WorkspaceId
 
-from .callers.caller import CallerRequest
+from .callers.caller_request import CallerRequest
 
 #: Upper bounds of the parts in a log line, and of the characters of their ids.
 _MAX_LOGGED_PARTS = 16
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import os
 import signal
 from collections.abc import Callable, Coroutine
 from typing import Self
@@ -20,9 +19,9 @@
 from .callers.caller import (
     CallerAnswer,
     CallerConnections,
-    CallerRequest,
     RequestServer,
 )
+from .callers.caller_request import CallerRequest
 from .callers.caller_sweep import IDLE_TIMEOUT_SECONDS, CallerSweep
 from .callers.exchange import Exchange
 from .callers.readiness import Readiness
@@ -228,7 +227,7 @@
         # A defect in the entry. Without this task the process would look ready
         # to the balancer but miss changes, so it stops and is restarted.
         self.log.error('task_failed', error=repr(task.exception()))
-        os.kill(os.getpid(), signal.SIGTERM)
+        signal.raise_signal(signal.SIGTERM)
 
     async def _reload_when_changed(self, requested: asyncio.Event) -> None:
         """Apply changed settings, on a signal or when the file has changed.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
@@ -30,9 +30,9 @@
 from ..callers.caller import (
     CallerAnswer,
     CallerConnections,
-    CallerRequest,
     RequestServer,
 )
+from ..callers.caller_request import CallerRequest
 from ..callers.exchange import Exchange
 from ..callers.server import CallerServer
 from ..context import ForwardingContext
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_crash.py
@@ -15,7 +15,7 @@
 from sycamore_core.routing import CrashReport, EndpointLifetime
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from ..callers.caller import CallerRequest
+from ..callers.caller_request import CallerRequest
 from ..content import RequestContent
 from ..context import ForwardingContext
 from ..process import ForwardingProcess
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_parts.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_parts.py
@@ -6,7 +6,7 @@
 from sycamore_core.routing import CrashReport
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from ..callers.caller import CallerRequest
+from ..callers.caller_request import CallerRequest
 from ..content import RequestContent
 from ..context import ForwardingContext
 from .builders import (
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_queue.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_queue.py
@@ -31,7 +31,7 @@
 from sycamore_core.telemetry import Log
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from ..callers.caller import CallerRequest
+from ..callers.caller_request import CallerRequest
 from ..callers.refusals import Refusal, RefusalCause
 from ..calls import AdmittedRequest
 from ..content import RequestContent
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_content.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_content.py
@@ -4,7 +4,7 @@
 from sycamore_core.ids import WorkspaceId
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from ..callers.caller import CallerRequest
+from ..callers.caller_request import CallerRequest
 from ..content import RequestContent
 
 
