Build streams that pause or are read late in one place each

The two tests of endpoints that a late entry did not read share their entry and its stream; streams of one event and streams that pause come from the builders that others use. Nothing that is asserted has changed.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_forced_stop.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_forced_stop.py
@@ -12,7 +12,6 @@
     LAST_CHUNK,
     MODEL,
     RawEndpoint,
-    chunk,
     event,
     full_answer,
     never_reply,
@@ -20,8 +19,8 @@
     request_bytes,
     route,
     running_entry,
-    stream_head,
 )
+from .builders_ended import one_event
 from .builders_process import STOP_SECONDS, running_process
 
 UNSAFE = msgspec.structs.replace(
@@ -36,16 +35,6 @@
 LAST_PART = 1 / 6
 
 
-async def begin_stream(
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> None:
-    """Send one event, and wait until the other side closes."""
-    writer.write(stream_head() + chunk(event(0)))
-    await reader.read(1)
-    raise ConnectionError
-
-
 async def test_forced_stop_fails_requests_at_endpoints() -> None:
     """Guards against a request that a stop ends without an answer."""
     endpoint = RawEndpoint('e1', never_reply)
@@ -83,7 +72,7 @@
 async def test_forced_stop_truncates_streams() -> None:
     """Guards against a stream that ends as if it were complete."""
     served = route(RouteKind.STREAM, MODEL, time_limit=30)
-    endpoint = RawEndpoint('e1', begin_stream)
+    endpoint = RawEndpoint('e1', one_event)
     async with running_process(served, endpoint) as entry:
         reader, _ = await entry.begin_request()
         entry.stop()
@@ -99,7 +88,7 @@
     """Guards against a stream that a short stop cuts too early."""
     loop = asyncio.get_running_loop()
     served = route(RouteKind.STREAM, MODEL, time_limit=30)
-    endpoint = RawEndpoint('e1', begin_stream)
+    endpoint = RawEndpoint('e1', one_event)
     async with running_process(served, endpoint) as entry:
         reader, _ = await entry.begin_request()
         began = loop.time()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_late_connections.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_late_connections.py
@@ -7,9 +7,6 @@
 import asyncio
 import time
 
-from sycamore_core.ids import EndpointId
-from sycamore_core.routing import RouteKind
-
 from ..endpoints.channel import CONNECT_SECONDS, EndpointChannel
 from ..endpoints.crash_probe import CrashProbe
 from ..endpoints.reservations import ORDER_TIMEOUT_SECONDS
@@ -17,29 +14,27 @@
 from ..flow_control import SLOW_READER_SECONDS, FlowControl, ReaderSide
 from .builders import (
     LAST_CHUNK,
-    MODEL,
     SERVICE,
     RawEndpoint,
     SimpleWire,
-    chunk,
-    event,
     full_answer,
     never_reply,
     reply_with,
-    route,
     running_entry,
-    stream_head,
 )
-from .builders_ended import StartedEndpoint, apply, has_ended
+from .builders_ended import apply, has_ended
 from .builders_engines import ANSWER, HUGE, STREAM, engines
 from .builders_late import other_loop, run_elsewhere
 from .builders_mesh import entries, running
 from .builders_overload import LogFields, captured_lines
+from .builders_streaming import streaming_elsewhere
 
 #: Longer than each time limit of a connection that is opened, in seconds.
 LATE_SECONDS = 0.8
 #: Longer than the silence after which others are given up, in seconds.
 VERY_LATE_SECONDS = 3.4
+#: Time in which the entry reads and judges what has arrived, in seconds.
+READING_SECONDS = 0.6
 #: Time in which an endpoint answers an order, in seconds.
 ANSWER_SECONDS = 0.05
 
@@ -102,59 +97,22 @@
     assert retries == {}
 
 
-async def send_events(
-    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    writer.write(stream_head())
-    for number in range(50):
-        writer.write(chunk(event(number)))
-        await writer.drain()
-        await asyncio.sleep(0.1)
-    writer.write(LAST_CHUNK)
-
-
 async def test_endpoint_that_was_not_read_while_late_has_not_ended() -> None:
     """Guards against an endpoint that is given up with its bytes unread."""
-    served = route(RouteKind.RESUMABLE_STREAM, MODEL, time_limit=12)
-    endpoint = StartedEndpoint('e1', send_events)
-    with other_loop() as loop:
-        run_elsewhere(loop, endpoint)
-        async with running_entry(served, endpoint) as entry:
-            keeper = entry.context.keeper
-            record = endpoint.record(MODEL)
-            expiring = asyncio.create_task(keeper.expire())
-            asking = asyncio.create_task(entry.ask())
-            while not endpoint.requests:
-                await asyncio.sleep(0.01)
-            await asyncio.sleep(0.4)
-            apply(entry, EndpointRemoved(EndpointId('e1')))
-            time.sleep(VERY_LATE_SECONDS)
-            await asyncio.sleep(0.6)
-            assert not has_ended(keeper, record)
-            expiring.cancel()
-            asking.cancel()
+    async with streaming_elsewhere() as (entry, record):
+        apply(entry, EndpointRemoved(record.endpoint))
+        time.sleep(VERY_LATE_SECONDS)
+        await asyncio.sleep(READING_SECONDS)
+        assert not has_ended(entry.context.keeper, record)
 
 
 async def test_removal_read_late_does_not_end_a_live_endpoint() -> None:
     """Guards against a removal that is read before what the endpoint sent."""
-    served = route(RouteKind.RESUMABLE_STREAM, MODEL, time_limit=12)
-    endpoint = StartedEndpoint('e1', send_events)
-    with other_loop() as loop:
-        run_elsewhere(loop, endpoint)
-        async with running_entry(served, endpoint) as entry:
-            keeper = entry.context.keeper
-            record = endpoint.record(MODEL)
-            expiring = asyncio.create_task(keeper.expire())
-            asking = asyncio.create_task(entry.ask())
-            while not endpoint.requests:
-                await asyncio.sleep(0.01)
-            await asyncio.sleep(0.4)
-            time.sleep(VERY_LATE_SECONDS)
-            apply(entry, EndpointRemoved(EndpointId('e1')))
-            await asyncio.sleep(0.6)
-            assert not has_ended(keeper, record)
-            expiring.cancel()
-            asking.cancel()
+    async with streaming_elsewhere() as (entry, record):
+        time.sleep(VERY_LATE_SECONDS)
+        apply(entry, EndpointRemoved(record.endpoint))
+        await asyncio.sleep(READING_SECONDS)
+        assert not has_ended(entry.context.keeper, record)
 
 
 async def test_peers_that_were_not_read_while_late_are_not_lost() -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_resumption.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_resumption.py
@@ -1,6 +1,7 @@
 """Streams that have begun and are resumed at another engine."""
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 from sycamore_core.decisions.direct import Assignment
@@ -12,7 +13,6 @@
     LAST_CHUNK,
     MODEL,
     RawEndpoint,
-    Script,
     TestEntry,
     chunk,
     event,
@@ -20,24 +20,14 @@
     running_entry,
     stream_head,
 )
+from .builders_silence import PAUSE_SECONDS, PausingEndpoint
 
 STREAM = route(RouteKind.RESUMABLE_STREAM, MODEL)
-#: Longer than an engine may pause in a stream, in seconds.
-PAUSE_SECONDS = 1.3
 #: Longer than a request that may be refused waits for a slot, in seconds.
 BUSY_SECONDS = 0.4
 SHORT_PROMPT = '4000'
 
 
-async def pause_in_answer(
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> None:
-    writer.write(stream_head() + chunk(event(0)))
-    await asyncio.sleep(PAUSE_SECONDS)
-    writer.write(chunk(event(1)) + LAST_CHUNK)
-
-
 async def break_off(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
@@ -48,6 +38,11 @@
     raise ConnectionError
 
 
+def breaking(name: str) -> RawEndpoint:
+    """Return an endpoint that breaks off each stream."""
+    return RawEndpoint(name, break_off)
+
+
 async def resume(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
@@ -70,12 +65,12 @@
         entry.context.dispatcher.loads.end(request, [EndpointId(name)])
 
 
-@pytest.mark.parametrize('script', [pause_in_answer, break_off])
+@pytest.mark.parametrize('first_endpoint', [PausingEndpoint, breaking])
 async def test_stream_that_has_begun_is_not_cut_while_engines_are_full(
-    script: Script,
+    first_endpoint: Callable[[str], RawEndpoint],
 ) -> None:
     """Guards against a begun stream that ends for want of a free slot."""
-    first = RawEndpoint('e1', script)
+    first = first_endpoint('e1')
     async with running_entry(STREAM, first, RawEndpoint('e2', resume)) as entry:
         requests = fill(entry, 'e2')
         asking = asyncio.create_task(entry.ask(Prompt=SHORT_PROMPT))
@@ -90,7 +85,7 @@
 
 async def test_stream_stays_at_pausing_engine_while_others_are_full() -> None:
     """Guards against giving up a stream that no other engine can resume."""
-    first = RawEndpoint('e1', pause_in_answer)
+    first = PausingEndpoint('e1')
     other = RawEndpoint('e2', resume)
     async with running_entry(STREAM, first, other) as entry:
         fill(entry, 'e2')
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_unanswered.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_unanswered.py
@@ -22,26 +22,17 @@
     running_entry,
     stream_head,
 )
+from .builders_ended import one_event
 
 STREAM = route(RouteKind.STREAM, MODEL)
 
 
-async def begin_stream(
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> None:
-    """Send one event, and wait until the other side closes."""
-    writer.write(stream_head() + chunk(event(0)))
-    await reader.read(1)
-    raise ConnectionError
-
-
 @contextlib.asynccontextmanager
 async def reading_caller() -> AsyncIterator[
     tuple[TestEntry, asyncio.StreamReader, asyncio.StreamWriter]
 ]:
     """Run an entry whose caller has received the first event of a stream."""
-    async with running_entry(STREAM, RawEndpoint('e1', begin_stream)) as entry:
+    async with running_entry(STREAM, RawEndpoint('e1', one_event)) as entry:
         reader, writer = await asyncio.open_connection(HOST, entry.port)
         writer.write(request_bytes())
         await reader.readuntil(event(0).encode())
