--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
@@ -208,7 +208,7 @@
         """Return the reader of the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
         self.open[server_conn] = request_conn
-        request_conn.stream.start_request()
+        request_conn.stream.start_request(self.monotonic())
         if request_conn.stream in self.lingering.streams:
             return DroppedRequest(self.lingering, request_conn.stream)
         self.idle[id(request_conn)] = request_conn
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller_stream.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller_stream.py
@@ -11,11 +11,18 @@
 
     The head of a request may arrive in parts. Its first part is neither in the
     socket any more nor has it reached the reader of the request.
+
+    Attributes
+    ----------
+    awaiting_since
+        When the next request was first awaited, on the monotonic clock, in
+        seconds.
     """
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
         super().__init__(*arguments, **options)
         self.received = 0
+        self.awaiting_since: float = 0
         self._received_before = 0
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
@@ -24,8 +31,9 @@
         self.received += size or 0
         return size
 
-    def start_request(self) -> None:
+    def start_request(self, now: float) -> None:
         """Note that the bytes which follow belong to a next request."""
+        self.awaiting_since = now
         self._received_before = self.received
 
     @property
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/request_reader.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/request_reader.py
@@ -1,6 +1,7 @@
 """Reading of requests on the connections of callers."""
 
 import abc
+import math
 from collections.abc import Callable
 
 from sycamore_core.telemetry import Log
@@ -54,15 +55,22 @@
     ) -> None:
         """Start the exchange of a request that has been read completely."""
 
-    def close_idle(self) -> None:
+    def close_idle(self, since: float = math.inf) -> None:
         """Close the connections on which no byte of a request has arrived.
 
         If a connection were closed after a request has been read, or while
         its bytes are in the socket's buffer, the caller could not tell whether
         the request runs.
+
+        Parameters
+        ----------
+        since
+            Time on the monotonic clock, in seconds; connections that have
+            awaited a request only since later are left.
         """
         for key, connection in tuple(self.idle.items()):
-            if connection.stream.is_idle:
+            stream = connection.stream
+            if stream.awaiting_since <= since and stream.is_idle:
                 self.idle.pop(key)
                 connection.close()
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -22,7 +22,7 @@
     RequestServer,
 )
 from .callers.caller_request import CallerRequest
-from .callers.caller_sweep import IDLE_TIMEOUT_SECONDS, CallerSweep
+from .callers.caller_sweep import CallerSweep
 from .callers.exchange import Exchange
 from .callers.readiness import Readiness
 from .callers.server import CallerServer, ConnectionGate
@@ -208,7 +208,6 @@
         server = CallerServer(
             self.connections,
             admit=self.gate.admit,
-            idle_connection_timeout=IDLE_TIMEOUT_SECONDS,
             body_timeout=_BODY_CLOSE_SECONDS,
             max_header_size=_MAX_HEADER_BYTES,
             max_body_size=_MAX_BODY_BYTES,
