Reserve a retry for plain calls, too

A plain call whose replica was silent for .4 of its time was given up without a retry in hand. If another attempt had taken the last one, its caller got a 502, although the replica may have answered later: asked and not held, as with streams.

They were left out as waiting for a replica that shows no sign of work seemed no better than a failure that can be repeated. But a replica that is gone ends its attempts by its connection within 3 s, and one that is slow answers; and each 502 brings the call back while the operator's limit on retries is spent.

test_one_retry_moves_one_of_three_silent_calls failed before (502) and passes; packages/sycamore-entry passes (3 workers, load 8 to 13).

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/move_permit.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/move_permit.py
@@ -25,8 +25,6 @@
 
     NONE = 'none'
     HELD = 'held'
-    #: The request needs no reservation.
-    NOT_NEEDED = 'not_needed'
 
 
 class MovePermit:
@@ -39,9 +37,6 @@
     that was on its way. The end of the endpoint or of the connection ends the
     attempt all the same.
 
-    Plain calls need no reservation: their endpoints are most likely dead, and
-    the caller may retry.
-
     Parameters
     ----------
     slot
@@ -91,11 +86,7 @@
     @property
     def state(self) -> PermitState:
         """Return whether a retry is reserved."""
-        if self.permit is not None:
-            return PermitState.HELD
-        is_stream = self.call.route.kind.is_stream
-        is_plain_call = self.call.service.engine is None and not is_stream
-        return PermitState.NOT_NEEDED if is_plain_call else PermitState.NONE
+        return PermitState.NONE if self.permit is None else PermitState.HELD
 
     def acquire(self, cause: str, *, needs_slot: bool = False) -> bool:
         """Reserve a retry; return whether the attempt may be given up.
@@ -117,7 +108,7 @@
         )
         if not is_permitted:
             self._log_denial(cause)
-        elif self.state == PermitState.NONE:
+        elif self.permit is None:
             self.permit = self._budget.acquire(self._now())
         return is_permitted
 
@@ -150,10 +141,9 @@
         return self.context.retry_budget(self.call.service.service)
 
     def _has_retry(self) -> bool:
-        """Return whether a retry is reserved, is left, or is not needed."""
-        if self.state != PermitState.NONE:
-            return True
-        return self._budget.has_capacity(self._now())
+        """Return whether a retry is reserved or left."""
+        has_permit = self.permit is not None
+        return has_permit or self._budget.has_capacity(self._now())
 
     def _is_accepted_elsewhere(self) -> bool:
         """Return whether another endpoint accepts the request now.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_answers.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_answers.py
@@ -12,6 +12,8 @@
 
 #: Backoff that outlasts a test, in seconds.
 LONG_BACKOFF = 30
+#: Time in which a slow replica answers, in seconds.
+SLOW_SECONDS = 1.5
 
 
 def reply_in_sequence(*answers: bytes) -> Script:
@@ -52,3 +54,12 @@
 def backing_off(name: str = 'e1', seconds: float = LONG_BACKOFF) -> RawEndpoint:
     """Return an endpoint that refuses each request with a backoff."""
     return RawEndpoint(name, refuse_all(seconds))
+
+
+async def answer_late(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Answer a call after its endpoint was silent for too long."""
+    await asyncio.sleep(SLOW_SECONDS)
+    writer.write(full_answer('recorded'))
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_held_permits.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_held_permits.py
@@ -4,8 +4,17 @@
 
 import pytest
 from sycamore_core.ids import EndpointId
+from sycamore_core.routing import RouteKind
 
-from .builders import MODEL, TestEntry, running_entry
+from .builders import (
+    MODEL,
+    SERVICE,
+    RawEndpoint,
+    TestEntry,
+    route,
+    running_entry,
+)
+from .builders_answers import answer_late
 from .builders_ended import CHAT
 from .builders_silence import (
     BEFORE_TIMEOUT_SECONDS,
@@ -24,6 +33,8 @@
 
 REQUESTS = 3
 STREAM = patient(CHAT, 6)
+#: The longest silence that is permitted is shorter than an answer takes.
+CALL = route(RouteKind.SAFE)
 
 
 @pytest.mark.parametrize('has_begun', [True, False])
@@ -46,6 +57,16 @@
     assert request_count(fleet) == REQUESTS + 1
 
 
+async def test_one_retry_moves_one_of_three_silent_calls() -> None:
+    """Guards against calls that fail although their replica answers later."""
+    fleet = [RawEndpoint(name, answer_late) for name in ('e1', 'e2')]
+    async with running_entry(CALL, *fleet) as entry:
+        leave_one_retry(entry, SERVICE)
+        answers = await ask_together(entry, REQUESTS)
+    assert all(answer.endswith(b'recorded') for answer in answers)
+    assert request_count(fleet) == REQUESTS + 1
+
+
 async def test_one_retry_moves_one_of_three_streams_with_a_doubtful_end() -> (
     None
 ):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_no_alternative.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_no_alternative.py
@@ -10,25 +10,14 @@
     MODEL,
     SERVICE,
     RawEndpoint,
-    full_answer,
     route,
     running_entry,
 )
+from .builders_answers import answer_late
 from .builders_silence import PausingEndpoint, is_whole, patient
 from .test_held_permits import report_end
 from .test_resumption import SHORT_PROMPT, fill
 
-#: Time in which the only replica answers; the longest silence is shorter.
-SLOW_SECONDS = 1.5
-
-
-async def answer_late(
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> None:
-    await asyncio.sleep(SLOW_SECONDS)
-    writer.write(full_answer('recorded'))
-
 
 @pytest.mark.parametrize('service', [MODEL, SERVICE])
 async def test_stream_stays_at_the_last_endpoint_that_is_not_excluded(
