Make both steps of the late stop due together

The long step was due 0.05 s after the timer of the stop. On a loop that is late by just over 0.1 s the stop could have closed the socket before the step connects, and the test had no caller. Found by reading, not seen.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_waiting_connections.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_waiting_connections.py
@@ -91,8 +91,9 @@
             callers.append(ask_unaccepted(entry.port))
             time.sleep(LATE_SECONDS)
 
+        # Both are due after this, whenever it runs.
         loop.call_at(closed_at - LATE_SECONDS / 2, time.sleep, LATE_SECONDS)
-        loop.call_at(closed_at + LATE_SECONDS / 4, ask_in_a_long_step)
+        loop.call_at(closed_at, ask_in_a_long_step)
         await asyncio.sleep(LISTENING_SECONDS + 2 * LATE_SECONDS)
         answer = await answer_to(callers[0])
     assert is_answered(answer) or retry_after(answer)
