Release the memory for a kept stream once it has ended

A long prompt is read for seconds, and memory must be free 4 s after the end of its request.

Cause: only the end of an attempt releases memory, and a kept stream is no attempt. Nothing looked at its connection until it was resumed or closed.

Now the reader of the answer tells the kept stream of its end. Load, places of suspects and memory are given up then; what was read stays, so that a complete rest is still forwarded.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
@@ -9,6 +9,7 @@
 import contextlib
 import errno
 import socket
+from collections.abc import Callable
 
 from sycamore_core.decisions.direct import AttemptEnd
 from tornado.http1connection import HTTP1Connection
@@ -106,6 +107,9 @@
     ----------
     is_interrupted
         Whether the buffered bytes are the last that are taken for now.
+    on_end
+        Called once no more bytes will arrive, perhaps repeatedly; None if
+        nothing depends on it.
     """
 
     def __init__(self, held: HeldBytes) -> None:
@@ -115,6 +119,7 @@
         self.is_complete = False
         self.is_over = False
         self.is_interrupted = False
+        self.on_end: Callable[[], None] | None = None
         self._chunks: list[bytes] = []
         self._waiting_bytes = 0
         self._held_bytes = 0
@@ -156,6 +161,8 @@
         """Record that no more bytes will arrive."""
         self.is_over = True
         self._arrived.set()
+        if self.on_end is not None:
+            self.on_end()
 
     def interrupt(self) -> None:
         """Let nothing wait for more bytes until the answer goes on."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/fallback_stream.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/fallback_stream.py
@@ -23,14 +23,15 @@
 class FallbackStream:
     """One interrupted stream, from the end of its attempt on.
 
-    Its endpoints still work on it, so that it counts as their load.
+    Its endpoints work on it until it ends, so that it counts as their load.
 
     Attributes
     ----------
     stream
         The stream, with the bytes that were read and not forwarded.
     reservations
-        Memory at the helpers of the attempt; None without helpers.
+        Memory at the helpers of the attempt; None without helpers, and once
+        the stream has ended.
     first_event_at
         Time of the first event, on the monotonic clock, in seconds.
     """
@@ -59,17 +60,28 @@
                 self.call.content, self.placement.primary.endpoint
             ),
         )
+        self.stream.channel.reader.on_end = self._end_work
 
     def end_counting(self) -> None:
-        """Count the stream no longer, as it goes on or is closed."""
+        """Count the stream no longer, as it goes on or has ended."""
+        self.stream.channel.reader.on_end = None
         self._counted.close()
 
     def close(self) -> None:
         """Close the connection; the endpoint then cancels the request."""
-        self.end_counting()
         self.stream.channel.close()
+        self._end_work()
+
+    def _end_work(self) -> None:
+        """Count and reserve nothing any more, as no endpoint works on it.
+
+        The next attempt may read the prompt for longer than memory may stay
+        reserved after the end of its request.
+        """
+        self.end_counting()
         if self.reservations is not None:
             self.reservations.release()
+            self.reservations = None
 
     def _count_load(self) -> None:
         call, plan = self.call, self.placement.plan
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_fallback_memory.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_fallback_memory.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import pytest
+
 from .builders import (
     LAST_CHUNK,
+    Script,
     TestEntry,
     chunk,
     event,
@@ -13,7 +16,7 @@
     stream_head,
 )
 from .builders_engines import HUGE, STREAM, Engine
-from .builders_fallback import GO_ON, is_rest_whole
+from .builders_fallback import GO_ON, PAUSE_SECONDS, is_rest_whole
 from .test_reservations import wait_released
 
 #: Engines for two attempts of a prompt that needs three of them.
@@ -29,12 +32,24 @@
     ----------
     is_rejected
         Whether the others reject the prompt, or resume the stream.
+    first
+        What the first engine does.
+    reading_seconds
+        Time in which the others read the prompt.
     released
         Whether memory had been released as each later attempt arrived.
     """
 
-    def __init__(self, *, is_rejected: bool) -> None:
+    def __init__(
+        self,
+        *,
+        is_rejected: bool,
+        first: Script = GO_ON,
+        reading_seconds: float = 0.1,
+    ) -> None:
         self.is_rejected = is_rejected
+        self.first = first
+        self.reading_seconds = reading_seconds
         self.released: list[bool] = []
         self.prompts = 0
         order = reply_with(full_answer('{}'))
@@ -50,9 +65,9 @@
     ) -> None:
         self.prompts += 1
         if self.prompts == 1:
-            await GO_ON(reader, writer)
+            await self.first(reader, writer)
             return
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(self.reading_seconds)
         self.released.append(
             any('release' in engine.orders for engine in self.engines)
         )
@@ -60,6 +75,18 @@
         await script(reader, writer)
 
 
+async def break_after_pause(
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Send one event, pause, and reset the connection."""
+    writer.write(stream_head() + chunk(event(0)))
+    await writer.drain()
+    await asyncio.sleep(PAUSE_SECONDS)
+    writer.transport.abort()
+    raise ConnectionError
+
+
 async def ask(entry: TestEntry) -> bytes:
     """Return what follows the first event of a prompt that needs helpers."""
     answer = await entry.ask(Prompt=HUGE)
@@ -84,3 +111,20 @@
         assert is_rest_whole(await ask(entry))
         await wait_released(fleet.engines)
     assert fleet.released == [False]
+
+
+@pytest.mark.parametrize('first', [GO_ON, break_after_pause])
+async def test_memory_is_released_once_the_kept_stream_has_ended(
+    first: Script,
+) -> None:
+    """Guards against memory that stays reserved after the end of its request.
+
+    The next engine still reads the prompt, which may take many seconds.
+    """
+    fleet = PausingFleet(
+        is_rejected=False, first=first, reading_seconds=PAUSE_SECONDS
+    )
+    async with running_entry(STREAM, *fleet.engines) as entry:
+        assert is_rest_whole(await ask(entry))
+        await wait_released(fleet.engines)
+    assert fleet.released == [True]
