Let a stream wait for a slot if the one that was kept has broken

Callers would see a stream that is cut although its retry was granted: its engine pauses, the next engine rejects it, no other has a free slot, and the connection that was kept has broken meanwhile.

Cause: a stream with a kept connection does not wait for a slot, whether that connection is open or not. It was resumed, ended at once as broken, and needed one retry more than had been granted; without one left it was cut. Before connections were kept, it waited for a slot until its deadline.

Now only a kept stream that is open or complete stands in for the wait. A broken one is still asked last, if the wait ends in a refusal, so that what it had sent is forwarded and its engine is probed for a crash.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -252,7 +252,7 @@
                 self.excluded.failed_at,
                 avoided,
                 is_resumption=self.answer.has_begun,
-                may_wait=self.fallback.kept is None,
+                may_wait=not self.fallback.may_go_on,
             )
             if not self.attempts.may_have_run:
                 # Any other request could only be failed.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/fallback_stream.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/fallback_stream.py
@@ -50,6 +50,12 @@
         self.first_event_at = watch.first_event_at
         self._counted = contextlib.ExitStack()
 
+    @property
+    def may_go_on(self) -> bool:
+        """Whether the rest of the stream has arrived or may still arrive."""
+        channel = self.stream.channel
+        return channel.is_interrupted or channel.is_complete
+
     def begin_counting(self) -> None:
         """Count the stream where it may go on."""
         self._count_load()
@@ -109,6 +115,11 @@
         self.context = context
         self.kept: FallbackStream | None = None
 
+    @property
+    def may_go_on(self) -> bool:
+        """Whether there is a stream that may replace the next attempt."""
+        return self.kept is not None and self.kept.may_go_on
+
     def keep(self, fallback: FallbackStream, end: AttemptEnd) -> None:
         """Keep the stream of an attempt that was given up."""
         self.close()
