Keep streams whose events lie unread as another connection is lost

Callers would see streams cut in the middle, or moved with a retry, all those of one endpoint at once: one connection to it breaks for want of acknowledgements, for instance as the endpoint stopped to read one long request, and the event loop of the entry was late by more than a second.

Cause: such a break counts as the end of the endpoint unless this entry heard of it within a second. A late entry has read nothing for that long, and ended every attempt there, with the events that had arrived unread in the socket. Only doubtful ends (of peers, of the registry) looked for unread bytes.

Now unread bytes on the connection of an attempt speak against every end that is not certain. If the endpoint has ended, that connection breaks by itself, within 3 s by its probes.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/end_scope.py
@@ -63,7 +63,7 @@
         """
         is_complete = self.channel is not None and self.channel.is_complete
         is_answered = is_complete or self.is_forwarding
-        if self.cause is not None or is_answered:
+        if self.cause is not None or is_answered or self._goes_on(end):
             return
         is_unsure = end.evidence in {EndEvidence.REMOVED, EndEvidence.PEER}
         if is_unsure and not self._may_give_up(end):
@@ -106,18 +106,25 @@
         expected_ms = watch.placement.plan.expected_ms
         return not watch.has_event and waited * _MS < expected_ms
 
+    def _goes_on(self, end: LifetimeEnd) -> bool:
+        """Return whether unread bytes show that the answer goes on.
+
+        The event loop of the entry may have been late. If the endpoint has
+        ended all the same, this connection breaks by itself.
+        """
+        if end.evidence.is_certain or self.channel is None:
+            return False
+        return self.channel.has_unread_bytes
+
     def _may_give_up(self, end: LifetimeEnd) -> bool:
         """Return whether the attempt ends although its endpoint may go on.
 
-        A request that was not sent needs no retry. What the endpoint has sent
-        may lie unread, as the event loop of the entry was late.
+        A request that was not sent needs no retry.
         """
         if self._is_within_forecast():
             return False
         if self.watch is None or self.channel is None:
             return True
-        if self.channel.has_unread_bytes:
-            return False
         if not self.watch.hold.has_alternative():
             return False
         return self.watch.permit.acquire(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_late_loop.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_late_loop.py
@@ -12,6 +12,7 @@
 from ..endpoints.unread_bytes import UnreadBytes
 from .builders import (
     LAST_CHUNK,
+    MODEL,
     RawEndpoint,
     Script,
     chunk,
@@ -177,6 +178,31 @@
     assert requests_of(fleet) == 1
 
 
+@pytest.mark.parametrize('kind', [RouteKind.STREAM, RouteKind.RESUMABLE_STREAM])
+async def test_lost_connection_does_not_end_a_stream_with_unread_events(
+    kind: RouteKind,
+) -> None:
+    """Guards against cut streams as an endpoint gives up one long request.
+
+    That connection breaks in the turn in which a late event loop goes on, so
+    that nothing was heard of the endpoint for a while.
+    """
+    served = patient(route(kind, MODEL), 6)
+    async with (
+        entry_of_threads(served, SteadyStream(EVENTS)) as (entry, fleet),
+        asked(entry, Prompt='4000') as answer,
+    ):
+        await block_loop_after_request(fleet, 0.2, BLOCK_SECONDS)
+        busy = next(one for one in fleet if one.requests)
+        keeper = entry.context.keeper
+        record = keeper.directory.find(EndpointId(busy.name))
+        keeper.ended.record_lost_connection(record.lifetime)
+        text = await answer
+    assert text.count(b'data') == EVENTS
+    assert text.endswith(LAST_CHUNK)
+    assert requests_of(fleet) == 1
+
+
 async def half_a_line(
     reader: asyncio.StreamReader,
     writer: asyncio.StreamWriter,
