--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
@@ -9,14 +9,12 @@
 import contextlib
 import errno
 import socket
-from collections.abc import Callable
 
 from sycamore_core.decisions.direct import AttemptEnd
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPHeaders,
     HTTPInputError,
-    HTTPMessageDelegate,
     HTTPOutputError,
     RequestStartLine,
     ResponseStartLine,
@@ -25,13 +23,12 @@
 
 from ..errors import AttemptError, SlowReaderError
 from ..flow_control import (
-    CONNECTION_BYTES,
     PIECE_BYTES,
     FlowControl,
-    HeldBytes,
     ReaderSide,
 )
 from ..wire import AnswerHead, WireFormat
+from .answer_reader import AnswerReader
 from .time_limit import wait_within
 
 #: Timeout of a connection attempt, in seconds. Endpoints accept within a few
@@ -41,9 +38,6 @@
 #: system has made the connection meanwhile. A longer time would delay retries
 #: by more than their budget allows for.
 LATE_CONNECT_SECONDS = 0.1
-#: Bytes of an answer that are buffered for a slow caller before reading stops.
-#: The next piece is added to them. As many bytes are being written meanwhile.
-_BUFFER_BYTES = CONNECTION_BYTES // 2 - PIECE_BYTES
 #: Errors that end the reading of an answer early.
 _READ_ERRORS = (StreamClosedError, HTTPInputError, OSError)
 #: Time after which unacknowledged bytes end a connection, in milliseconds.
@@ -99,131 +93,6 @@
         return False
 
 
-class AnswerReader(HTTPMessageDelegate):
-    """Buffers one answer as it arrives.
-
-    Parameters
-    ----------
-    held
-        Bytes that the process holds.
-
-    Attributes
-    ----------
-    is_interrupted
-        Whether the buffered bytes are the last that are taken for now.
-    on_end
-        Called once no more bytes will arrive, perhaps repeatedly; None if
-        nothing depends on it.
-    """
-
-    def __init__(self, held: HeldBytes) -> None:
-        self.held = held
-        self.start: ResponseStartLine | None = None
-        self.headers: HTTPHeaders | None = None
-        self.is_complete = False
-        self.is_over = False
-        self.is_interrupted = False
-        self.on_end: Callable[[], None] | None = None
-        self._chunks: list[bytes] = []
-        self._waiting_bytes = 0
-        self._held_bytes = 0
-        self._arrived = asyncio.Event()
-        self._consumed = asyncio.Event()
-
-    def headers_received(
-        self,
-        start_line: RequestStartLine | ResponseStartLine,
-        headers: HTTPHeaders,
-    ) -> None:
-        """Store status and headers."""
-        self.start = start_line  # type: ignore[assignment]
-        self.headers = headers
-        self._arrived.set()
-
-    async def data_received(self, chunk: bytes) -> None:
-        """Buffer bytes of the body; return once the buffer has capacity."""
-        self._chunks.append(chunk)
-        self._waiting_bytes += len(chunk)
-        if not self.is_over:
-            self.held.add(len(chunk))
-            self._held_bytes += len(chunk)
-        self._arrived.set()
-        while self._has_to_wait:
-            self._consumed.clear()
-            await self._consumed.wait()
-
-    def finish(self) -> None:
-        """Record that the answer is complete."""
-        self.is_complete = True
-        self.end()
-
-    def on_connection_close(self) -> None:
-        """Record that the connection broke before the end of the answer."""
-        self.end()
-
-    def end(self) -> None:
-        """Record that no more bytes will arrive."""
-        self.is_over = True
-        self._arrived.set()
-        if self.on_end is not None:
-            self.on_end()
-
-    def interrupt(self) -> None:
-        """Let nothing wait for more bytes until the answer goes on."""
-        self.is_interrupted = True
-        self._arrived.set()
-
-    def go_on(self) -> None:
-        """End an interruption."""
-        self.is_interrupted = False
-
-    async def wait(self) -> None:
-        """Wait until something has arrived since the last call.
-
-        Raises
-        ------
-        AttemptError
-            If the answer is interrupted.
-        """
-        if self.is_interrupted:
-            raise AttemptError(AttemptEnd.SILENT, 'the attempt was given up')
-        await self._arrived.wait()
-        self._arrived.clear()
-
-    @property
-    def has_chunks(self) -> bool:
-        """Whether bytes of the body are buffered."""
-        return bool(self._chunks)
-
-    def pop_body(self) -> bytes:
-        """Remove and return the buffered bytes of the body."""
-        body = b''.join(self._chunks)
-        self._chunks.clear()
-        self._waiting_bytes = 0
-        self.release()
-        self._consumed.set()
-        return body
-
-    def release(self) -> None:
-        """Count the buffered bytes no longer as held.
-
-        They stay: the rest of an answer that is complete may still be taken.
-        """
-        self.held.remove(self._held_bytes)
-        self._held_bytes = 0
-
-    @property
-    def _has_to_wait(self) -> bool:
-        """Whether nothing more is read until the buffer has been taken.
-
-        An empty buffer takes a piece even if the process holds too many bytes,
-        so that each answer goes on as its caller reads.
-        """
-        if self._waiting_bytes > _BUFFER_BYTES:
-            return True
-        return bool(self._waiting_bytes) and self.held.is_full
-
-
 class EndpointChannel:
     """A connection that carries one request at a time.
 
