Let the event loop read in one place

Turns of the loop before a judgement of silence stood twice, with 5 and 8 turns. The watch for silence now waits for 8, too: the turns in which an answer gets to its caller. test_late_loop and six more files of the entry's tests pass.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/silence.py
@@ -14,6 +14,7 @@
 from .full_fleet_hold import FullFleetHold
 from .move_permit import MovePermit
 from .silence_report import SilenceReport
+from .time_limit import let_loop_read
 from .unread_bytes import UnreadBytes
 
 _MS = 1000.0
@@ -171,7 +172,7 @@
         """
         if not self._should_move(early):
             return False
-        await self.unread.let_loop_read()
+        await let_loop_read()
         if not self._should_move(early):
             return False
         if self.unread.check(channel):
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/time_limit.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/time_limit.py
@@ -14,7 +14,8 @@
 from sycamore_core.decisions.late_checks import READING_SECONDS
 
 #: Turns of the event loop in which a short answer gets from the socket to the
-#: caller, after the turn in which a timer has fired.
+#: caller, after the turn in which a timer has fired: it becomes readable, is
+#: parsed, taken, and written.
 _READ_TURNS = 8
 
 _Result = TypeVar('_Result')
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/unread_bytes.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/unread_bytes.py
@@ -6,14 +6,8 @@
 has arrived.
 """
 
-import asyncio
-
 from .channel import EndpointChannel
 
-#: Turns of the event loop in which a piece of an answer gets from the socket to
-#: the attempt: it becomes readable, is parsed, and is taken. One more lets the
-#: check run after them.
-_READ_TURNS = 5
 #: Checks in a row after which unread bytes do not count any more. They are a
 #: part of a line then, whose rest does not arrive.
 _MAX_CHECKS = 3
@@ -31,11 +25,6 @@
     def __init__(self) -> None:
         self.checks = 0
 
-    async def let_loop_read(self) -> None:
-        """Let the event loop read what arrived before this call."""
-        for _ in range(_READ_TURNS):
-            await asyncio.sleep(0)
-
     def check(self, channel: EndpointChannel) -> bool:
         """Return whether the endpoint has sent what was not taken yet.
 
