Compute the work of a placed request in one place

An attempt, the slot held for the next one, and a kept stream each built the same assignments from a plan. Behaviour is the same: the held slot reads the clock once, as before.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
@@ -3,16 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
-from sycamore_core.decisions.direct import (
-    Assignment,
-    AttemptEnd,
-    assignments_of,
-)
-from sycamore_core.ids import EndpointId
+from sycamore_core.decisions.direct import AttemptEnd
 
 from ..calls import AdmittedRequest
 from ..errors import AttemptError
-from ..placement.read_requests import make_read_request
+from ..placement.read_requests import make_assignments
 from ..wire import AnswerHead, Helper
 from .answer_observer import AnswerObserver
 from .beginning import Beginning
@@ -105,7 +100,10 @@
         dispatcher = self.context.dispatcher
         self.watch.answer = relay.answer
         self.intervals.relay = relay
-        dispatcher.begin(self.call.request_id, self._assignments())
+        dispatcher.begin(
+            self.call.request_id,
+            make_assignments(self.call, self.placement.plan, self._now()),
+        )
         try:
             with (
                 self.usage.metered(is_resumed=self.is_resumed),
@@ -294,11 +292,6 @@
             self.usage.record_first_event()
         self.beginning.record_event()
 
-    def _assignments(self) -> dict[EndpointId, Assignment]:
-        request = make_read_request(self.call, self._now())
-        plan = self.placement.plan
-        return assignments_of(plan, request, self.call.objective_at)
-
     def _now(self) -> float:
         return self.context.clock.monotonic()
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/fallback_stream.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/fallback_stream.py
@@ -9,12 +9,12 @@
 
 import contextlib
 
-from sycamore_core.decisions.direct import AttemptEnd, assignments_of
+from sycamore_core.decisions.direct import AttemptEnd
 from sycamore_core.ids import RequestId
 
 from ..callers.refusals import RefusalCause
 from ..context import ForwardingContext
-from ..placement.read_requests import make_read_request
+from ..placement.read_requests import make_assignments
 from .relayed_stream import RelayedStream
 from .reservations import Reservations
 from .silence import SilenceWatch
@@ -93,11 +93,8 @@
         call, plan = self.call, self.placement.plan
         dispatcher = self.context.dispatcher
         request_id = RequestId(f'{call.request_id} fallback')
-        request = make_read_request(call, self.context.clock.monotonic())
-        dispatcher.begin(
-            request_id,
-            assignments_of(plan, request, call.objective_at),
-        )
+        now = self.context.clock.monotonic()
+        dispatcher.begin(request_id, make_assignments(call, plan, now))
         dispatcher.loads.record_first_token(request_id, plan.members)
         self._counted.callback(dispatcher.end, request_id, self.placement)
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/held_slot.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/held_slot.py
@@ -6,13 +6,12 @@
 
 from collections.abc import Set
 
-from sycamore_core.decisions.direct import assignments_of
 from sycamore_core.ids import EndpointId, RequestId
 
 from ..calls import AdmittedRequest
 from ..context import ForwardingContext
 from ..placement.dispatcher import Placement
-from ..placement.read_requests import make_read_request
+from ..placement.read_requests import make_assignments, make_read_request
 
 
 class HeldSlot:
@@ -43,22 +42,19 @@
         costs = self.call.service.engine
         if costs is None:
             return True
-        request = make_read_request(self.call, self.clock.monotonic())
+        now = self.clock.monotonic()
         placement = self.dispatcher.place_model(
             self.call.service,
             costs,
-            request,
+            make_read_request(self.call, now),
             excluded,
             self.call.allowed_zones,
         )
         if placement is None:
             return False
         self.placement = placement
-        objective_at = self.call.objective_at
-        self.dispatcher.begin(
-            self._request_id,
-            assignments_of(placement.plan, request, objective_at),
-        )
+        assignments = make_assignments(self.call, placement.plan, now)
+        self.dispatcher.begin(self._request_id, assignments)
         return True
 
     def release(self) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/read_requests.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/placement/read_requests.py
@@ -1,6 +1,12 @@
-"""Parameters of requests that decide their placement."""
+"""Parameters of requests that decide their placement, and their load."""
 
-from sycamore_core.decisions.direct import ReadRequest
+from sycamore_core.decisions.direct import (
+    Assignment,
+    ReadPlan,
+    ReadRequest,
+    assignments_of,
+)
+from sycamore_core.ids import EndpointId
 
 from ..calls import AdmittedRequest
 
@@ -18,3 +24,11 @@
         limit_ms=max(1, (call.deadline - now) * _MS),
         importance=call.importance,
     )
+
+
+def make_assignments(
+    call: AdmittedRequest, plan: ReadPlan, now: float
+) -> dict[EndpointId, Assignment]:
+    """Return the work of a request at the endpoints of its plan."""
+    request = make_read_request(call, now)
+    return assignments_of(plan, request, call.objective_at)
