--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/outcome.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/outcome.py
@@ -117,7 +117,7 @@
         refusal = Refusal(
             RefusalCause.STOPPING, retry_after=STOPPING_RETRY_SECONDS
         )
-        await self._end_early(refusal, BAD_GATEWAY)
+        await self._end_early(refusal)
 
     def cancel(self) -> None:
         """Record that the exchange was cancelled without an answer."""
@@ -141,7 +141,7 @@
             If the caller does not receive the answer.
         """
         self.record_defect(error)
-        await self._end_early(Refusal(RefusalCause.DEFECT), BAD_GATEWAY)
+        await self._end_early(Refusal(RefusalCause.DEFECT))
 
     def record_defect(self, error: Exception) -> None:
         """Record that a defect of the entry ended the request."""
@@ -165,14 +165,14 @@
             last_end=self.attempts.last_end,
         )
 
-    async def _end_early(self, refusal: Refusal, failure: int) -> None:
-        """Refuse the request, or fail it with a status if it may have run."""
+    async def _end_early(self, refusal: Refusal) -> None:
+        """Refuse the request, or fail it if it may have run."""
         if self.answer.has_begun:
             self.detail = 'truncated'
             self.answer.abort()
         elif self.attempts.may_have_run:
             self.detail = 'failed'
-            await self.answer.send(failure, self._own_headers(), b'')
+            await self.answer.send(BAD_GATEWAY, self._own_headers(), b'')
         else:
             self.detail = 'refused'
             self.context.metrics.refusals.add(refusal.cause)
