--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_process.py
@@ -78,6 +78,17 @@
             signal.signal(number, handler)
 
 
+def settings_that_stop(seconds: float) -> ForwardingSettings:
+    """Return the settings of a process with some time to stop."""
+    return ForwardingSettings(
+        name=EntryId('entry-1'),
+        zone=ZoneId('a'),
+        callers=NOWHERE,
+        ready=NOWHERE,
+        stop_seconds=seconds,
+    )
+
+
 @contextlib.asynccontextmanager
 async def running_process(
     served: Route,
@@ -85,13 +96,7 @@
 ) -> AsyncIterator[ProcessUnderTest]:
     """Run an entry process in front of endpoints of the route's service."""
     feed = FixedFeed(await snapshot_of(served, endpoints))
-    settings = ForwardingSettings(
-        name=EntryId('entry-1'),
-        zone=ZoneId('a'),
-        callers=NOWHERE,
-        ready=NOWHERE,
-        stop_seconds=STOP_SECONDS,
-    )
+    settings = settings_that_stop(STOP_SECONDS)
     process = ForwardingProcess.from_settings(
         lambda: settings, feed, SimpleWire(), KEYS
     )
