Tell which configuration decided a request, and where it came from

The line of a placement named the version in force at that moment, not the one that had admitted the request; the line of its end named none.

--- a/packages/sycamore-core/src/sycamore_core/cli/request_log.py
+++ b/packages/sycamore-core/src/sycamore_core/cli/request_log.py
@@ -19,6 +19,7 @@
 _UNKNOWN = '?'
 _END_EVENT = 'request_ended'
 _FORECAST_FIELD = 'expected_ms'
+_VERSION_FIELD = 'settings_version'
 
 
 class LogLine(msgspec.Struct, frozen=True, order=True):
@@ -127,14 +128,27 @@
     event = f'first event after {first} ms'
     if first.startswith('-'):
         event = 'no event was received'
-    return f'ended as {how} after {total} ms, {event}'
+    return (
+        f'ended as {how} after {total} ms, {event}{_describe_version(fields)}'
+    )
+
+
+def _describe_version(fields: dict[str, str]) -> str:
+    """Return which settings decided a request; empty if the line is old."""
+    if _VERSION_FIELD not in fields:
+        return ''
+    age = fields.get('settings_age', _UNKNOWN)
+    return (
+        f', decided by settings {fields[_VERSION_FIELD]},'
+        f' last confirmed {age} s before the end'
+    )
 
 
 def _describe_refusal(fields: dict[str, str]) -> str:
     cause = fields.get('cause', _UNKNOWN)
     detail = fields.get('detail', '')
     retry_after = fields.get('retry_after', _UNKNOWN)
-    version = fields.get('settings_version', _UNKNOWN)
+    version = fields.get(_VERSION_FIELD, _UNKNOWN)
     age = fields.get('settings_age', _UNKNOWN)
     endpoints = fields.get('endpoints', _UNKNOWN)
     entries = fields.get('entries', _UNKNOWN)
--- a/packages/sycamore-core/src/sycamore_core/cli/tests/test_request_log.py
+++ b/packages/sycamore-core/src/sycamore_core/cli/tests/test_request_log.py
@@ -31,6 +31,17 @@
     )
 
 
+def test_summary_names_the_configuration_that_decided() -> None:
+    """Guards against a request whose service no log line explains."""
+    ended = (
+        '{"event": "request_ended", "request_id": "q7", "how": "answered",'
+        ' "total_ms": 40, "first_ms": 8, "settings_version": 9,'
+        ' "settings_age": 1.5}'
+    )
+    summary = summarize(lines_of_request('q7', [ended]))
+    assert 'decided by settings 9, last confirmed 1.5 s' in summary
+
+
 def test_missing_end_is_reported() -> None:
     """Guards against a summary that hides that the entry was killed."""
     assert 'not in these logs' in summarize(lines_of_request('q1', LOGS[1:]))
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/admission.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/admission.py
@@ -70,6 +70,7 @@
         deadline=request.arrived_at + _time_limit(route, terms),
         content=RequestContent(request, workspace, terms.shared_parts),
         allowed_zones=allowed_zones(record, route, context.settings.regions),
+        settings_version=keeper.table.version,
     )
 
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -329,17 +329,26 @@
         self.outcome.report_unanswered()
         outcomes = self.context.metrics.outcomes
         outcomes.requests.add(self.outcome.label)
+        self._log_end()
+
+    def _log_end(self) -> None:
+        call = self.call
+        keeper = self.context.keeper
         elapsed = self._now() - self.request.arrived_at
         self.context.log.info(
             'request_ended',
             request_id=self.request_id,
-            route='' if self.call is None else self.call.route.name,
+            route='' if call is None else call.route.name,
             how=self.outcome.label,
             detail=self.outcome.detail,
             endpoint=self.last_endpoint,
             attempts=self.attempts.sent,
             first_ms=round(self.first_event_ms, 1),
             total_ms=round(elapsed * _MS, 1),
+            settings_version=(
+                keeper.version if call is None else call.settings_version
+            ),
+            settings_age=keeper.age,
         )
 
     def _now(self) -> float:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/calls.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/calls.py
@@ -3,7 +3,12 @@
 import msgspec
 from sycamore_core.decisions.direct import CallerTime
 from sycamore_core.hashes import stable_fraction
-from sycamore_core.ids import RequestId, WorkspaceId, ZoneId
+from sycamore_core.ids import (
+    RequestId,
+    SettingsVersion,
+    WorkspaceId,
+    ZoneId,
+)
 from sycamore_core.routing import Rank, Route, ServiceRecord
 
 from .callers.caller_request import CallerRequest
@@ -29,6 +34,8 @@
         Zones whose endpoints may run the request; None for all zones.
     content
         Digest that identifies the request when a caller repeats it.
+    settings_version
+        Version of the configuration that admitted it.
     """
 
     request_id: RequestId
@@ -42,6 +49,7 @@
     deadline: float
     content: RequestContent
     allowed_zones: frozenset[ZoneId] | None = None
+    settings_version: SettingsVersion = SettingsVersion(0)
 
     def caller_time(self, now: float) -> CallerTime:
         """Return the caller's time left, which bounds its retry delay."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/context.py
@@ -111,7 +111,8 @@
         self.unknown_headers = UnknownHeaders(self.metrics, self.log)
         self.trials = LocalTrialGrants(self.suspects.quarantine, self.clock)
         self.running = RunningRequests(self.keeper.evacuation)
-        self.metrics.count_draining = self.running.in_evacuated_zones
+        self.metrics.fleet = self.keeper.metrics
+        self.metrics.fleet.count_draining = self.running.in_evacuated_zones
         self.flow.apply_memory(self.settings.memory_bytes)
         self.metrics.slow_readers = self.flow.cuts
         self.metrics.retries.left.read = self._retries_left
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/decision_log.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/decision_log.py
@@ -40,7 +40,7 @@
             cost=round(plan.cost, 3),
             harm=round(plan.interference, 3),
             left_ms=round(seconds_left * _MS, 1),
-            settings_version=keeper.version,
+            settings_version=call.settings_version,
             settings_age=keeper.age,
             entries=self.context.entry_count,
         )
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/feed.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/feed.py
@@ -10,6 +10,8 @@
 
 #: Position in the platform's history of changes.
 Revision = NewType('Revision', int)
+#: Revision of an entry that has read no list.
+NO_REVISION = Revision(0)
 
 
 #: Counts how often the platform was restored from an older copy of itself. All
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
@@ -14,20 +14,19 @@
 from sycamore_core.clock import Clock
 from sycamore_core.errors import PlatformError
 from sycamore_core.ids import EndpointId, SettingsVersion
-from sycamore_core.messages import SettingsBody
-from sycamore_core.platform import unpack_settings
 from sycamore_core.routing import (
     EndpointDirectory,
     EndpointRecord,
-    PublishedTable,
     RoutingTable,
 )
 from sycamore_core.telemetry import Log
 
 from .cold import ColdStarts
+from .contact import PlatformContact
 from .ended import EXPIRE_INTERVAL_SECONDS, EndedEndpoints
 from .evacuation import EvacuatedZones
 from .feed import (
+    NO_REVISION,
     Change,
     EndpointChanged,
     EndpointRemoved,
@@ -39,9 +38,12 @@
     TableChanged,
 )
 from .first_list import FirstList
+from .fleet_metrics import FleetMetrics
 from .leaving import LeavingEndpoints
 from .read_pace import ReadRateLimit
 from .restoration import Restoration
+from .table_in_force import TableInForce
+from .table_origin import TableOrigin
 
 #: Shortest and longest pause after failed reads, in seconds. The platform
 #: accepts 2,000 reads a second from all entries together.
@@ -58,11 +60,10 @@
 
     Attributes
     ----------
-    table
-        The configuration in force; None before the first.
-    confirmed_at
-        When the platform last confirmed that the state is current, on the
-        monotonic clock; None before the first confirmation.
+    in_force
+        The configuration in force.
+    contact
+        When the platform answered last, and how many reads failed since.
     first_list
         Fetches the first list of endpoints.
     read_limit
@@ -77,6 +78,8 @@
         Zones that are evacuated.
     cold
         Endpoints that are cold after a start.
+    metrics
+        Metrics of the configuration in force and of the reads.
     """
 
     def __init__(
@@ -88,57 +91,46 @@
         self.feed = feed
         self.clock = clock
         self.read_limit = read_limit or ReadRateLimit()
-        self.table: RoutingTable | None = None
+        self.metrics = FleetMetrics()
+        self.metrics.version = lambda: self.version
+        self.metrics.age = lambda: self.age
+        self.in_force = TableInForce(feed, self.metrics)
         self.directory = EndpointDirectory()
-        self.confirmed_at: float | None = None
+        self.contact = PlatformContact(clock)
         self.first_list = FirstList(feed, clock)
         self.restoration = Restoration(clock)
         self.log = Log('fleet')
-        self.published: PublishedTable | None = None
         self.leaving = LeavingEndpoints(self.directory, clock, self.log)
         self.cold = ColdStarts(clock, self.log)
         self.evacuation = EvacuatedZones(self.log, lambda: self.age)
         self.ended = EndedEndpoints(self.directory, clock, self.log)
-        self._revision = Revision(0)
-        self._failures = 0
+        self._revision = NO_REVISION
+
+    @property
+    def table(self) -> RoutingTable | None:
+        """Return the configuration in force; None before the first."""
+        return self.in_force.table
 
     @property
     def is_unreachable(self) -> bool:
         """Whether the platform does not answer."""
-        return self._failures > 0
+        return self.contact.is_lost
 
     @property
     def version(self) -> SettingsVersion:
         """Return the settings version in force; 0 before the first."""
-        return SettingsVersion(0) if self.table is None else self.table.version
+        return self.in_force.version
 
     @property
     def age(self) -> float | None:
         """Return the seconds since the last confirmation; None before any."""
-        if self.confirmed_at is None:
-            return None
-        return round(self.clock.monotonic() - self.confirmed_at, 3)
+        return self.contact.age
 
     @property
     def is_ready(self) -> bool:
         """Whether requests can be served."""
         return self.table is not None and bool(self.directory.records)
 
-    def apply_peer_table(self, body: SettingsBody) -> None:
-        """Apply the configuration of a peer if it is newer.
-
-        Other configurations are not parsed: a large one holds up the event
-        loop, and several peers may send it.
-        """
-        if body.version <= self.version:
-            return
-        try:
-            published = self.feed.read_table(unpack_settings(body).body)
-        except PlatformError as error:
-            self.log.warning('table_of_peer_unreadable', reason=str(error))
-            return
-        self._apply_table(published, source='peer')
-
     async def run(self) -> None:
         """Read and watch the platform until cancelled."""
         while True:
@@ -152,7 +144,7 @@
             has_changed = await self._read()
         except HistoryLostError as error:
             self.log.warning('history_lost', reason=str(error))
-            self._revision = Revision(0)
+            self._revision = NO_REVISION
         except PlatformError as error:
             await self._pause_after_failure(error)
         else:
@@ -180,9 +172,9 @@
 
     async def _read(self) -> bool:
         """Read a snapshot or the next changes; return whether any came."""
-        started = self.clock.monotonic()
+        self.contact.begin_read()
         has_changed = False
-        if self._revision == 0:
+        if self._revision == NO_REVISION:
             read = (
                 self.feed.snapshot if self.is_ready else self.first_list.fetch
             )
@@ -190,11 +182,9 @@
         else:
             has_changed = await self._watch()
         self.first_list.record_answer(is_ready=self.is_ready)
-        self.confirmed_at = started
-        if self._failures:
-            self.log.info('platform_regained', failures=self._failures)
+        if self.contact.record_answer(self._revision, self.version):
             self.restoration.regained_at = self.clock.monotonic()
-        self._failures = 0
+        self.metrics.count_read(has_changed=has_changed)
         return has_changed
 
     async def _watch(self) -> bool:
@@ -204,36 +194,37 @@
         is_restored = self.restoration.record_epoch(batch.epoch)
         if is_restored or self.restoration.pop_settled():
             # The batch may lack changes, so that a full list is needed.
-            self._revision = Revision(0)
+            self._revision = NO_REVISION
             return False
         for change in batch.changes:
-            self._apply_change(change)
+            self._apply_change(change, batch.revision)
         self._revision = max(self._revision, batch.revision)
         return bool(batch.changes)
 
     async def _pause_after_failure(self, error: PlatformError) -> None:
-        self._failures += 1
-        if self._failures == 1:
-            self.log.warning('platform_lost', reason=str(error))
+        self.contact.record_failure(error, self._revision, self.version)
         self.first_list.record_silence()
+        self.metrics.count_failed_read()
+        failures = self.contact.failures
         if self.is_ready:
-            pause = FIRST_PAUSE_SECONDS * 2 ** min(self._failures - 1, 4)
+            pause = FIRST_PAUSE_SECONDS * 2 ** min(failures - 1, 4)
             await asyncio.sleep(min(pause, MAX_PAUSE_SECONDS))
         else:
             await asyncio.sleep(UNLISTED_PAUSE_SECONDS)
-        if self._failures > 1:
+        if failures > 1:
             # Registrations may have lapsed during the outage, and only a
             # full list shows it.
-            self._revision = Revision(0)
+            self._revision = NO_REVISION
 
     def _apply_snapshot(self, snapshot: FleetSnapshot) -> None:
         self.restoration.record_epoch(snapshot.epoch)
         is_old_copy = self.restoration.is_settling
         if snapshot.published is not None:
-            self._apply_table(snapshot.published)
+            origin = TableOrigin(revision=snapshot.revision)
+            self.in_force.apply(snapshot.published, origin)
         for record in snapshot.endpoints:
             self.ended.record_registration(record)
-            is_first = self.confirmed_at is None
+            is_first = self.contact.confirmed_at is None
             self.cold.apply_record(record, self.table, is_first_list=is_first)
         self.directory.replace(
             snapshot.endpoints,
@@ -255,9 +246,13 @@
             is_old_copy=is_old_copy,
         )
 
-    def _apply_change(self, change: Change) -> None:
+    def _apply_change(
+        self, change: Change, revision: Revision = NO_REVISION
+    ) -> None:
         if isinstance(change, TableChanged):
-            self._apply_table(change.published)
+            self.in_force.apply(
+                change.published, TableOrigin(revision=revision)
+            )
         elif isinstance(change, EndpointChanged):
             self._apply_endpoint(change.record)
         elif isinstance(change, EndpointRemoved):
@@ -284,21 +279,3 @@
             self.ended.record_removal(endpoint)
         self.directory.remove(endpoint)
         self.log.info('endpoint_removed', endpoint=endpoint)
-
-    def _apply_table(
-        self,
-        published: PublishedTable,
-        source: str = 'platform',
-    ) -> None:
-        table = published.table
-        if self.table is not None and table.version <= self.table.version:
-            return
-        self.table = table
-        self.published = published
-        self.log.info(
-            'table_in_force',
-            settings_version=table.version,
-            routes=len(table.routes),
-            workspaces=len(table.workspaces),
-            source=source,
-        )
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -113,6 +113,7 @@
         self._next_full_at: float = 0
         self._last_sent: tuple[object, ...] = ()
         node.serve_peer = self.serve
+        context.metrics.fleet.transport = node.counts
 
     @classmethod
     def from_settings(
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/metrics.py
@@ -1,7 +1,7 @@
 """Metrics of a forwarding entry, and the page that exports them."""
 
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from http import HTTPStatus
 
 from sycamore_core.states import PromptBand
@@ -10,6 +10,7 @@
 from sycamore_core.telemetry.tallies import Tally
 from tornado.httputil import ResponseStartLine
 
+from .fleet.fleet_metrics import FleetMetrics
 from .operator_pages import OperatorPage, PageResponse
 from .outcome_metrics import OutcomeMetrics
 from .retry_metrics import RetryMetrics
@@ -50,8 +51,8 @@
         route.
     unknown_headers
         Counts of unknown headers in answers, by name.
-    count_draining
-        Returns the requests that still run in evacuated zones, by zone.
+    fleet
+        Metrics of what the entry learns from the platform and from peers.
     ended_attempts
         Counts of attempts that ended with an endpoint, by evidence of its end.
     engine_time, memory
@@ -73,7 +74,7 @@
         self.outcomes = OutcomeMetrics()
         self.held_attempts = Tally('route')
         self.unknown_headers = Tally('name')
-        self.count_draining: Callable[[], Mapping[str, int]] = dict
+        self.fleet = FleetMetrics()
         self.ended_attempts = Tally('evidence')
         self.engine_time = LabelledGauge(
             'workspace_engine_ms_per_s',
@@ -122,22 +123,20 @@
 
     def render(self) -> bytes:
         """Return the metrics page in the text exposition format."""
-        return self.load_metrics().page()
+        metrics = self.load_metrics()
+        metrics.settings_version(self.fleet.version())
+        return metrics.page()
 
     def _export(self, metrics: Metrics) -> None:
         self.outcomes.export(metrics)
         self.retries.export(metrics)
         self.suspects.export(metrics)
+        self.fleet.export(metrics)
         for name, tally in self._tallies().items():
             metrics.export_tally(name, tally)
         for gauge in (self.engine_time, self.memory):
             metrics.export_labelled_gauge(gauge)
         metrics.export_gauge(Gauge.WAITING, lambda: self.count_waiting())
-        metrics.export_gauge_by_label(
-            'evacuated_zone_requests',
-            'zone',
-            lambda: self.count_draining(),
-        )
 
     def _tallies(self) -> dict[str, Tally]:
         """Return the exported counts by the names of their counters."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_overload.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_overload.py
@@ -43,7 +43,7 @@
 ) -> AsyncIterator[TestEntry]:
     """Run an entry whose model service is ranked."""
     async with running_entry(served, *endpoints) as entry:
-        entry.context.keeper.table = table_of(
+        entry.context.keeper.in_force.table = table_of(
             served, STREAM, LESS_URGENT, *others
         )
         yield entry
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_queue.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_queue.py
@@ -116,7 +116,7 @@
     def __init__(self, *engines: str) -> None:
         clock = SystemClock()
         keeper = FleetKeeper(FixedFeed(SNAPSHOT), clock)
-        keeper.table = ranked_table()
+        keeper.in_force.table = ranked_table()
         self.keeper = keeper
         self.directory = keeper.directory
         for name in engines:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_peer_tables.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_peer_tables.py
@@ -38,7 +38,7 @@
     feed = CountingFeed()
     keeper = FleetKeeper(feed, SystemClock())
     keeper._apply_change(TableChanged(SNAPSHOT.published))
-    keeper.apply_peer_table(body_of(version))
+    keeper.in_force.apply_peer_body(body_of(version))
     assert (keeper.version, feed.parsed) == (3, [])
 
 
@@ -48,7 +48,7 @@
     keeper = FleetKeeper(feed, SystemClock())
     keeper._apply_change(TableChanged(SNAPSHOT.published))
     for _ in range(3):
-        keeper.apply_peer_table(body_of(8))
+        keeper.in_force.apply_peer_body(body_of(8))
     assert (keeper.version, feed.parsed) == (8, [b'8'])
 
 
@@ -68,7 +68,7 @@
     settings = NewerSettings(keeper)
     inbox = Inbox()
     for version in (3, 8):
-        keeper.apply_peer_table(body_of(version))
+        keeper.in_force.apply_peer_body(body_of(version))
         settings.answer(inbox, SettingsWanted(above=0))
         settings.answer(inbox, SettingsWanted(above=0))
     first, second, newer, last = inbox.messages
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_queue_forwarding.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_queue_forwarding.py
@@ -71,7 +71,7 @@
 async def full_entry(engine: PausedEngine) -> AsyncIterator[TestEntry]:
     """Run an entry of a ranked service whose only slot is in use."""
     async with running_entry(ranked_route(URGENT), engine) as entry:
-        entry.context.keeper.table = ranked_table()
+        entry.context.keeper.in_force.table = ranked_table()
         running_request = asyncio.create_task(entry.ask(Id='running'))
         while not engine.requests:
             await asyncio.sleep(0.01)
@@ -162,7 +162,7 @@
 
 def start_to_wait(context: ForwardingContext) -> asyncio.Task[Placement]:
     """Let a request wait for an engine that is full."""
-    context.keeper.table = ranked_table()
+    context.keeper.in_force.table = ranked_table()
     context.keeper.directory.put(engine_record('e1'))
     name = EndpointId('e1')
     context.dispatcher.begin(RequestId('r1'), {name: Assignment(read_ms=9)})
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_queued_wait.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_queued_wait.py
@@ -44,7 +44,7 @@
     """Guards against a changed behaviour of other deployments."""
     entry = QueueEntry('e1')
     table = table_of(route(RouteKind.RESUMABLE_STREAM, MODEL))
-    entry.keeper.table = table
+    entry.keeper.in_force.table = table
     assert isinstance(entry.waits.for_service(SERVICE_RECORD), PolledSlotWait)
 
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_shares.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_shares.py
@@ -66,13 +66,13 @@
 
 def rank(context: ForwardingContext, weight: float = 1) -> None:
     """Apply a configuration with a ranked service."""
-    context.keeper.table = ranked_table(weight)
+    context.keeper.in_force.table = ranked_table(weight)
     context.shares.apply_table()
 
 
 def entry(*routes: Route) -> ForwardingProcess:
     made = entries(1)[0]
-    made.context.keeper.table = table_of(*routes)
+    made.context.keeper.in_force.table = table_of(*routes)
     return made
 
 
@@ -229,7 +229,7 @@
     shares.fleet.begin(SCHOOL, WORK, 0)
     without_workspace = table_of(STREAM, LESS_URGENT)
     without_workspace.workspaces.clear()
-    process.context.keeper.table = without_workspace
+    process.context.keeper.in_force.table = without_workspace
     assert shares.position(SCHOOL, 2) > 0
     assert shares.claim(SCHOOL, 2) > shares.position(SCHOOL, 2)
     assert shares.fleet.weight(SCHOOL) == 1
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_start.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_start.py
@@ -80,11 +80,11 @@
     async with running_entry(route(RouteKind.SAFE), endpoint) as entry:
         keeper = entry.context.keeper
         table = keeper.table
-        keeper.table = None
+        keeper.in_force.table = None
         keeper.first_list.listed.clear()
         asking = asyncio.create_task(entry.ask(Patience='9'))
         await asyncio.sleep(0.1)
-        keeper.table = table
+        keeper.in_force.table = table
         keeper.first_list.listed.set()
         assert b'200 OK' in await asking
 
@@ -114,7 +114,7 @@
     """
     endpoint = RawEndpoint('e1', reply_with(full_answer()))
     async with running_entry(route(RouteKind.SAFE), endpoint) as entry:
-        entry.context.keeper.table = None
+        entry.context.keeper.in_force.table = None
         asked = [
             entry.ask(Id=f'q{number}', Patience='9')
             for number in range(CALLER_COUNT)
