Go on after a defect in a task of the mesh

Callers saw requests served by an older configuration at an entry that looked sound, for as long as its process ran: its platform refused it, and it had become deaf to the peer that had the newer one.

Nobody awaited them. One exception ended the task without a line; the peer went on being known, so that the task was never started anew. The class: a background task that ends in silence.

- Tasks of the node and of its peers start again after an error, with a line (task_failed) and a count (sycamore_transport_failed_tasks_total).
- A defect at one message loses this message only (message_failed); the version that a peer claims is looked at first.

Red before: 3 of 3 in test_defects, and the entry that does not get a version in 2 s after one failed message.

--- a/packages/sycamore-core/src/sycamore_core/transport/counts.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/counts.py
@@ -15,6 +15,8 @@
         Messages skipped because this version does not know them.
     stale
         Packets dropped because of their age.
+    failed_tasks
+        Defects that ended a task of the node or of a peer.
     """
 
     sent_packets: int = 0
@@ -27,3 +29,4 @@
     undecodable: int = 0
     unknown_messages: int = 0
     stale: int = 0
+    failed_tasks: int = 0
--- a/packages/sycamore-core/src/sycamore_core/transport/node.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/node.py
@@ -9,6 +9,8 @@
 from ..clock import Clock
 from ..errors import TransportError
 from ..messages import PacketCodec, VerifiedPacket
+from ..tasks import keep_running
+from ..telemetry import Log
 from .ages import MAX_PACKET_AGE_SECONDS, PacketAges
 from .counts import TransportCounts
 from .peer import Peer
@@ -69,6 +71,7 @@
         self.serve_peer = serve_peer or _ignore_peer
         self.counts = TransportCounts()
         self.peers: dict[str, Peer] = {}
+        self.log = Log('transport')
         self._ages: dict[str, PacketAges] = {}
         self._tasks: dict[str, list[asyncio.Task[None]]] = {}
         self._own_tasks: list[asyncio.Task[None]] = []
@@ -90,8 +93,8 @@
             raise TransportError(f'{listen}: {error}') from error
         self._socket = socket
         self._own_tasks = [
-            asyncio.create_task(self._receive(socket)),
-            asyncio.create_task(self._sweep()),
+            self._start_task(lambda: self._receive(socket), 'receive'),
+            self._start_task(self._sweep, 'sweep'),
         ]
 
     async def close(self) -> None:
@@ -112,8 +115,8 @@
         peer.ages = self._ages_of(address)
         self.peers[address] = peer
         self._tasks[address] = [
-            asyncio.create_task(peer.run()),
-            asyncio.create_task(self.serve_peer(peer)),
+            self._start_task(peer.run, f'send to {address}'),
+            self._start_task(lambda: self.serve_peer(peer), f'serve {address}'),
         ]
         return peer
 
@@ -136,6 +139,21 @@
             self._ages.pop(next(iter(self._ages)))
         return ages
 
+    def _start_task(
+        self, action: Callable[[], Awaitable[None]], name: str
+    ) -> asyncio.Task[None]:
+        """Start a task that goes on after a defect.
+
+        Without this, the node would no longer listen or send to a peer that
+        still looks alive.
+        """
+        return asyncio.create_task(
+            keep_running(action, name, self.log, self._count_failure)
+        )
+
+    def _count_failure(self) -> None:
+        self.counts.failed_tasks += 1
+
     async def _receive(self, socket: pynng.Pull0) -> None:
         while True:
             try:
--- a/packages/sycamore-core/src/sycamore_core/transport/tests/test_defects.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/tests/test_defects.py
@@ -26,11 +26,18 @@
 
 
 class FailingRecorder(Recorder):
-    """Fails at the first message of each peer."""
+    """Fails at the first message."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.has_failed = False
 
     async def serve(self, peer: Peer) -> None:
-        await peer.inbound.get()
-        await super().serve(FailsOnce(lambda: peer)())
+        if not self.has_failed:
+            await peer.inbound.get()
+            self.has_failed = True
+            raise LookupError('defect')
+        await super().serve(peer)
 
 
 async def messages_after(break_nodes, recorder: Recorder) -> list[Message]:
@@ -56,7 +63,7 @@
 
 
 def break_nothing(here, there) -> None:
-    pass
+    """Leave the nodes as they are."""
 
 
 def break_receiving(here, there) -> None:
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/message_handler.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/message_handler.py
@@ -2,7 +2,6 @@
 
 import functools
 
-from sycamore_core.errors import SycamoreError
 from sycamore_core.messages import (
     Accepted,
     Ack,
@@ -67,7 +66,7 @@
             )
             try:
                 self._dispatch(received, peer)
-            except SycamoreError as error:
+            except Exception as error:
                 # A message that cannot be handled must not end this loop: no
                 # later message of the sender would be read, and all its runs
                 # would be lost.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
@@ -1,9 +1,9 @@
 """Sends a request to one endpoint and relays the answer."""
 
-import asyncio
 from collections.abc import Callable
 
 from sycamore_core.decisions.direct import AttemptEnd
+from sycamore_core.tasks import start_logged
 
 from ..calls import AdmittedRequest
 from ..errors import AttemptError
@@ -222,7 +222,9 @@
         channel: EndpointChannel,
         relay: AnswerRelay,
     ) -> None:
-        watch_task = asyncio.create_task(self.watch.run(channel))
+        watch_task = start_logged(
+            self.watch.run(channel), 'watch attempt', self.context.log
+        )
         try:
             await self._relay_watched(channel, relay)
         except AttemptError as error:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -173,7 +173,17 @@
     async def serve(self, peer: Peer) -> None:
         """Handle the messages of one peer, until cancelled."""
         while True:
-            self._handle(peer, await peer.inbound.get())
+            message = await peer.inbound.get()
+            try:
+                self._handle(peer, message)
+            except Exception as error:
+                # A defect loses this message only.
+                self.log.error(
+                    'message_failed',
+                    message=type(message).__name__,
+                    peer=peer.address,
+                    error=repr(error),
+                )
 
     def update_membership(self) -> None:
         """Expire silent members and update the number of entries and cells."""
@@ -305,11 +315,11 @@
             self.log.info('peer_found', peer=name, address=peer.address)
             self.trials.record_peer_joined(peer.address, now)
         self.context.last_peer_message_at = now
+        self.newer_settings.compare(peer, message.settings_version)
         self.keeper.leaving.apply_peer_report(message.leaving, message.entry)
         self.crashes.handle_reports(message.crashes, message.entry)
         if message.reports_all_suspects:
             self.trials.record_all_reports(peer.address)
-        self.newer_settings.compare(peer, message.settings_version)
 
     def _add_members(self, cell: CellMembers, now: float) -> None:
         """Add the members that a peer names; contact those of the own cell."""
