Ask other peers for a configuration where one does not send it

Callers saw requests run by the former service of a route, at an entry that the platform refused, for as long as it refused it.

Claims of others were dropped while a request was due; nothing remembered who had not answered; the claims come every second in the same order. A peer that sends and does not receive (a cut in one direction, a defect, a stop) was asked again and again. The class: one source that is asked once. The lines of the first look fit: the deaf peer claims first each second, the sound one within .01 s after it, and is dropped.

ClaimedVersions keeps what each peer claims and when it was asked. A round asks those not asked before, twice as many as the round before, every .25 s; nobody more often than once a second. 68 deaf peers before a sound one cost 1.75 s, one costs .25 s. Where all answer, one is asked, as before. Documents that cannot be read are not requested again.

Red before: 3 of 4 of test_deaf_peers (1, 2, 7 deaf peers; 30 were not, as the sound claim came after the delay). Green with 1, 2, 7 and 30.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/newer_settings.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/newer_settings.py
@@ -2,6 +2,10 @@
 
 import asyncio
 
+from sycamore_core.decisions.propagation import (
+    ANSWER_SECONDS,
+    ClaimedVersions,
+)
 from sycamore_core.messages import SettingsBody, SettingsWanted
 from sycamore_core.platform import PublishedSettings, pack_settings
 from sycamore_core.telemetry import Log
@@ -20,37 +24,43 @@
 
     Without this, an entry that the platform refuses goes on serving routes and
     keys that have been removed.
+
+    Attributes
+    ----------
+    claims
+        The newer versions that peers have.
     """
 
     def __init__(self, keeper: FleetKeeper) -> None:
         self.keeper = keeper
-        self._requested_version = 0
-        self._packed: SettingsBody | None = None
-        self._heard_at: float | None = None
+        self.clock = keeper.clock
+        self.claims = ClaimedVersions()
         self.log = Log('mesh')
+        self._peers: dict[str, Peer] = {}
+        self._asked: tuple[str, ...] = ()
+        self._heard_at: float | None = None
+        self._next_request: asyncio.TimerHandle | None = None
+        self._packed: SettingsBody | None = None
 
     def compare(self, peer: Peer, version: int) -> None:
-        """Request the configuration of a peer if it stays newer.
+        """Request a newer configuration of peers if it stays unknown.
 
         The platform shows a change to all entries within milliseconds, so that
-        the request is sent only after a short delay.
+        the first request is sent only after a short delay.
         """
-        claims = self.keeper.metrics.claims
         if version <= self.keeper.version:
+            self.claims.forget(peer.address)
             return
-        if version <= self._requested_version:
-            claims.add('passed_over')
-            return
-        claims.add('heard')
-        if self._heard_at is None:
-            self._heard_at = self.keeper.clock.monotonic()
-        self.log.info(
-            'newer_table_claimed', **self._claim_fields(peer, version)
-        )
-        self.keeper.read_limit.end_pause()
-        self._requested_version = version
-        loop = asyncio.get_running_loop()
-        loop.call_later(REQUEST_DELAY_SECONDS, self._request, peer, version)
+        now = self.clock.monotonic()
+        self._peers[peer.address] = peer
+        is_new = self.claims.record(peer.address, version, now)
+        if self._next_request is None:
+            self._heard_at = now
+            self._request_after(REQUEST_DELAY_SECONDS)
+        if is_new:
+            self.keeper.read_limit.end_pause()
+            self.keeper.metrics.claims.add('heard')
+            self.log.info('newer_table_claimed', **self._fields(peer.address))
 
     def answer(self, peer: Peer, wanted: SettingsWanted) -> None:
         """Send the configuration in force, if it is newer than the peer's."""
@@ -66,6 +76,8 @@
         )
         self.keeper.metrics.claims.add('answered')
         self.keeper.in_force.apply_peer_body(body, origin)
+        if body.version > self.keeper.version:
+            self.claims.record_unusable(body.version)
 
     def _pack(self, source: bytes) -> SettingsBody:
         """Return the message with the configuration in force.
@@ -79,24 +91,40 @@
             self._packed = packed
         return packed
 
-    def _request(self, peer: Peer, version: int) -> None:
-        self._requested_version = 0
-        if version <= self.keeper.version:
+    def _request_after(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        self._next_request = loop.call_later(seconds, self._request)
+
+    def _request(self) -> None:
+        """Ask peers for a newer version, until it is in force."""
+        self._next_request = None
+        now = self.clock.monotonic()
+        above = self.keeper.version
+        if self.claims.newest(now) <= above:
+            self._peers.clear()
+            self._asked = ()
             self._heard_at = None
             return
-        self.keeper.metrics.claims.add('requested')
-        self.log.info('table_requested', **self._claim_fields(peer, version))
-        peer.post(SettingsWanted(above=self.keeper.version))
+        for unanswered in self._asked:
+            self.keeper.metrics.claims.add('unanswered')
+            self.log.info('table_not_sent', **self._fields(unanswered))
+        self._asked = self.claims.choose(above, now)
+        for address in self._asked:
+            self.keeper.metrics.claims.add('requested')
+            self.log.info('table_requested', **self._fields(address))
+            self._peers[address].post(SettingsWanted(above=above))
+        self._request_after(ANSWER_SECONDS)
 
     def _heard_seconds(self) -> float | None:
         if self._heard_at is None:
             return None
-        return round(self.keeper.clock.monotonic() - self._heard_at, 3)
+        return round(self.clock.monotonic() - self._heard_at, 3)
 
-    def _claim_fields(self, peer: Peer, version: int) -> dict[str, object]:
+    def _fields(self, peer: str) -> dict[str, object]:
+        """Return the fields of a log line about a peer."""
         return {
-            'peer': peer.address,
-            'offered_version': version,
+            'peer': peer,
+            'offered_version': self.claims.newest(self.clock.monotonic()),
             'settings_version': self.keeper.version,
             'settings_age': self.keeper.age,
             'heard_seconds': self._heard_seconds(),
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_deaf_peers.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_deaf_peers.py
@@ -37,11 +37,9 @@
             self.settings.apply(self, body_of(NEWER))
 
 
-async def claim_until_in_force(
-    keeper: FleetKeeper, settings: NewerSettings, peers: list[AnsweringPeer]
-) -> None:
+async def claim(settings: NewerSettings, peers: list[AnsweringPeer]) -> None:
     """Have peers claim a newer version every second, in the same order."""
-    while keeper.version < NEWER:
+    while True:
         for peer in peers:
             settings.compare(peer, NEWER)
             await asyncio.sleep(OFFSET_SECONDS)
@@ -63,8 +61,11 @@
     peers = [AnsweringPeer(f'tcp://deaf-{place}') for place in range(deaf)]
     sound = AnsweringPeer('tcp://sound')
     sound.settings = settings
+    claiming = asyncio.create_task(claim(settings, [*peers, sound]))
     async with asyncio.timeout(CHANGE_SECONDS):
-        await claim_until_in_force(keeper, settings, [*peers, sound])
+        while keeper.version < NEWER:
+            await asyncio.sleep(OFFSET_SECONDS)
+    claiming.cancel()
     assert sound.asked == 1
     assert max(peer.asked for peer in peers) <= CHANGE_SECONDS
 
