Read an answer of the platform for as long as it makes progress

Callers saw an older configuration, or refusals of an entry that had just started, while the platform's answers arrived slowly.

A list with a large configuration that takes longer (a slow store, a link shared by all entries that read the same change) was given up with most of it received, and begun again, for ever; two in a row discard the revision, and from then on only full lists are read. An entry that started began such a read four times a second beside those that were arriving. The class: a read that cannot end in its time.

- 1.0 s is the time until the first byte, and the longest pause after it.
- A transfer that is given up releases its connection within a second; its late error is taken, so that no raw line of the HTTP client is written.
- An entry that starts begins another read only while nothing arrives.

Answers that stop midway are given up in the same time as before.

--- a/packages/sycamore-core/src/sycamore_core/platform/http_sources.py
+++ b/packages/sycamore-core/src/sycamore_core/platform/http_sources.py
@@ -1,5 +1,6 @@
 """HTTP clients of the platform's services."""
 
+import asyncio
 from collections.abc import Sequence
 
 import msgspec
@@ -15,12 +16,16 @@
     PublishedSettings,
     SettingsSource,
 )
+from .transfer import PlatformResponse, Transfer
 
 #: Connect timeout, in seconds. The platform answers in milliseconds; after two
 #: seconds without a connection it is down or unreachable.
 CONNECT_TIMEOUT_SECONDS = 2.0
 #: Time allowed for a response beyond the requested wait, in seconds.
 RESPONSE_TIMEOUT_SECONDS = 5.0
+#: Time after which a response that makes progress is given up all the same, in
+#: seconds. One that is sent byte by byte would hold its connection for ever.
+LONGEST_TRANSFER_SECONDS = 30.0
 _VERSION_HEADER = 'Settings-Version'
 _HTTP_OK = 200
 _HTTP_NOT_MODIFIED = 304
@@ -34,7 +39,8 @@
     base_url
         Such as ``http://10.0.0.1:8080``.
     response_timeout
-        Time allowed for a response beyond the requested wait, in seconds.
+        Time allowed for a response beyond the requested wait, and for each
+        pause in a response that has begun, in seconds.
     """
 
     def __init__(
@@ -45,32 +51,51 @@
         self.base_url = base_url.rstrip('/')
         self.response_timeout = response_timeout
         self._client = CurlAsyncHTTPClient(force_instance=True)
+        self._transfers: set[Transfer] = set()
 
-    async def get(self, path: str, wait_seconds: float = 0) -> HTTPResponse:
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of an answer has arrived, and more may follow."""
+        return any(transfer.is_receiving for transfer in self._transfers)
+
+    async def get(self, path: str, wait_seconds: float = 0) -> PlatformResponse:
         """Return the response to a GET call, whatever its status.
 
         Raises
         ------
         PlatformError
-            If there is no response.
+            If there is no response, or it stops midway.
         """
-        url = f'{self.base_url}{path}'
+        first_seconds = wait_seconds + self.response_timeout
+        transfer = Transfer(first_seconds, self.response_timeout)
+        self._transfers.add(transfer)
         try:
-            return await self._client.fetch(
-                url,
-                raise_error=False,
-                connect_timeout=min(
-                    CONNECT_TIMEOUT_SECONDS, self.response_timeout
-                ),
-                request_timeout=wait_seconds + self.response_timeout,
+            return await transfer.wait(
+                self._fetch(path, wait_seconds, transfer)
             )
         except (HTTPClientError, OSError, ValueError) as error:
-            raise PlatformError(f'GET {url}: {error}') from error
+            message = f'GET {self.base_url}{path}: {error}'
+            raise PlatformError(message) from error
+        finally:
+            transfer.abandon()
+            self._transfers.discard(transfer)
 
     def close(self) -> None:
         """Close all connections."""
         self._client.close()
 
+    def _fetch(
+        self, path: str, wait_seconds: float, transfer: Transfer
+    ) -> asyncio.Future[HTTPResponse]:
+        return self._client.fetch(
+            f'{self.base_url}{path}',
+            raise_error=False,
+            connect_timeout=min(CONNECT_TIMEOUT_SECONDS, self.response_timeout),
+            request_timeout=wait_seconds + LONGEST_TRANSFER_SECONDS,
+            streaming_callback=transfer.receive,
+            prepare_curl_callback=transfer.prepare,
+        )
+
 
 class HttpSettingsSource(SettingsSource):
     """Reads and watches the settings service over HTTP.
@@ -134,7 +159,7 @@
         self._http.close()
 
 
-def _read_version(response: HTTPResponse) -> SettingsVersion:
+def _read_version(response: PlatformResponse) -> SettingsVersion:
     text = response.headers.get(_VERSION_HEADER, '')
     try:
         return SettingsVersion(int(text))
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/feed.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/feed.py
@@ -90,6 +90,11 @@
 class FleetFeed(abc.ABC):
     """Reads and watches the platform."""
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of an answer has arrived, and more may follow."""
+        return False
+
     @abc.abstractmethod
     async def snapshot(self) -> FleetSnapshot:
         """Return the current full state of the platform.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/first_list.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/first_list.py
@@ -85,7 +85,8 @@
         reads: set[asyncio.Task[FleetSnapshot]],
     ) -> FleetSnapshot:
         while True:
-            reads.add(asyncio.create_task(self.feed.snapshot()))
+            if not (reads and self.feed.is_receiving):
+                reads.add(asyncio.create_task(self.feed.snapshot()))
             answered, _ = await asyncio.wait(
                 reads,
                 timeout=REPEAT_SECONDS,
