Find a lost answer of the platform while its change is still in time

Callers saw requests run by the former service of a route at all entries at once, 3 s and more after the platform had been sound again.

A watch whose answer was lost showed it after 3.1 s. Each change ends the watches of all entries, which then began in step: all were blind together, and no peer knew better. The class: a time limit as long as the promise that it must keep.

- A watch lasts .9 of the time of a change, and its answer has .8 s: an entry alone finds out and reads within 2.75 s.
- The first watch after a change has a length by rank among the live entries of the cell, so that the watches of a cell end one after the other, .5 s apart at most (a cell of three entries or fewer watches for less).
The first that finds out tells the others.
- An entry whose watch does not show what a peer claims calls once more, on a new connection; the first answer counts.
A call beside another one, or after a failure, never uses a connection that was there before.

A probe by one entry is sooner, but that entry may be the one that is refused or frozen; staggered watches give nobody a part of its own.

--- a/packages/sycamore-core/src/sycamore_core/platform/http_sources.py
+++ b/packages/sycamore-core/src/sycamore_core/platform/http_sources.py
@@ -52,33 +52,53 @@
         self.response_timeout = response_timeout
         self._client = CurlAsyncHTTPClient(force_instance=True)
         self._transfers: set[Transfer] = set()
+        self._has_failed = False
 
     @property
     def is_receiving(self) -> bool:
         """Whether a part of an answer has arrived, and more may follow."""
         return any(transfer.is_receiving for transfer in self._transfers)
 
-    async def get(self, path: str, wait_seconds: float = 0) -> PlatformResponse:
+    async def get(
+        self,
+        path: str,
+        wait_seconds: float = 0,
+        answer_seconds: float | None = None,
+    ) -> PlatformResponse:
         """Return the response to a GET call, whatever its status.
 
+        Parameters
+        ----------
+        answer_seconds
+            Time allowed for the first byte beyond the requested wait, in
+            seconds; None for the response timeout.
+
         Raises
         ------
         PlatformError
             If there is no response, or it stops midway.
         """
-        first_seconds = wait_seconds + self.response_timeout
-        transfer = Transfer(first_seconds, self.response_timeout)
+        if answer_seconds is None:
+            answer_seconds = self.response_timeout
+        transfer = Transfer(
+            wait_seconds + answer_seconds, self.response_timeout
+        )
+        # Connections that wait, or on which a call has failed, may be silent.
+        transfer.needs_connection = self._has_failed or bool(self._transfers)
         self._transfers.add(transfer)
         try:
-            return await transfer.wait(
+            response = await transfer.wait(
                 self._fetch(path, wait_seconds, transfer)
             )
         except (HTTPClientError, OSError, ValueError) as error:
+            self._has_failed = True
             message = f'GET {self.base_url}{path}: {error}'
             raise PlatformError(message) from error
         finally:
             transfer.abandon()
             self._transfers.discard(transfer)
+        self._has_failed = False
+        return response
 
     def close(self) -> None:
         """Close all connections."""
--- a/packages/sycamore-core/src/sycamore_core/platform/transfer.py
+++ b/packages/sycamore-core/src/sycamore_core/platform/transfer.py
@@ -40,12 +40,18 @@
         Time allowed until the first byte of the body, in seconds.
     stall_seconds
         Time allowed without a byte after that, in seconds.
+
+    Attributes
+    ----------
+    needs_connection
+        Whether it needs a new connection.
     """
 
     def __init__(self, first_seconds: float, stall_seconds: float) -> None:
         self.stall_seconds = stall_seconds
         self._due = time.monotonic() + first_seconds
         self._chunks: list[bytes] = []
+        self.needs_connection = False
         self._is_abandoned = False
 
     @property
@@ -54,9 +60,10 @@
         return bool(self._chunks) and not self._is_abandoned
 
     def prepare(self, curl: pycurl.Curl) -> None:
-        """Have libcurl end the transfer once it is abandoned."""
+        """Set the connection, and have an abandoned transfer ended."""
         curl.setopt(pycurl.LOW_SPEED_LIMIT, _LOWEST_SPEED)
         curl.setopt(pycurl.LOW_SPEED_TIME, _LOWEST_SPEED_SECONDS)
+        curl.setopt(pycurl.FRESH_CONNECT, int(self.needs_connection))
         curl.setopt(pycurl.NOPROGRESS, 0)
         curl.setopt(pycurl.XFERINFOFUNCTION, self._check_abandoned)
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
@@ -44,6 +44,7 @@
 from .restoration import Restoration
 from .table_in_force import TableInForce
 from .table_origin import TableOrigin
+from .watch import PlatformWatch
 
 #: Shortest and longest pause after failed reads, in seconds. The platform
 #: accepts 2,000 reads a second from all entries together.
@@ -66,6 +67,8 @@
         When the platform answered last, and how many reads failed since.
     first_list
         Fetches the first list of endpoints.
+    watch
+        Waits for the changes of the platform.
     read_limit
         Limits how often the platform is read.
     leaving
@@ -78,8 +81,6 @@
         Zones that are evacuated.
     cold
         Endpoints that are cold after a start.
-    metrics
-        Metrics of the configuration in force and of the reads.
     """
 
     def __init__(
@@ -91,13 +92,13 @@
         self.feed = feed
         self.clock = clock
         self.read_limit = read_limit or ReadRateLimit()
-        self.metrics = FleetMetrics()
+        self.in_force = TableInForce(feed, FleetMetrics())
         self.metrics.version = lambda: self.version
         self.metrics.age = lambda: self.age
-        self.in_force = TableInForce(feed, self.metrics)
         self.directory = EndpointDirectory()
         self.contact = PlatformContact(clock)
         self.first_list = FirstList(feed, clock)
+        self.watch = PlatformWatch(feed, clock)
         self.restoration = Restoration(clock)
         self.log = Log('fleet')
         self.leaving = LeavingEndpoints(self.directory, clock, self.log)
@@ -105,12 +106,18 @@
         self.evacuation = EvacuatedZones(self.log, lambda: self.age)
         self.ended = EndedEndpoints(self.directory, clock, self.log)
         self._revision = NO_REVISION
+        self._is_first_watch = True
 
     @property
     def table(self) -> RoutingTable | None:
         """Return the configuration in force; None before the first."""
         return self.in_force.table
 
+    @property
+    def metrics(self) -> FleetMetrics:
+        """Return the metrics of the configuration and of the reads."""
+        return self.in_force.metrics
+
     @property
     def is_unreachable(self) -> bool:
         """Whether the platform does not answer."""
@@ -189,8 +196,10 @@
 
     async def _watch(self) -> bool:
         """Wait for a change; return whether one came."""
-        seconds = self.read_limit.change_seconds
-        batch = await self.feed.changes(self._revision, seconds)
+        seconds = self.read_limit.watch_seconds(is_first=self._is_first_watch)
+        self._is_first_watch = True
+        batch = await self.watch.changes(self._revision, seconds)
+        self._is_first_watch = bool(batch.changes)
         is_restored = self.restoration.record_epoch(batch.epoch)
         if is_restored or self.restoration.pop_settled():
             # The batch may lack changes, so that a full list is needed.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/read_pace.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/read_pace.py
@@ -11,6 +11,8 @@
 import asyncio
 import contextlib
 
+from sycamore_core.decisions.propagation import CellPlace, watch_seconds
+
 from ..settings import CHANGE_SECONDS
 
 #: Share of `change_seconds` for which an entry gathers changes before the next
@@ -28,16 +30,17 @@
     Attributes
     ----------
     change_seconds
-        Time within which a change must be in force, in seconds. A watch waits
-        this long for a change, as only its end shows that a connection has
-        gone silent. It is not shorter because each watch counts as a call.
+        Time within which a change must be in force, in seconds.
     entries
         Number of entries that watch the platform, including this one.
+    place
+        Place of this entry among the live entries of its cell.
     """
 
     def __init__(self, change_seconds: float = CHANGE_SECONDS) -> None:
         self.change_seconds = change_seconds
         self.entries = 1
+        self.place = CellPlace()
         self._pause_end = asyncio.Event()
 
     @property
@@ -57,6 +60,16 @@
         longest = self.change_seconds * _GATHER_SHARE
         return min(longest, self.entries / _CALLS_PER_S)
 
+    def watch_seconds(self, *, is_first: bool) -> float:
+        """Return how long the next watch waits for a change, in seconds.
+
+        Parameters
+        ----------
+        is_first
+            Whether it follows a change, which all entries read together.
+        """
+        return watch_seconds(self.place, self.change_seconds, is_first=is_first)
+
     def end_pause(self) -> None:
         """End the pause because a peer has a newer configuration.
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_count.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_count.py
@@ -1,6 +1,6 @@
 """Number of entries that share the limits of the fleet."""
 
-from sycamore_core.membership import Membership
+from sycamore_core.membership import Membership, place_in_cell
 from sycamore_core.telemetry import Log
 
 from ..context import ForwardingContext
@@ -77,6 +77,7 @@
         # Lost entries may still read.
         read_limit = self.context.keeper.read_limit
         read_limit.entries = self.context.fleet_size.largest
+        read_limit.place = place_in_cell(membership)
 
     def _observe(self, entries: int, *, is_discovered: bool) -> None:
         """Update the number by which limits are divided; log its changes."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/newer_settings.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/newer_settings.py
@@ -108,6 +108,8 @@
         for unanswered in self._asked:
             self.keeper.metrics.claims.add('unanswered')
             self.log.info('table_not_sent', **self._fields(unanswered))
+        # An answer of the platform may be lost, or a peer may not answer.
+        self.keeper.watch.repeat()
         self._asked = self.claims.choose(above, now)
         for address in self._asked:
             self.keeper.metrics.claims.add('requested')
