--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import functools
 
 from sycamore_core.clock import Clock
 from sycamore_core.errors import PlatformError
@@ -98,7 +99,7 @@
         self.directory = EndpointDirectory()
         self.contact = PlatformContact(clock)
         self.first_list = FirstList(feed, clock)
-        self.watch = PlatformWatch(feed, clock)
+        self.watch = PlatformWatch(clock)
         self.restoration = Restoration(clock)
         self.log = Log('fleet')
         self.leaving = LeavingEndpoints(self.directory, clock, self.log)
@@ -198,7 +199,9 @@
         """Wait for a change; return whether one came."""
         seconds = self.read_limit.watch_seconds(is_first=self._is_first_watch)
         self._is_first_watch = True
-        batch = await self.watch.changes(self._revision, seconds)
+        batch = await self.watch.run(
+            functools.partial(self.feed.changes, self._revision, seconds)
+        )
         self._is_first_watch = bool(batch.changes)
         is_restored = self.restoration.record_epoch(batch.epoch)
         if is_restored or self.restoration.pop_settled():
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/watch.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/watch.py
@@ -1,16 +1,20 @@
 """The watch of the platform for changes, whose answer may be lost."""
 
 import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from sycamore_core.clock import Clock
 from sycamore_core.telemetry import Log
 
-from .feed import ChangeBatch, FleetFeed, Revision
+from .feed import ChangeBatch
 
 #: Least time between two calls of one watch, in seconds. Peers repeat every
 #: quarter of a second that they have a newer configuration.
 REPEAT_SECONDS = 0.75
 
+Call = Callable[[], Coroutine[Any, Any, ChangeBatch]]
+
 
 class PlatformWatch:
     """Waits for the next changes, and calls again if peers know of them.
@@ -19,8 +23,7 @@
     entry would hear of the change only after the end of its watch.
     """
 
-    def __init__(self, feed: FleetFeed, clock: Clock) -> None:
-        self.feed = feed
+    def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.log = Log('fleet')
         self._must_repeat = asyncio.Event()
@@ -31,10 +34,13 @@
         if self.clock.monotonic() - self._called_at >= REPEAT_SECONDS:
             self._must_repeat.set()
 
-    async def changes(
-        self, revision: Revision, wait_seconds: float
-    ) -> ChangeBatch:
-        """Return the changes after a revision, as the first call to answer.
+    async def run(self, call: Call) -> ChangeBatch:
+        """Return the answer of the first call that is answered.
+
+        Parameters
+        ----------
+        call
+            Makes one call.
 
         Raises
         ------
@@ -42,7 +48,7 @@
             If all calls have failed; the last error.
         """
         self._must_repeat.clear()
-        calls = {self._call(revision, wait_seconds)}
+        calls = {self._start(call)}
         repeating = asyncio.create_task(self._must_repeat.wait())
         try:
             while True:
@@ -51,8 +57,8 @@
                 )
                 if repeating in done:
                     self._must_repeat.clear()
-                    self.log.info('watch_repeated', revision=revision)
-                    calls.add(self._call(revision, wait_seconds))
+                    self.log.info('watch_repeated')
+                    calls.add(self._start(call))
                     repeating = asyncio.create_task(self._must_repeat.wait())
                 answered = _first_answer(calls)
                 if answered is not None:
@@ -60,11 +66,9 @@
         finally:
             await _cancel({*calls, repeating})
 
-    def _call(
-        self, revision: Revision, wait_seconds: float
-    ) -> asyncio.Task[ChangeBatch]:
+    def _start(self, call: Call) -> asyncio.Task[ChangeBatch]:
         self._called_at = self.clock.monotonic()
-        return asyncio.create_task(self.feed.changes(revision, wait_seconds))
+        return asyncio.create_task(call())
 
 
 def _first_answer(calls: set[asyncio.Task[ChangeBatch]]) -> ChangeBatch | None:
