Write one line a second at most for messages lost to defects

A handler that fails at each message would write a line for each, a thousand in a second. FailedMessages counts all (transport_failed_messages_total) and logs some; its test fails without the limit.

--- a/packages/sycamore-core/src/sycamore_core/transport/counts.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/counts.py
@@ -17,6 +17,8 @@
         Packets dropped because of their age.
     failed_tasks
         Defects that ended a task of the node or of a peer.
+    failed_messages
+        Messages that were lost to a defect in their handling.
     """
 
     sent_packets: int = 0
@@ -30,3 +32,4 @@
     unknown_messages: int = 0
     stale: int = 0
     failed_tasks: int = 0
+    failed_messages: int = 0
--- a/packages/sycamore-core/src/sycamore_core/transport/node.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/node.py
@@ -13,6 +13,7 @@
 from ..telemetry import Log
 from .ages import MAX_PACKET_AGE_SECONDS, PacketAges
 from .counts import TransportCounts
+from .failed_messages import FailedMessages
 from .peer import Peer
 
 #: Maximum size of a received packet: a prompt of a million tokens with headers.
@@ -56,6 +57,11 @@
         Coroutine function that handles one peer until it is cancelled. It
         reads from `Peer.inbound` and writes with `Peer.post`. It may be set
         later, but before `start`.
+
+    Attributes
+    ----------
+    failed_messages
+        Records messages whose handling met a defect.
     """
 
     def __init__(
@@ -71,6 +77,7 @@
         self.serve_peer = serve_peer or _ignore_peer
         self.counts = TransportCounts()
         self.peers: dict[str, Peer] = {}
+        self.failed_messages = FailedMessages(self.counts, clock)
         self.log = Log('transport')
         self._ages: dict[str, PacketAges] = {}
         self._tasks: dict[str, list[asyncio.Task[None]]] = {}
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/entry_mesh.py
@@ -178,12 +178,7 @@
                 self._handle(peer, message)
             except Exception as error:
                 # A defect loses this message only.
-                self.log.error(
-                    'message_failed',
-                    message=type(message).__name__,
-                    peer=peer.address,
-                    error=repr(error),
-                )
+                self.node.failed_messages.record(peer, message, error)
 
     def update_membership(self) -> None:
         """Expire silent members and update the number of entries and cells."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_deaf_peers.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_deaf_peers.py
@@ -3,14 +3,17 @@
 import asyncio
 
 import pytest
-from sycamore_core.clock import SystemClock
+from sycamore_core.clock import ManualClock, SystemClock
 from sycamore_core.messages import Message, SettingsWanted
+from sycamore_core.transport.counts import TransportCounts
+from sycamore_core.transport.failed_messages import FailedMessages
 
 from ..fleet.feed import TableChanged
 from ..fleet.keeper import FleetKeeper
 from ..mesh.newer_settings import NewerSettings
 from .builders import SNAPSHOT
 from .builders_mesh import entries, queued_changes_of, running
+from .builders_overload import LogFields, captured_lines
 from .test_deciding_version import newer_table
 from .test_peer_tables import CountingFeed, body_of
 
@@ -85,6 +88,22 @@
         async with asyncio.timeout(CHANGE_SECONDS):
             while second.context.keeper.version < NEWER:
                 await asyncio.sleep(0.02)
+    assert second.mesh.node.counts.failed_messages
+
+
+def test_failed_messages_write_few_lines() -> None:
+    """Guards against a defect at each message that fills the log."""
+    counts, clock = TransportCounts(), ManualClock(start=10)
+    failed = FailedMessages(counts, clock)
+    lines: list[LogFields] = []
+    with captured_lines('message_failed', lines):
+        for _ in range(100):
+            failed.record(
+                AnsweringPeer('tcp://a'), SettingsWanted(0), KeyError()
+            )
+        clock.advance(1)
+        failed.record(AnsweringPeer('tcp://a'), SettingsWanted(0), KeyError())
+    assert (len(lines), counts.failed_messages) == (2, 101)
 
 
 class FailsAtFirst:
