--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_watch.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_watch.py
@@ -8,7 +8,6 @@
 
 from ..fleet import watch
 from ..fleet.feed import ChangeBatch, Revision
-from ..fleet.watch import PlatformWatch
 
 ANSWER = ChangeBatch(Revision(4))
 WAIT_SECONDS = 5
@@ -26,16 +25,16 @@
         return await answer
 
 
-async def begin(calls: Calls) -> tuple[PlatformWatch, asyncio.Task]:
+async def begin(calls: Calls) -> tuple[watch.PlatformWatch, asyncio.Task]:
     """Begin a watch; return it with its task."""
-    begun = PlatformWatch(SystemClock())
+    begun = watch.PlatformWatch(SystemClock())
     task = asyncio.create_task(begun.run(calls.make))
     while not calls.made:
         await asyncio.sleep(0)
     return begun, task
 
 
-async def repeat(begun: PlatformWatch, calls: Calls) -> None:
+async def repeat(begun: watch.PlatformWatch, calls: Calls) -> None:
     """Call again, and wait until the call is made."""
     number = len(calls.made)
     async with asyncio.timeout(WAIT_SECONDS):
