--- a/packages/sycamore-core/src/sycamore_core/decisions/propagation/claimed_versions.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/propagation/claimed_versions.py
@@ -27,11 +27,17 @@
     version: int
     heard_at: float
     asked_at: float | None = None
+    has_answered: bool = False
 
     def is_due(self, now: float) -> bool:
         """Return whether the peer may be asked."""
         return self.asked_at is None or now - self.asked_at >= REPEAT_SECONDS
 
+    @property
+    def order(self) -> tuple[bool, int]:
+        """Return the key by which peers are asked, the lowest first."""
+        return (not self.has_answered, -self.version)
+
 
 class ClaimedVersions:
     """The newer versions that peers have, and who was asked for them.
@@ -72,6 +78,17 @@
         """Forget a peer, which has no newer version any more."""
         self._claims.pop(peer, None)
 
+    def record_answer(self, peer: str) -> None:
+        """Record that a peer has sent its configuration.
+
+        It is asked first for the next version, and alone.
+        """
+        claim = self._claims.get(peer)
+        if claim is not None:
+            claim.asked_at = None
+            claim.has_answered = True
+        self._round_size = 1
+
     def record_unusable(self, version: int) -> None:
         """Record that the document of a version cannot be read."""
         self._unusable = max(self._unusable, version)
@@ -87,8 +104,9 @@
     def choose(self, above: int, now: float) -> tuple[str, ...]:
         """Return the peers to ask now for a version above another.
 
-        Peers that were not asked come first, alone; then those with the newest
-        version, then those that were heard first.
+        Peers that were not asked since their last answer come first, alone;
+        then those that have answered before, those with the newest version, and
+        those that were heard first.
         """
         if self.newest(now) <= above:
             self._round_size = 1
@@ -108,4 +126,4 @@
             if claim.version >= lowest and claim.is_due(now)
         }
         unasked = [one for one in claims if claims[one].asked_at is None]
-        return sorted(unasked or claims, key=lambda one: -claims[one].version)
+        return sorted(unasked or claims, key=lambda one: claims[one].order)
--- a/packages/sycamore-core/src/sycamore_core/decisions/propagation/tests/test_claimed_versions.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/propagation/tests/test_claimed_versions.py
@@ -76,6 +76,27 @@
     assert claims.choose(above=0, now=1) == ('a',)
 
 
+def test_one_peer_is_asked_for_each_version_of_a_series() -> None:
+    """Guards against configurations that all peers send in a series of them.
+
+    A newer version is claimed before the last one is in force.
+    """
+    claims = ClaimedVersions()
+    asked = []
+    now: float = 0
+    for version in range(VERSION, VERSION + 20):
+        for peer in ('deaf', 'b', 'c', 'd', 'e'):
+            claims.record(peer, version, now)
+        now += ANSWER_SECONDS
+        chosen = claims.choose(above=version - 1, now=now)
+        for peer in chosen:
+            if peer != 'deaf':
+                claims.record_answer(peer)
+        asked += chosen
+    assert len(asked) <= 20 + 5
+    assert asked.count('deaf') == 1
+
+
 def test_newest_version_is_requested_first() -> None:
     """Guards against a version that is out of date when it arrives."""
     claims = ClaimedVersions()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/newer_settings.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/mesh/newer_settings.py
@@ -75,6 +75,8 @@
             'peer', peer=peer.address, heard_seconds=self._heard_seconds()
         )
         self.keeper.metrics.claims.add('answered')
+        self.claims.record_answer(peer.address)
+        self._asked = tuple(one for one in self._asked if one != peer.address)
         self.keeper.in_force.apply_peer_body(body, origin)
         if body.version > self.keeper.version:
             self.claims.record_unusable(body.version)
