--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/table_origin.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/table_origin.py
@@ -18,7 +18,8 @@
     peer
         Address of the peer; empty if it came from the platform.
     heard_seconds
-        Time since a peer first claimed this version; None if none did.
+        Time since the first claim of a newer version, in seconds; None if it
+        came from the platform.
     """
 
     source: str = 'platform'
