Drop a builder's method that nobody calls

Reading the change once more: the machine over versions notes itself when the contact of an entry is harmed, and has to, as that depends on what the store does to it. No test or assertion changes.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_versions.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_versions.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import math
 
 from sycamore_core.decisions.propagation import CellPlace
 from sycamore_core.errors import PlatformError
@@ -256,7 +255,3 @@
             limit = entry.keeper.read_limit
             limit.place = CellPlace(rank, len(running))
             limit.entries = len(self.entries)
-
-    def harm(self, entry: ModelEntry, until: float = math.inf) -> None:
-        """Note that the contact of an entry is harmed."""
-        entry.harmed_until = max(until, self.clock.monotonic())
