Name the task and the place in the code in lines about our own faults

All that an operator saw was one line, task_failed with the repr of an exception: neither which of the eight background tasks had ended nor which code had raised. A RecursionError without a place could have come from any reader, any figure and any encoder, so that these hypotheses could not be told apart.

Lines about faults of ours now have the error, of 300 characters at most (its text may repeat the input), and in 'at' the innermost place in our code; the tasks of a forwarding entry have names. No behaviour changes: the process still ends with such a task.

--- a/packages/sycamore-core/src/sycamore_core/platform/keeper.py
+++ b/packages/sycamore-core/src/sycamore_core/platform/keeper.py
@@ -16,7 +16,7 @@
     FleetSettings,
 )
 from ..states import SettingsVerdict
-from ..telemetry import Gauge, Log, Metrics
+from ..telemetry import Gauge, Log, Metrics, error_fields
 from .bodies import unpack_settings
 from .claims import SettingsClaim
 from .http_sources import HttpSettingsSource
@@ -263,7 +263,7 @@
     except Exception as error:
         # A listener that fails must neither stop later reads nor keep the
         # settings from the other listeners.
-        log.error('settings_listener_failed', reason=repr(error))
+        log.error('settings_listener_failed', **error_fields(error))
 
 
 def _missing_settings_reason(view: SettingsView) -> str:
--- a/packages/sycamore-core/src/sycamore_core/tasks.py
+++ b/packages/sycamore-core/src/sycamore_core/tasks.py
@@ -8,7 +8,7 @@
 import functools
 from collections.abc import Awaitable, Callable, Coroutine
 
-from .telemetry import Log
+from .telemetry import Log, error_fields
 
 #: Pause before a failed task is started again, in seconds. A task that fails
 #: at once each time then writes two lines a second.
@@ -22,7 +22,7 @@
 ) -> asyncio.Task[None]:
     """Start a task; log the error with which it ends, if any."""
     task = asyncio.create_task(coroutine, name=name)
-    task.add_done_callback(functools.partial(_log_failure, log))
+    task.add_done_callback(functools.partial(log_failure, log))
     return task
 
 
@@ -47,7 +47,7 @@
         try:
             await action()
         except Exception as error:
-            log.error('task_failed', task=name, error=repr(error))
+            log.error('task_failed', task=name, **error_fields(error))
             if on_failure is not None:
                 on_failure()
         else:
@@ -55,8 +55,8 @@
         await asyncio.sleep(RESTART_SECONDS)
 
 
-def _log_failure(log: Log, task: asyncio.Task[None]) -> None:
-    if not task.cancelled() and task.exception() is not None:
-        log.error(
-            'task_failed', task=task.get_name(), error=repr(task.exception())
-        )
+def log_failure(log: Log, task: asyncio.Task[None]) -> None:
+    """Log the error with which a task has ended, if any."""
+    error = None if task.cancelled() else task.exception()
+    if error is not None:
+        log.error('task_failed', task=task.get_name(), **error_fields(error))
--- a/packages/sycamore-core/src/sycamore_core/telemetry/__init__.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/__init__.py
@@ -1,6 +1,7 @@
 """JSON logs, Prometheus metrics and attainment of the targets."""
 
 from .attainment import Attainment, AttainmentKey, AttainmentRow
+from .error_fields import error_fields
 from .event_loop import EventLoopWatch
 from .gauges import Gauge
 from .logs import Log, start_logging
@@ -17,6 +18,7 @@
     'Log',
     'Metrics',
     'ProcessTimes',
+    'error_fields',
     'process_age_seconds',
     'start_logging',
 )
--- a/packages/sycamore-core/src/sycamore_core/transport/failed_messages.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/failed_messages.py
@@ -2,7 +2,7 @@
 
 from ..clock import Clock
 from ..messages import Message
-from ..telemetry import Log
+from ..telemetry import Log, error_fields
 from .counts import TransportCounts
 from .peer import Peer
 
@@ -31,5 +31,5 @@
             'message_failed',
             message=type(message).__name__,
             peer=peer.address,
-            error=repr(error),
+            **error_fields(error),
         )
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/message_handler.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/message_handler.py
@@ -17,7 +17,7 @@
     Withdraw,
 )
 from sycamore_core.platform import SettingsClaim
-from sycamore_core.telemetry import Log, Metrics
+from sycamore_core.telemetry import Log, Metrics, error_fields
 from sycamore_core.transport import Peer, ReceivedMessage
 
 from .admission import Admission
@@ -70,7 +70,7 @@
                 # A message that cannot be handled must not end this loop: no
                 # later message of the sender would be read, and all its runs
                 # would be lost.
-                self.log.error('message_failed', error=repr(error))
+                self.log.error('message_failed', **error_fields(error))
 
     @functools.singledispatchmethod
     def handle(self, message: Message, peer: Peer) -> None:
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/process.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/process.py
@@ -7,6 +7,7 @@
 from sycamore_core.errors import PlatformError
 from sycamore_core.platform import HttpInstanceSource
 from sycamore_core.settings import EndpointProcessSettings
+from sycamore_core.tasks import log_failure
 from sycamore_core.telemetry import Log
 from tornado.httpserver import HTTPServer
 
@@ -95,7 +96,7 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
         for task in ended.difference({drain_started}):
-            self.log.error('task_failed', error=repr(task.exception()))
+            log_failure(self.log, task)
             self.drain.begin('task failed')
         drain_started.cancel()
 
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/runner.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/runner.py
@@ -6,7 +6,7 @@
 from sycamore_core.errors import BackendError
 from sycamore_core.ids import RequestId
 from sycamore_core.states import Execution, Outcome, RefusalReason
-from sycamore_core.telemetry import Log
+from sycamore_core.telemetry import Log, error_fields
 from sycamore_core.transport import Node
 
 from .admission import Admission
@@ -150,8 +150,9 @@
         if self.tasks.get(record.request_id) is task:
             self.tasks.pop(record.request_id)
             self._window_events.pop(record.request_id, None)
-        if not task.cancelled() and task.exception() is not None:
-            self.log.error('run_task', error=repr(task.exception()))
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self.log.error('run_task', **error_fields(error))
             self.runs.end(
                 record,
                 Outcome.FAILED,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/caller.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Collection, Coroutine
 from inspect import CORO_CREATED, getcoroutinestate
 
+from sycamore_core.telemetry import error_fields
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPConnection,
@@ -273,7 +274,7 @@
         try:
             await self.server.serve(request, answer)
         except Exception as error:
-            self.log.error('exchange_fault', error=repr(error))
+            self.log.error('exchange_fault', **error_fields(error))
             if not answer.is_over:
                 await self._refuse(answer)
             if not answer.is_complete:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/outcome.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/outcome.py
@@ -1,6 +1,7 @@
 """Answers of the entry itself, if no endpoint gave a complete answer."""
 
 from sycamore_core.decisions.direct import AttemptLog
+from sycamore_core.telemetry import error_fields
 from tornado.httputil import HTTPHeaders
 
 from ..context import ForwardingContext
@@ -150,7 +151,7 @@
         self.context.log.error(
             'exchange_fault',
             request_id=self.request_id,
-            error=repr(error),
+            **error_fields(error),
         )
 
     def report_unanswered(self) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import signal
 from collections.abc import Callable, Coroutine
 from typing import Self
 
@@ -16,6 +15,7 @@
 )
 from tornado.httpserver import HTTPServer
 
+from .background_tasks import BackgroundTasks
 from .callers.caller import (
     CallerAnswer,
     CallerConnections,
@@ -73,7 +73,7 @@
         self.gate = ConnectionGate(
             context.clock, self.log, context.metrics.refusals
         )
-        self._tasks: list[asyncio.Task[None]] = []
+        self.tasks = BackgroundTasks(self.log)
 
     @classmethod
     def from_settings(
@@ -129,12 +129,12 @@
         """Start all background tasks; callers are not yet served."""
         if self.context.settings.peers:
             self.mesh.start()
-            self._start_task(self.mesh.run())
-        self._start_task(self.context.keeper.run())
-        self._start_task(self.context.keeper.expire())
-        self._start_task(self._sweep())
-        self._start_task(self.loop_watch.run())
-        self._start_task(self.gate.run())
+            self.tasks.start(self.mesh.run(), 'send updates')
+        self.tasks.start(self.context.keeper.run(), 'read platform')
+        self.tasks.start(self.context.keeper.expire(), 'expire endpoints')
+        self.tasks.start(self._sweep(), 'sweep connections to endpoints')
+        self.tasks.start(self.loop_watch.run(), 'watch event loop')
+        self.tasks.start(self.gate.run(), 'limit connections')
 
     def reload(self, *, asked: bool) -> None:
         """Read the settings again; keep the current ones if that fails.
@@ -159,19 +159,19 @@
 
     async def close(self) -> None:
         """Cancel all tasks and close all connections."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.tasks.cancel()
         self.context.pool.close()
         await self.mesh.node.close()
         self.log.info('stopped', entry=self.context.entry)
 
     async def _run_until_stopped(self, signals: ProcessSignals) -> None:
-        self._start_task(self._reload_when_changed(signals.reload))
+        self.tasks.start(
+            self._reload_when_changed(signals.reload), 'reload settings'
+        )
         _log_start(self.log, self.context.settings)
         self.callers = self._serve_callers()
         sweep = CallerSweep(self.context, self.connections, self.callers)
-        self._start_task(sweep.run())
+        self.tasks.start(sweep.run(), 'sweep callers')
         ready = self._serve_operators()
         self.start_tasks()
         await signals.stop.wait()
@@ -215,19 +215,6 @@
         _listen(server, self.context.settings.callers)
         return server
 
-    def _start_task(self, coroutine: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(self._task_ended)
-        self._tasks.append(task)
-
-    def _task_ended(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        # A defect in the entry. Without this task the process would look ready
-        # to the balancer but miss changes, so it stops and is restarted.
-        self.log.error('task_failed', error=repr(task.exception()))
-        signal.raise_signal(signal.SIGTERM)
-
     async def _reload_when_changed(self, requested: asyncio.Event) -> None:
         """Apply changed settings, on a signal or when the file has changed.
 
--- a/packages/sycamore-entry/src/sycamore_entry/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/process.py
@@ -10,6 +10,7 @@
 from sycamore_core.errors import PlatformError
 from sycamore_core.ids import SettingsVersion
 from sycamore_core.settings import EntryProcessSettings, FleetSettings
+from sycamore_core.tasks import log_failure
 from tornado.httpserver import HTTPServer
 
 from .components import EntryComponents
@@ -98,7 +99,7 @@
             return_when=asyncio.FIRST_COMPLETED,
         )
         for task in ended.difference({stopped}):
-            self.log.error('task_failed', error=repr(task.exception()))
+            log_failure(self.log, task)
         stopped.cancel()
 
     async def _drain(self) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/web/handlers/base.py
+++ b/packages/sycamore-entry/src/sycamore_entry/web/handlers/base.py
@@ -7,6 +7,7 @@
 import msgspec
 from sycamore_core.ids import RequestId
 from sycamore_core.states import Execution, RefusalReason
+from sycamore_core.telemetry import error_fields
 from tornado.web import HTTPError, RequestHandler, stream_request_body
 
 from ...answers import AnswerSink
@@ -55,7 +56,9 @@
     def log_exception(self, typ: Any, value: Any, tb: Any) -> None:
         """Log internal errors; refusals are logged elsewhere."""
         if not isinstance(value, (RefusedError, HTTPError)):
-            self.context.entry.log.error('handler_failed', error=repr(value))
+            self.context.entry.log.error(
+                'handler_failed', **error_fields(value)
+            )
 
 
 @stream_request_body
