Lose one item only to a registration that cannot be read

Cause: read_registration translated the errors that its decoder documents (DecodeError, UnicodeDecodeError, ValueError). For values nested about 1,000 levels deep msgspec raises RecursionError, also in a field that it only skips. The error passed StoreFeed and FleetKeeper.read_once, which expect PlatformError, ended the task that reads the platform, and with it the process; the next one listed the same item. The log of the process showed task_failed with RecursionError from that read.

Not a list of more errors: which ones a decoder raises is not documented, and the next odd input would meet the one that is missing.

--- /dev/null
+++ b/packages/sycamore-core/src/sycamore_core/reading.py
@@ -0,0 +1,53 @@
+"""Reading of input that anybody may have written."""
+
+import contextlib
+from collections.abc import Iterator
+
+from .errors import SycamoreError
+
+#: Number of characters of an error that are kept. Its text may repeat the
+#: input.
+_MAX_REASON_CHARACTERS = 300
+
+
+@contextlib.contextmanager
+def reading(subject: str, failure: type[SycamoreError]) -> Iterator[None]:
+    """Raise one type of error for whatever a block raises that reads input.
+
+    Decoders raise more than the errors that they document: `RecursionError`
+    for values that are nested too deeply, `OverflowError` for numbers that a
+    conversion does not support. Without this, such an input ends the task that
+    reads it, and meets the task again when that is restarted.
+
+    Parameters
+    ----------
+    subject
+        What is read, for the message of the error.
+    failure
+        Type of the error. Errors of this type pass as they are.
+
+    Examples
+    --------
+    >>> from sycamore_core.errors import CodecError
+    >>> with reading('port', CodecError):
+    ...     int('http')
+    Traceback (most recent call last):
+        ...
+    sycamore_core.errors.CodecError: port: ValueError: invalid literal ...
+    """
+    try:
+        yield
+    except failure:
+        raise
+    except Exception as error:
+        kind = type(error).__name__
+        reason = f'{subject}: {kind}: {_text(error)}'
+        raise failure(reason) from error
+
+
+def _text(error: Exception) -> str:
+    try:
+        return str(error)[:_MAX_REASON_CHARACTERS]
+    except Exception:
+        # The error refers to a value that is nested too deeply to be shown.
+        return 'no text'
