Admit nobody when the last key is gone

Once the last one is gone, requests with the dropped keys (40 of 40), with a key that was never issued (20 of 20) and with none (20 of 20) are served, without the name of a tenant.

Cause: RoutingTable.needs_keys was whether any key is known, so that tenants without keys looked like no tenants.

Any list closes: empty, tenants without keys, tenants without the field of keys.

--- a/packages/sycamore-core/src/sycamore_core/routing/table.py
+++ b/packages/sycamore-core/src/sycamore_core/routing/table.py
@@ -2,7 +2,6 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
-from types import MappingProxyType
 
 import msgspec
 
@@ -16,7 +15,6 @@
 #: engine.
 PRIORITY_FACTOR = 3.0
 _NO_LIMITS = CallerLimits()
-_NO_WORKSPACES: Mapping[str, WorkspaceRecord] = MappingProxyType({})
 
 
 class RoutingTable:
@@ -27,7 +25,14 @@
     version
         Version number under which the operator published it.
     workspaces
-        Workspaces by API key; empty if callers need no key.
+        Workspaces by API key; None if the configuration does not have
+        workspaces, so that callers need no key. An empty mapping lets nobody
+        in: all keys have been revoked.
+
+    Attributes
+    ----------
+    needs_keys
+        Whether requests on routes that are not public need a key.
     """
 
     def __init__(
@@ -35,22 +40,18 @@
         version: SettingsVersion,
         routes: Iterable[Route],
         services: Iterable[ServiceRecord],
-        workspaces: Mapping[str, WorkspaceRecord] = _NO_WORKSPACES,
+        workspaces: Mapping[str, WorkspaceRecord] | None = None,
         limits: CallerLimits = _NO_LIMITS,
     ) -> None:
         self.version = version
         self.routes = tuple(routes)
         self.services = {service.service: service for service in services}
-        self.workspaces = dict(workspaces)
+        self.needs_keys = workspaces is not None
+        self.workspaces = dict(workspaces or {})
         self.limits = limits
         self._by_host = _longest_first(self.routes)
         self._ranked = _ranked_services(self)
 
-    @property
-    def needs_keys(self) -> bool:
-        """Whether requests on routes that are not public need a key."""
-        return bool(self.workspaces)
-
     @property
     def has_ranked_services(self) -> bool:
         """Whether any service is ranked."""
