--- a/packages/sycamore-core/src/sycamore_core/reading.py
+++ b/packages/sycamore-core/src/sycamore_core/error_translation.py
@@ -1,4 +1,4 @@
-"""Reading of input that anybody may have written."""
+"""Translation of whatever a reader or an encoder raises to one error type."""
 
 import contextlib
 from collections.abc import Iterator
@@ -11,25 +11,28 @@
 
 
 @contextlib.contextmanager
-def reading(subject: str, failure: type[SycamoreError]) -> Iterator[None]:
-    """Raise one type of error for whatever a block raises that reads input.
+def translating_errors(
+    subject: str, failure: type[SycamoreError]
+) -> Iterator[None]:
+    """Raise one type of error for whatever a block raises.
 
     Decoders raise more than the errors that they document: `RecursionError`
     for values that are nested too deeply, `OverflowError` for numbers that a
     conversion does not support. Without this, such an input ends the task that
-    reads it, and meets the task again when that is restarted.
+    reads it, and meets the task again when that is restarted. A block that
+    reads what anybody may have written runs within this, at the boundary.
 
     Parameters
     ----------
     subject
-        What is read, for the message of the error.
+        What is read or written, for the message of the error.
     failure
         Type of the error. Errors of this type pass as they are.
 
     Examples
     --------
     >>> from sycamore_core.errors import CodecError
-    >>> with reading('port', CodecError):
+    >>> with translating_errors('port', CodecError):
     ...     int('http')
     Traceback (most recent call last):
         ...
