Start a background task again instead of ending the process

An input that meets a defect is met again after the restart, by every entry at once: 8 ends at each of three entries in 30 s.

What may end a process by itself is now decided: nothing in operation. A task that raises, returns, or is cancelled by something that it awaited (which ended it in silence) is logged, counted by task (sycamore_failed_tasks_total) and started again after half a second; a defect within a read of the platform counts as a failed read (read_failed), so that a full list follows. Processes end by signals, or at their start for settings, keys and addresses. The entry and endpoint processes of our own protocol follow the same rule, as they ended or drained for a failed task.

Weighed: ending after some failures in a row, which heals a broken state and loses the fleet to an input; staying not ready, which takes the balancer's nodes away at once for the same input.

--- a/packages/sycamore-core/src/sycamore_core/tasks.py
+++ b/packages/sycamore-core/src/sycamore_core/tasks.py
@@ -8,6 +8,7 @@
 import functools
 from collections.abc import Awaitable, Callable, Coroutine
 
+from .errors import SycamoreError
 from .telemetry import Log, error_fields
 
 #: Pause before a failed task is started again, in seconds. A task that fails
@@ -17,12 +18,16 @@
 Failed = Callable[[], None]
 
 
+class TaskEndedError(SycamoreError):
+    """A task that should run until it is cancelled has returned."""
+
+
 def start_logged(
     coroutine: Coroutine[None, None, None], name: str, log: Log
 ) -> asyncio.Task[None]:
     """Start a task; log the error with which it ends, if any."""
     task = asyncio.create_task(coroutine, name=name)
-    task.add_done_callback(functools.partial(log_failure, log))
+    task.add_done_callback(functools.partial(_log_failure, log))
     return task
 
 
@@ -45,18 +50,36 @@
     """
     while True:
         try:
-            await action()
-        except Exception as error:
+            return await action()
+        except (Exception, asyncio.CancelledError) as error:
+            _check_cancelled(error)
             log.error('task_failed', task=name, **error_fields(error))
-            if on_failure is not None:
-                on_failure()
-        else:
-            return
+        if on_failure is not None:
+            on_failure()
         await asyncio.sleep(RESTART_SECONDS)
 
 
-def log_failure(log: Log, task: asyncio.Task[None]) -> None:
-    """Log the error with which a task has ended, if any."""
+async def never_ending(action: Callable[[], Awaitable[None]]) -> None:
+    """Run an action that should run until it is cancelled.
+
+    Raises
+    ------
+    TaskEndedError
+        If it returns.
+    """
+    await action()
+    raise TaskEndedError
+
+
+def _check_cancelled(error: BaseException) -> None:
+    """Raise an error that cancels this task, not what the task awaited."""
+    task = asyncio.current_task()
+    is_cancelled = task is not None and task.cancelling() > 0
+    if is_cancelled and isinstance(error, asyncio.CancelledError):
+        raise error
+
+
+def _log_failure(log: Log, task: asyncio.Task[None]) -> None:
     error = None if task.cancelled() else task.exception()
     if error is not None:
         log.error('task_failed', task=task.get_name(), **error_fields(error))
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/process.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/process.py
@@ -1,13 +1,15 @@
 """The endpoint process: start, tasks and shutdown."""
 
 import asyncio
+import functools
+from collections.abc import Awaitable, Callable
 from typing import Self
 
 from sycamore_core.clock import SystemClock
 from sycamore_core.errors import PlatformError
 from sycamore_core.platform import HttpInstanceSource
 from sycamore_core.settings import EndpointProcessSettings
-from sycamore_core.tasks import log_failure
+from sycamore_core.tasks import keep_running
 from sycamore_core.telemetry import Log
 from tornado.httpserver import HTTPServer
 
@@ -48,7 +50,7 @@
         self.parts.node.start()
         server = self._listen()
         await self._start_tasks()
-        await self._wait_until_draining()
+        await self.drain.started.wait()
         await self.drain.wait_until_drained(self.settings.drain_seconds)
         await asyncio.sleep(_LINGER_SECONDS)
         await self._stop_tasks()
@@ -67,11 +69,13 @@
     async def _start_tasks(self) -> None:
         keeper = self.parts.keeper
         keeper.add_listener(self.parts.apply_settings)
-        self._tasks.append(asyncio.create_task(keeper.run()))
+        self._start_task(keeper.run, 'settings')
         if self.settings.instances_url:
             source = HttpInstanceSource(self.settings.instances_url)
-            watch = asyncio.create_task(self.drain.watch_instances(source))
-            self._tasks.append(watch)
+            self._start_task(
+                functools.partial(self.drain.watch_instances, source),
+                'instances',
+            )
         try:
             await keeper.wait_for_settings(self.settings.start_seconds)
         except PlatformError as error:
@@ -80,25 +84,22 @@
         if backend_parts is None:
             self.drain.begin('no usable settings')
             return
-        self._tasks.append(
-            asyncio.create_task(backend_parts.housekeeping.run())
-        )
+        self._start_task(backend_parts.housekeeping.run, 'housekeeping')
         for part in (backend_parts.watch, backend_parts.orders):
             if part is not None:
-                self._tasks.append(asyncio.create_task(part.run()))
+                self._start_task(part.run, type(part).__name__)
         self.log.info('endpoint_ready', settings_version=keeper.version)
 
-    async def _wait_until_draining(self) -> None:
-        """Wait until draining starts or a task has failed."""
-        drain_started = asyncio.create_task(self.drain.started.wait())
-        ended, _ = await asyncio.wait(
-            (drain_started, *self._tasks),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        for task in ended.difference({drain_started}):
-            log_failure(self.log, task)
-            self.drain.begin('task failed')
-        drain_started.cancel()
+    def _start_task(
+        self, action: Callable[[], Awaitable[None]], name: str
+    ) -> None:
+        """Start a task that goes on after a defect.
+
+        An input that meets the defect again and again must not end all
+        processes of the fleet.
+        """
+        running = keep_running(action, name, self.log)
+        self._tasks.append(asyncio.create_task(running, name=name))
 
     async def _stop_tasks(self) -> None:
         for task in self._tasks:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/background_tasks.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/background_tasks.py
@@ -1,42 +1,52 @@
-"""The background tasks of the process of a forwarding entry."""
+"""The background tasks of the process of a forwarding entry.
+
+A task that meets a defect starts again, and the process goes on: it serves
+callers by what it knows. If it ended itself instead, an input that meets the
+defect would end each entry of the fleet, and each again after its start, for as
+long as the input is there.
+"""
 
 import asyncio
-import signal
-from collections.abc import Coroutine
+import functools
+from collections.abc import Awaitable, Callable
 
-from sycamore_core.tasks import log_failure
+from sycamore_core.tasks import keep_running, never_ending
 from sycamore_core.telemetry import Log
+from sycamore_core.telemetry.tallies import Tally
 
 
 class BackgroundTasks:
-    """Runs tasks until the process ends."""
+    """Runs tasks until the process ends.
+
+    Attributes
+    ----------
+    failed
+        Counts of errors and unexpected ends, by task.
+    """
 
-    def __init__(self, log: Log) -> None:
+    def __init__(self, log: Log, failed: Tally) -> None:
         self.log = log
+        self.failed = failed
         self._tasks: list[asyncio.Task[None]] = []
 
-    def start(self, coroutine: Coroutine[None, None, None], name: str) -> None:
-        """Start a task.
+    def start(self, action: Callable[[], Awaitable[None]], name: str) -> None:
+        """Start a task that runs until it is cancelled.
 
         Parameters
         ----------
         name
-            Name of the task in the log.
+            Name of the task in the log and the metrics.
         """
-        task = asyncio.create_task(coroutine, name=name)
-        task.add_done_callback(self._record_end)
-        self._tasks.append(task)
+        running = keep_running(
+            functools.partial(never_ending, action),
+            name,
+            self.log,
+            functools.partial(self.failed.add, name),
+        )
+        self._tasks.append(asyncio.create_task(running, name=name))
 
     async def cancel(self) -> None:
         """Cancel all tasks and wait for their ends."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    def _record_end(self, task: asyncio.Task[None]) -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        # A defect in the entry. Without this task the process would look ready
-        # to the balancer but miss changes, so it stops and is restarted.
-        log_failure(self.log, task)
-        signal.raise_signal(signal.SIGTERM)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/fleet/keeper.py
@@ -20,7 +20,7 @@
     EndpointRecord,
     RoutingTable,
 )
-from sycamore_core.telemetry import Log
+from sycamore_core.telemetry import Log, error_fields
 
 from .cold import ColdStarts
 from .contact import PlatformContact
@@ -155,6 +155,10 @@
             self._revision = NO_REVISION
         except PlatformError as error:
             await self._pause_after_failure(error)
+        except Exception as error:
+            # A defect counts as a failed read, after which a full list is read.
+            self.log.error('read_failed', **error_fields(error))
+            await self._pause_after_failure(PlatformError(type(error).__name__))
         else:
             return has_changed
         return False
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/outcome_metrics.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/outcome_metrics.py
@@ -1,11 +1,11 @@
-"""Metrics of how requests and attempts ended."""
+"""Metrics of how requests, attempts and background tasks ended."""
 
 from sycamore_core.telemetry import Metrics
 from sycamore_core.telemetry.tallies import Tally
 
 
 class OutcomeMetrics:
-    """Counts of ended requests and attempts.
+    """Counts of ended requests, attempts and background tasks.
 
     Attributes
     ----------
@@ -20,6 +20,8 @@
     resumed_fallbacks
         Counts of streams that went on after they had been given up, by the
         reason why no other attempt replaced them.
+    failed_tasks
+        Counts of errors and unexpected ends of background tasks, by task.
     """
 
     def __init__(self) -> None:
@@ -27,6 +29,7 @@
         self.unanswered = Tally('reason')
         self.silent_attempts = Tally('socket')
         self.resumed_fallbacks = Tally('reason')
+        self.failed_tasks = Tally('task')
 
     def export(self, metrics: Metrics) -> None:
         """Add these metrics to the page."""
@@ -34,3 +37,4 @@
         metrics.export_tally('unanswered_requests', self.unanswered)
         metrics.export_tally('silent_attempts', self.silent_attempts)
         metrics.export_tally('resumed_fallbacks', self.resumed_fallbacks)
+        metrics.export_tally('failed_tasks', self.failed_tasks)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/process.py
@@ -73,7 +73,9 @@
         self.gate = ConnectionGate(
             context.clock, self.log, context.metrics.refusals
         )
-        self.tasks = BackgroundTasks(self.log)
+        self.tasks = BackgroundTasks(
+            self.log, context.metrics.outcomes.failed_tasks
+        )
 
     @classmethod
     def from_settings(
@@ -129,12 +131,12 @@
         """Start all background tasks; callers are not yet served."""
         if self.context.settings.peers:
             self.mesh.start()
-            self.tasks.start(self.mesh.run(), 'send updates')
-        self.tasks.start(self.context.keeper.run(), 'read platform')
-        self.tasks.start(self.context.keeper.expire(), 'expire endpoints')
-        self.tasks.start(self._sweep(), 'sweep connections to endpoints')
-        self.tasks.start(self.loop_watch.run(), 'watch event loop')
-        self.tasks.start(self.gate.run(), 'limit connections')
+            self.tasks.start(self.mesh.run, 'send updates')
+        self.tasks.start(self.context.keeper.run, 'read platform')
+        self.tasks.start(self.context.keeper.expire, 'expire endpoints')
+        self.tasks.start(self._sweep, 'sweep connections to endpoints')
+        self.tasks.start(self.loop_watch.run, 'watch event loop')
+        self.tasks.start(self.gate.run, 'limit connections')
 
     def reload(self, *, asked: bool) -> None:
         """Read the settings again; keep the current ones if that fails.
@@ -166,12 +168,12 @@
 
     async def _run_until_stopped(self, signals: ProcessSignals) -> None:
         self.tasks.start(
-            self._reload_when_changed(signals.reload), 'reload settings'
+            lambda: self._reload_when_changed(signals.reload), 'reload settings'
         )
         _log_start(self.log, self.context.settings)
         self.callers = self._serve_callers()
         sweep = CallerSweep(self.context, self.connections, self.callers)
-        self.tasks.start(sweep.run(), 'sweep callers')
+        self.tasks.start(sweep.run, 'sweep callers')
         ready = self._serve_operators()
         self.start_tasks()
         await signals.stop.wait()
--- a/packages/sycamore-entry/src/sycamore_entry/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import signal
+from collections.abc import Awaitable, Callable
 from typing import Self
 
 from sycamore_core.clock import SystemClock
@@ -10,7 +11,7 @@
 from sycamore_core.errors import PlatformError
 from sycamore_core.ids import SettingsVersion
 from sycamore_core.settings import EntryProcessSettings, FleetSettings
-from sycamore_core.tasks import log_failure
+from sycamore_core.tasks import keep_running
 from tornado.httpserver import HTTPServer
 
 from .components import EntryComponents
@@ -56,7 +57,7 @@
         await self._start_tasks()
         version = self.components.keeper.version
         self.log.info('entry_ready', settings_version=version)
-        await self._wait_for_stop(stop)
+        await stop.wait()
         await self._drain()
         server.stop()
         await self._cancel_tasks()
@@ -73,7 +74,7 @@
 
     async def _start_tasks(self) -> None:
         keeper = self.components.keeper
-        self._tasks.append(asyncio.create_task(keeper.run()))
+        self._start_task(keeper.run, 'settings')
         try:
             await keeper.wait_for_settings(self.settings.start_seconds)
         except PlatformError as error:
@@ -83,24 +84,19 @@
             self.log.error('settings_missing', reason=str(error))
         keeper.add_listener(self.components.apply_settings)
         context = self.components.context
-        self._tasks.append(asyncio.create_task(context.links.run()))
-        self._tasks.append(asyncio.create_task(Dispatcher(context).run()))
+        self._start_task(context.links.run, 'links')
+        self._start_task(Dispatcher(context).run, 'dispatch')
 
-    async def _wait_for_stop(self, stop: asyncio.Event) -> None:
-        """Return after a stop signal, or when one of the tasks has failed.
+    def _start_task(
+        self, action: Callable[[], Awaitable[None]], name: str
+    ) -> None:
+        """Start a task that goes on after a defect.
 
-        If a task fails because of a defect, a process that continued would
-        stay healthy for the load balancer but, for example, ignore new
-        settings. The process ends instead, and the platform restarts it.
+        An input that meets the defect again and again must not end all
+        processes of the fleet.
         """
-        stopped = asyncio.create_task(stop.wait())
-        ended, _ = await asyncio.wait(
-            (stopped, *self._tasks),
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        for task in ended.difference({stopped}):
-            log_failure(self.log, task)
-        stopped.cancel()
+        running = keep_running(action, name, self.log)
+        self._tasks.append(asyncio.create_task(running, name=name))
 
     async def _drain(self) -> None:
         """Refuse new requests and wait for the exchanges in progress.
