Serve callers whatever figures an endpoint sends or has

The same cause at endpoints, found by reading and by trial. 'Keep-Alive: timeout=²' is a digit to str.isdigit and no number to float: exchange_fault, and the answer of a request that ran was lost; so was a stream with an event id of over 4,300 digits, which the interpreter does not convert. 1,024 failures in a row at one endpoint made 2**failures too large for a float, after which each further failure there ended its request with 503 or 502 in place of another attempt (2,052 lines in 60 s in the report).

Figures have at most 18 digits and are ASCII, doublings of the backoff end at eight (4 s is reached at four), and a head that cannot be read for any other reason is a broken answer, so that the attempt is logged and may be retried as any other.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/failures.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/failures.py
@@ -26,6 +26,8 @@
 #: failure in a row, up to `MAX_BACKOFF_SECONDS`.
 INITIAL_BACKOFF_SECONDS = 0.4
 MAX_BACKOFF_SECONDS = 4.0
+#: Doublings after which the backoff is longest in any case.
+_MAX_DOUBLINGS = 8
 #: Number of failing endpoints up to which an entry reports them. An entry that
 #: cannot reach more endpoints reports none: it is more likely at fault itself,
 #: and its reports would keep all peers away from healthy endpoints.
@@ -86,8 +88,9 @@
     def record_failure(self, endpoint: EndpointId, now: float) -> None:
         """Record that an attempt at an endpoint failed."""
         streak = self.streaks.setdefault(endpoint, FailureStreak())
+        doublings = min(streak.failures, _MAX_DOUBLINGS)
         backoff = min(
-            MAX_BACKOFF_SECONDS, INITIAL_BACKOFF_SECONDS * 2**streak.failures
+            MAX_BACKOFF_SECONDS, INITIAL_BACKOFF_SECONDS * 2**doublings
         )
         streak.failures += 1
         streak.backoff_until = now + backoff
--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_failures.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/tests/test_failures.py
@@ -71,3 +71,12 @@
     tracker.handle_report([ENGINE], now=10)
     assert tracker.has_failed(ENGINE, now=10.5)
     assert not tracker.has_failed(ENGINE, now=600)
+
+
+def test_any_number_of_failures_in_a_row_has_a_backoff() -> None:
+    """Guards against retries that end with a defect after 1,024 failures."""
+    tracker = FailureTracker()
+    for number in range(3000):
+        tracker.record_failure(ENGINE, number)
+    assert tracker.is_backing_off(ENGINE, 2999 + MAX_BACKOFF_SECONDS / 2)
+    assert not tracker.is_backing_off(ENGINE, 2999 + MAX_BACKOFF_SECONDS)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
@@ -11,6 +11,7 @@
 import socket
 
 from sycamore_core.decisions.direct import AttemptEnd
+from sycamore_core.telemetry import error_fields
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPHeaders,
@@ -278,7 +279,13 @@
 
     def _parse_head(self, start: ResponseStartLine) -> None:
         headers = self.reader.headers or HTTPHeaders()
-        head = self.wire.read_head(start.code, headers)
+        try:
+            head = self.wire.read_head(start.code, headers)
+        except Exception as error:
+            # Any endpoint may send any header.
+            raise AttemptError(
+                AttemptEnd.BROKEN, f'unreadable head: {error_fields(error)}'
+            ) from error
         if head.request_id and head.request_id != self._request_id:
             # A late answer to an earlier request. The connection is closed,
             # as later answers could not be matched to their requests.
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/events.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/events.py
@@ -10,6 +10,8 @@
 
 _SEPARATOR = b'\n\n'
 _ID_FIELD = b'id:'
+#: Longest numeric id; the interpreter does not convert any number of digits.
+_MAX_ID_DIGITS = 18
 
 
 class StreamEvent(msgspec.Struct, frozen=True):
@@ -62,4 +64,5 @@
 
 
 def _parse_id(text: bytes) -> int:
-    return int(text) if text.isdigit() else -1
+    is_short = len(text) <= _MAX_ID_DIGITS
+    return int(text) if is_short and text.isdigit() else -1
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_whole_answers.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_whole_answers.py
@@ -10,6 +10,7 @@
     LAST_CHUNK,
     MODEL,
     RawEndpoint,
+    SimpleWire,
     chunk,
     event,
     full_answer,
@@ -218,3 +219,31 @@
             while not endpoint.closed:
                 await asyncio.sleep(0.01)
         assert not entry.context.dispatcher.loads.own
+
+
+async def test_defect_in_reading_a_head_is_a_broken_answer(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a header of an endpoint that counts as our own fault."""
+
+    def fail(*arguments: object) -> None:
+        raise RecursionError
+
+    monkeypatch.setattr(SimpleWire, 'read_head', fail)
+    endpoint = RawEndpoint('e1', reply_with(full_answer()))
+    async with running_entry(UNSAFE, endpoint) as entry:
+        answer = await entry.ask()
+        outcomes = entry.context.metrics.outcomes
+    assert answer.startswith(b'HTTP/1.1 502')
+    assert outcomes.requests.counts == {'failed': 1}
+
+
+async def test_event_id_of_any_length_is_forwarded() -> None:
+    """Guards against an id that loses a stream that has begun."""
+    number = '9' * 5000
+    odd = f'id: {number}\ndata: x\n\n'
+    script = reply_with(stream_head(), chunk(odd), LAST_CHUNK)
+    async with running_entry(STREAM, RawEndpoint('e1', script)) as entry:
+        answer = await entry.ask()
+    assert odd.encode() in answer
+    assert answer.endswith(LAST_CHUNK)
