--- a/packages/sycamore-core/src/sycamore_core/identity/signer.py
+++ b/packages/sycamore-core/src/sycamore_core/identity/signer.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..error_translation import translating_errors
 from ..errors import AuthenticationError
 from ..ids import KeyId, RequestId
 from ..messages.keys import SIGNATURE_BYTES, PeerKeys
@@ -58,7 +59,8 @@
             raise AuthenticationError('malformed request id') from error
         body = signed[SIGNATURE_BYTES:]
         self._keys.verify(KeyId(key_id), body, signed[:SIGNATURE_BYTES])
-        return msgspec.msgpack.decode(body, type=RequestClaims)
+        with translating_errors('request id', AuthenticationError):
+            return msgspec.msgpack.decode(body, type=RequestClaims)
 
 
 def _padded(text: str) -> str:
--- a/packages/sycamore-core/src/sycamore_core/platform/http_sources.py
+++ b/packages/sycamore-core/src/sycamore_core/platform/http_sources.py
@@ -8,6 +8,7 @@
 from tornado.httpclient import HTTPClientError, HTTPResponse
 from tornado.httputil import url_concat
 
+from ..error_translation import translating_errors
 from ..errors import PlatformError
 from ..ids import SettingsVersion
 from .sources import (
@@ -169,10 +170,8 @@
         response = await self._http.get('/v1/instances')
         if response.code != _HTTP_OK:
             raise PlatformError(f'list of instances: status {response.code}')
-        try:
+        with translating_errors('list of instances', PlatformError):
             return self._decoder.decode(response.body)
-        except msgspec.DecodeError as error:
-            raise PlatformError(f'list of instances: {error}') from error
 
     def close(self) -> None:
         """Close all connections."""
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/backends/calls.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/backends/calls.py
@@ -3,6 +3,7 @@
 from typing import Any, TypeVar
 
 import msgspec
+from sycamore_core.error_translation import translating_errors
 from sycamore_core.errors import BackendError
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
@@ -98,9 +99,5 @@
 
 
 def _decode(response: HTTPResponse, kind: type[_Answer]) -> _Answer:
-    try:
+    with translating_errors('answer of the back end', BackendError):
         return msgspec.json.decode(response.body, type=kind)
-    except msgspec.DecodeError as error:
-        raise BackendError(
-            f'unexpected answer of the back end: {error}'
-        ) from error
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/backends/engine.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/backends/engine.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+from sycamore_core.error_translation import translating_errors
 from sycamore_core.errors import BackendError
 from sycamore_core.ids import BlockHash, RequestId
 from sycamore_core.messages import Offer
@@ -247,12 +248,8 @@
 
 
 def _parse_line(text: bytes) -> StreamLine:
-    try:
+    with translating_errors('line of the engine', BackendError):
         return msgspec.json.decode(text, type=StreamLine)
-    except msgspec.DecodeError as error:
-        raise BackendError(
-            f'cannot decode a line of the engine: {error}'
-        ) from error
 
 
 def _check_status(call: StreamCall) -> None:
--- a/packages/sycamore-entry/src/sycamore_entry/web/prompts.py
+++ b/packages/sycamore-entry/src/sycamore_entry/web/prompts.py
@@ -75,7 +75,8 @@
     """
     try:
         parsed = _decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except Exception as error:
+        # Decoders raise more than their own errors, such as `RecursionError`.
         raise _bad_request(str(error)) from error
     prompt = bytes(parsed.prompt)
     tokens = bytes(parsed.tokens)
