Read no more of an answer than its caller can get

Cause: HeldBody stopped at its bound only where the rest could be forwarded, which is a signed success. All else was held whole, and counted, until the deadline or tornado's own 100 MB.

An answer that can only be refused (unsigned, or a status that says 'not run' without the endpoint saying so) is refused at its head: no body is read. All others are held up to the same bound as a success; beyond it a signed answer of up to 499 is forwarded as it arrives, and a failure of the endpoint is a broken answer, so that another endpoint is asked. An event of a stream has the bound of a connection; it was split anew with each piece. An answer of the store has 16 MiB, several times its largest list.

--- a/packages/sycamore-core/src/sycamore_core/platform/transfer.py
+++ b/packages/sycamore-core/src/sycamore_core/platform/transfer.py
@@ -18,6 +18,8 @@
 #: Least time for which the event loop may read before an answer is given up,
 #: in seconds.
 _LEAST_READING_SECONDS = 0.02
+#: Longest answer that is received, in bytes: several times the largest list.
+MAX_ANSWER_BYTES = 16_777_216
 
 
 class PlatformResponse(msgspec.Struct, frozen=True):
@@ -51,6 +53,7 @@
         self.stall_seconds = stall_seconds
         self._due = time.monotonic() + first_seconds
         self._chunks: list[bytes] = []
+        self._received_bytes = 0
         self.needs_connection = False
         self._is_abandoned = False
 
@@ -68,7 +71,12 @@
         curl.setopt(pycurl.XFERINFOFUNCTION, self._check_abandoned)
 
     def receive(self, chunk: bytes) -> None:
-        """Take the next part of the body."""
+        """Take the next part of the body; give one up that is too long."""
+        self._received_bytes += len(chunk)
+        if self._received_bytes > MAX_ANSWER_BYTES:
+            self._chunks.clear()
+            self.abandon()
+            return
         self._chunks.append(chunk)
         self._due = time.monotonic() + self.stall_seconds
 
@@ -109,9 +117,8 @@
             raise TimeoutError(self._describe_stall())
 
     def _describe_stall(self) -> str:
-        received = sum(map(len, self._chunks))
-        if received:
-            return f'no progress after {received} bytes'
+        if self._received_bytes:
+            return f'no progress after {self._received_bytes} bytes'
         return 'no answer'
 
     def _check_abandoned(self, *progress: float) -> bool:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/events.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/events.py
@@ -7,6 +7,10 @@
 """
 
 import msgspec
+from sycamore_core.decisions.direct import AttemptEnd
+
+from ..errors import AttemptError
+from ..flow_control import CONNECTION_BYTES
 
 _SEPARATOR = b'\n\n'
 _ID_FIELD = b'id:'
@@ -45,13 +49,24 @@
         self.remainder = b''
 
     def feed(self, received: bytes) -> list[StreamEvent]:
-        """Return the events that the bytes complete."""
+        """Return the events that the bytes complete.
+
+        Raises
+        ------
+        AttemptError
+            If an event is too long to be held.
+        """
         # Both forms of line ends may occur; an event ends at an empty line.
         pending = self.remainder + received
         if b'\r' in pending:
             pending = pending.replace(b'\r\n', b'\n')
         blocks = pending.split(_SEPARATOR)
         self.remainder = blocks.pop()
+        if len(self.remainder) > CONNECTION_BYTES:
+            # A faulty endpoint may send bytes without end.
+            raise AttemptError(
+                AttemptEnd.BROKEN, 'an event is too long to be held'
+            )
         return [_parse_event(block) for block in blocks if block]
 
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/held_body.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/held_body.py
@@ -35,13 +35,10 @@
         """Return what has been read."""
         return b''.join(self._chunks)
 
-    async def read(self, channel: EndpointChannel, may_stop: bool) -> bool:
+    async def read(self, channel: EndpointChannel) -> bool:
         """Read a body; return whether it is complete.
 
-        Parameters
-        ----------
-        may_stop
-            Whether reading stops once the body is too long to be held.
+        Reading stops once the body is too long to be held.
 
         Raises
         ------
@@ -53,7 +50,7 @@
             self._chunks.append(chunk)
             self._size += len(chunk)
             self.held.add(len(chunk))
-            if may_stop and self._size > WHOLE_BYTES:
+            if self._size > WHOLE_BYTES:
                 return False
             chunk = await channel.read_chunk()
         return True
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/relay.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/relay.py
@@ -15,6 +15,7 @@
 from .relayed_stream import RelayedStream
 
 _NO_EVENT = -1
+_FIRST_SERVER_ERROR = 500
 #: Statuses from which callers conclude that a request has not run.
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
@@ -67,7 +68,10 @@
     ) -> None:
         """Read a complete answer and forward it.
 
-        A success that is too long to be held is forwarded as it arrives.
+        An answer that is too long to be held is forwarded as it arrives, if it
+        is signed and the endpoint has not failed. Any other such answer is
+        refused, and so is, without its body, one that cannot be forwarded: a
+        faulty endpoint may send bytes without end.
 
         Parameters
         ----------
@@ -79,12 +83,17 @@
         AttemptError
             If the answer is incomplete or reports that the request failed.
         """
+        _check_usable(head)
         with HeldBody(self.answer.flow.held) as held:
-            is_whole = await held.read(channel, self._may_forward(head))
+            is_whole = await held.read(channel)
             if is_whole:
                 await self._send_whole(head, held.body)
                 return
             first = held.body
+        if not _may_forward(head):
+            raise AttemptError(
+                AttemptEnd.BROKEN, f'status {head.status}, too long to be held'
+            )
         on_forwarding()
         await self._forward_rest(head, first, channel)
 
@@ -123,15 +132,9 @@
         await self.answer.send(head.status, head.headers, body)
 
     async def _send_whole(self, head: AnswerHead, body: bytes) -> None:
-        if head.status in _NOT_RUN_STATUSES:
-            # The caller would conclude from this status that the request has
-            # not run, which the endpoint has not stated.
-            raise AttemptError(AttemptEnd.BROKEN, f'status {head.status}')
         if not head.is_success:
             self.failure = (head, body)
             raise AttemptError(AttemptEnd.FAILED, f'status {head.status}')
-        if not head.is_signed:
-            raise AttemptError(AttemptEnd.BROKEN, 'the answer is not signed')
         self.on_first_bytes()
         await self.answer.send(head.status, head.headers, body)
 
@@ -151,10 +154,6 @@
             chunk = await channel.read_chunk()
         await self.answer.finish()
 
-    def _may_forward(self, head: AnswerHead) -> bool:
-        """Return whether an answer may be forwarded before it is complete."""
-        return head.is_success and head.is_signed
-
     def _is_new(self, event: StreamEvent) -> bool:
         if event.number < 0:
             return True
@@ -191,3 +190,24 @@
             await self.answer.begin(stream.head.status, stream.head.headers)
         self.on_events()
         await self.answer.finish()
+
+
+def _check_usable(head: AnswerHead) -> None:
+    """Check that an answer may be forwarded, whatever its body is.
+
+    Raises
+    ------
+    AttemptError
+        If it may not.
+    """
+    if head.status in _NOT_RUN_STATUSES:
+        # The caller would conclude from this status that the request has not
+        # run, which the endpoint has not stated.
+        raise AttemptError(AttemptEnd.BROKEN, f'status {head.status}')
+    if head.is_success and not head.is_signed:
+        raise AttemptError(AttemptEnd.BROKEN, 'the answer is not signed')
+
+
+def _may_forward(head: AnswerHead) -> bool:
+    """Return whether an answer may be forwarded before it is complete."""
+    return head.is_signed and head.status < _FIRST_SERVER_ERROR
