Remember the events before a comment when a stream is resumed

Cause: AnswerRelay._forward took the id of the last block of a read for the last event; a comment has none (-1), so that the ids before it in the same read were forgotten, and the next engine was asked for all of them again. The greatest id of all blocks counts now.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/relay.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/relay.py
@@ -167,7 +167,9 @@
         self.on_events()
         stream.has_forwarded = True
         payload = b''.join(event.payload for event in events)
-        self.last_event_id = max(self.last_event_id, events[-1].number)
+        # The last of them may be a comment, which has no id.
+        numbers = (event.number for event in events)
+        self.last_event_id = max(self.last_event_id, *numbers)
         if self.answer.has_begun:
             await self.answer.write(payload)
             return
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_resumption.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_resumption.py
@@ -92,3 +92,39 @@
         answer = await entry.ask(Prompt=SHORT_PROMPT)
     assert answer.endswith(LAST_CHUNK)
     assert not other.requests
+
+
+async def test_comment_does_not_hide_the_events_before_it() -> None:
+    """Guards against events that a resumed stream repeats.
+
+    An engine sends a comment as the last block before it breaks off.
+    """
+
+    async def comment_and_break_off(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        sent = ''.join((event(0), event(1), ': still here\n\n'))
+        writer.write(stream_head() + chunk(sent))
+        await asyncio.sleep(0.1)
+        writer.transport.abort()
+        raise ConnectionError
+
+    async def begin_anew(
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        sent = ''.join(map(event, range(3)))
+        writer.write(stream_head() + chunk(sent) + LAST_CHUNK)
+
+    first = RawEndpoint('e1', comment_and_break_off)
+    second = RawEndpoint('e2', begin_anew)
+    async with running_entry(STREAM, first, second) as entry:
+        requests = fill(entry, 'e2')
+        asking = asyncio.create_task(entry.ask(Prompt=SHORT_PROMPT))
+        while not first.requests:
+            await asyncio.sleep(0.01)
+        empty(entry, 'e2', requests)
+        answer = await asking
+    for number in range(3):
+        assert answer.count(event(number).encode()) == 1
