Describe errors in one place, and start kept tasks in one place

Reading the diff as a newcomer: the text of an error was shortened by two functions, and four places wrote the same three lines to start a task that goes on after a defect. A translated error named the translation as its place; it names the reader now.

119 tests of telemetry, transport, messages, mesh, tasks and reservations pass.

--- a/packages/sycamore-core/src/sycamore_core/error_translation.py
+++ b/packages/sycamore-core/src/sycamore_core/error_translation.py
@@ -7,7 +7,7 @@
 
 #: Number of characters of an error that are kept. Its text may repeat the
 #: input.
-_MAX_REASON_CHARACTERS = 300
+MAX_ERROR_CHARACTERS = 300
 
 
 @contextlib.contextmanager
@@ -43,14 +43,22 @@
     except failure:
         raise
     except Exception as error:
-        kind = type(error).__name__
-        reason = f'{subject}: {kind}: {_text(error)}'
-        raise failure(reason) from error
+        reason = describe_error(error)
+        raise failure(f'{subject}: {reason}') from error
 
 
-def _text(error: Exception) -> str:
+def describe_error(error: BaseException) -> str:
+    """Return the type and the text of an error.
+
+    Examples
+    --------
+    >>> describe_error(KeyError('zone'))
+    "KeyError: 'zone'"
+    """
+    kind = type(error).__name__
     try:
-        return str(error)[:_MAX_REASON_CHARACTERS]
+        text = str(error)
     except Exception:
         # The error refers to a value that is nested too deeply to be shown.
-        return 'no text'
+        return kind
+    return f'{kind}: {text}'[:MAX_ERROR_CHARACTERS]
--- a/packages/sycamore-core/src/sycamore_core/tasks.py
+++ b/packages/sycamore-core/src/sycamore_core/tasks.py
@@ -59,6 +59,17 @@
         await asyncio.sleep(RESTART_SECONDS)
 
 
+def start_running(
+    action: Callable[[], Awaitable[None]],
+    name: str,
+    log: Log,
+    on_failure: Failed | None = None,
+) -> asyncio.Task[None]:
+    """Start a task that goes on after a defect, as by `keep_running`."""
+    running = keep_running(action, name, log, on_failure)
+    return asyncio.create_task(running, name=name)
+
+
 async def never_ending(action: Callable[[], Awaitable[None]]) -> None:
     """Run an action that should run until it is cancelled.
 
--- a/packages/sycamore-core/src/sycamore_core/telemetry/error_fields.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/error_fields.py
@@ -3,11 +3,12 @@
 import traceback
 from pathlib import PurePath
 
-#: Number of characters of an error that are logged. Its text may contain a
-#: part of the input that caused it.
-MAX_ERROR_CHARACTERS = 300
+from ..error_translation import describe_error
+
 #: Part of the names of the folders of this project's packages.
 _OWN_PACKAGE = 'sycamore_'
+#: Module whose frames stand between an error and its translation.
+_TRANSLATION = 'error_translation.py'
 
 
 def error_fields(error: BaseException) -> dict[str, str]:
@@ -16,18 +17,9 @@
     Examples
     --------
     >>> error_fields(KeyError('zone'))
-    {'error': "KeyError('zone')", 'at': ''}
+    {'error': "KeyError: 'zone'", 'at': ''}
     """
-    return {'error': _describe(error), 'at': _origin(error)}
-
-
-def _describe(error: BaseException) -> str:
-    try:
-        text = repr(error)
-    except Exception:
-        # Such as an error whose argument is nested too deeply.
-        text = type(error).__name__
-    return text[:MAX_ERROR_CHARACTERS]
+    return {'error': describe_error(error), 'at': _origin(error)}
 
 
 def _origin(error: BaseException) -> str:
@@ -36,6 +28,7 @@
         frame
         for frame in traceback.extract_tb(error.__traceback__)
         if _OWN_PACKAGE in frame.filename
+        and not frame.filename.endswith(_TRANSLATION)
     ]
     if not own:
         return ''
--- a/packages/sycamore-core/src/sycamore_core/telemetry/tests/test_error_fields.py
+++ b/packages/sycamore-core/src/sycamore_core/telemetry/tests/test_error_fields.py
@@ -2,13 +2,14 @@
 
 import msgspec
 
+from ...error_translation import MAX_ERROR_CHARACTERS
 from ...errors import CodecError
 from ...messages.union import decode_message
-from ..error_fields import MAX_ERROR_CHARACTERS, error_fields
+from ..error_fields import error_fields
 
 
 class _Unprintable(Exception):
-    def __repr__(self) -> str:
+    def __str__(self) -> str:
         raise RecursionError('nested too deeply')
 
 
--- a/packages/sycamore-core/src/sycamore_core/transport/failed_messages.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/failed_messages.py
@@ -21,28 +21,33 @@
         self.counts = counts
         self.clock = clock
         self.log = Log('transport')
-        self._next_line_at: defaultdict[str, float] = defaultdict(float)
+        self._next_line_at: defaultdict[bool, float] = defaultdict(float)
 
     def record(self, peer: Peer, message: Message, error: Exception) -> None:
         """Record a message of a peer whose handling failed."""
         self.counts.failed_messages += 1
-        self._log('message_failed', message, error, peer=peer.address)
+        if self._is_line_due(is_own=False):
+            self.log.error(
+                'message_failed',
+                message=type(message).__name__,
+                peer=peer.address,
+                **error_fields(error),
+            )
 
     def record_unencodable(self, message: Message, error: CodecError) -> None:
         """Record a message of this process that cannot be sent."""
         self.counts.unencodable_messages += 1
-        self._log('message_unencodable', message, error)
-
-    def _log(
-        self, event: str, message: Message, error: Exception, **fields: str
-    ) -> None:
+        if self._is_line_due(is_own=True):
+            self.log.error(
+                'message_unencodable',
+                message=type(message).__name__,
+                **error_fields(error),
+            )
+
+    def _is_line_due(self, *, is_own: bool) -> bool:
+        """Return whether to log a message of this process, or of a peer."""
         now = self.clock.monotonic()
-        if now < self._next_line_at[event]:
-            return
-        self._next_line_at[event] = now + LINE_SECONDS
-        self.log.error(
-            event,
-            message=type(message).__name__,
-            **fields,
-            **error_fields(error),
-        )
+        if now < self._next_line_at[is_own]:
+            return False
+        self._next_line_at[is_own] = now + LINE_SECONDS
+        return True
--- a/packages/sycamore-core/src/sycamore_core/transport/node.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/node.py
@@ -9,7 +9,7 @@
 from ..clock import Clock
 from ..errors import TransportError
 from ..messages import PacketCodec, VerifiedPacket
-from ..tasks import keep_running
+from ..tasks import start_running
 from ..telemetry import Log
 from .ages import MAX_PACKET_AGE_SECONDS, PacketAges
 from .counts import TransportCounts
@@ -155,9 +155,7 @@
         Without this, the node would no longer listen or send to a peer that
         still looks alive.
         """
-        return asyncio.create_task(
-            keep_running(action, name, self.log, self._count_failure)
-        )
+        return start_running(action, name, self.log, self._count_failure)
 
     def _count_failure(self) -> None:
         self.counts.failed_tasks += 1
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/process.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/process.py
@@ -9,7 +9,7 @@
 from sycamore_core.errors import PlatformError
 from sycamore_core.platform import HttpInstanceSource
 from sycamore_core.settings import EndpointProcessSettings
-from sycamore_core.tasks import keep_running
+from sycamore_core.tasks import start_running
 from sycamore_core.telemetry import Log
 from tornado.httpserver import HTTPServer
 
@@ -98,8 +98,7 @@
         An input that meets the defect again and again must not end all
         processes of the fleet.
         """
-        running = keep_running(action, name, self.log)
-        self._tasks.append(asyncio.create_task(running, name=name))
+        self._tasks.append(start_running(action, name, self.log))
 
     async def _stop_tasks(self) -> None:
         for task in self._tasks:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/background_tasks.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/background_tasks.py
@@ -10,7 +10,7 @@
 import functools
 from collections.abc import Awaitable, Callable
 
-from sycamore_core.tasks import keep_running, never_ending
+from sycamore_core.tasks import never_ending, start_running
 from sycamore_core.telemetry import Log
 from sycamore_core.telemetry.tallies import Tally
 
@@ -37,13 +37,13 @@
         name
             Name of the task in the log and the metrics.
         """
-        running = keep_running(
+        task = start_running(
             functools.partial(never_ending, action),
             name,
             self.log,
             functools.partial(self.failed.add, name),
         )
-        self._tasks.append(asyncio.create_task(running, name=name))
+        self._tasks.append(task)
 
     async def cancel(self) -> None:
         """Cancel all tasks and wait for their ends."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/reservations.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/reservations.py
@@ -12,7 +12,7 @@
 from sycamore_core.decisions.direct import AttemptEnd
 from sycamore_core.ids import EndpointId
 from sycamore_core.routing import EndpointRecord
-from sycamore_core.tasks import keep_running
+from sycamore_core.tasks import start_running
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from ..context import ForwardingContext
@@ -83,9 +83,7 @@
             Helper(record.address, self._reservation_id)
             for record, _ in self._requested
         )
-        self._renewal = asyncio.create_task(
-            keep_running(self._renew, 'renew', self.context.log)
-        )
+        self._renewal = start_running(self._renew, 'renew', self.context.log)
 
     def release(self) -> None:
         """Release the memory in background tasks.
--- a/packages/sycamore-entry/src/sycamore_entry/process.py
+++ b/packages/sycamore-entry/src/sycamore_entry/process.py
@@ -11,7 +11,7 @@
 from sycamore_core.errors import PlatformError
 from sycamore_core.ids import SettingsVersion
 from sycamore_core.settings import EntryProcessSettings, FleetSettings
-from sycamore_core.tasks import keep_running
+from sycamore_core.tasks import start_running
 from tornado.httpserver import HTTPServer
 
 from .components import EntryComponents
@@ -95,8 +95,7 @@
         An input that meets the defect again and again must not end all
         processes of the fleet.
         """
-        running = keep_running(action, name, self.log)
-        self._tasks.append(asyncio.create_task(running, name=name))
+        self._tasks.append(start_running(action, name, self.log))
 
     async def _drain(self) -> None:
         """Refuse new requests and wait for the exchanges in progress.
