--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
@@ -11,7 +11,7 @@
 import socket
 
 from sycamore_core.decisions.direct import AttemptEnd
-from sycamore_core.telemetry import error_fields
+from sycamore_core.error_translation import describe_error
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPHeaders,
@@ -284,7 +284,7 @@
         except Exception as error:
             # Any endpoint may send any header.
             raise AttemptError(
-                AttemptEnd.BROKEN, f'unreadable head: {error_fields(error)}'
+                AttemptEnd.BROKEN, f'unreadable head: {describe_error(error)}'
             ) from error
         if head.request_id and head.request_id != self._request_id:
             # A late answer to an earlier request. The connection is closed,
