Serve connections of stand-ins by tasks of their own

Cause: asyncio of that version asks the task of a coroutine that serves a connection for its exception, also if it was cancelled, and reports the CancelledError as `Exception in callback`. Whether a record is written thus depends on the patch version of Python. The relay, the scripted endpoints, the links of the soak and the replicas of the landings all cancel such tasks as a test ends, and their records came up in whichever test ran: four of them beside test_all_slow in the same run. Ruled out: the port, and what other tests left open; the file by itself fails as well.

The servers now get a plain callback, which starts a task of its own. The test of ServedConnections fails with the coroutine in its place here.

107 tests of the stand-ins, fallbacks, retries and landings pass.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders.py
@@ -25,6 +25,7 @@
     WorkspaceRecord,
 )
 from sycamore_core.telemetry import Log
+from sycamore_standins.served_connections import ServedConnections
 from tornado.httputil import HTTPHeaders
 
 from ..callers.caller import CallerConnections
@@ -194,7 +195,9 @@
         self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
-        self.server = await asyncio.start_server(self._serve, HOST, 0)
+        self.server = await asyncio.start_server(
+            ServedConnections(self._serve), HOST, 0
+        )
 
     def record(self, service: ServiceId) -> EndpointRecord:
         assert self.server is not None
--- a/packages/sycamore-standins/src/sycamore_standins/relay/relay.py
+++ b/packages/sycamore-standins/src/sycamore_standins/relay/relay.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..served_connections import ServedConnections
 from .gate import Gate
 from .sender import SenderFinder
 
@@ -37,7 +38,7 @@
     async def start(self) -> None:
         """Listen."""
         self._server = await asyncio.start_server(
-            self._serve,
+            ServedConnections(self._serve),
             self.route.host,
             self.route.listen_port,
         )
