Keep a silent call while another replica is asked

Cause: a call that was given up was closed as the next attempt began. Class: an end that nobody asked for, while the answer is on its way. Ruled out: a later threshold (it serves this case and fails the replica that hangs), and no move at all if the other replica is as slow (nothing is known of it at first).

The call is now kept as a fallback, too, with what has arrived of its body. The first complete, signed success is taken: if the kept call has it, the attempt in progress is ended; if the next attempt has one, the kept call is closed. If the next one fails, the kept call goes on. No more attempts are sent than before, and the retry budget counts them as before. A failure of the kept call replaces nothing.

--- a/packages/sycamore-core/src/sycamore_core/decisions/direct/attempts.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/direct/attempts.py
@@ -31,6 +31,8 @@
     SILENT = 'silent'
     #: The lifetime of an endpoint ended after the request was sent to it.
     ENDED = 'endpoint_ended'
+    #: The answer of an earlier attempt arrived first.
+    REPLACED = 'replaced'
 
     @property
     def has_not_run(self) -> bool:
@@ -121,10 +123,18 @@
         """Record that an attempt begins."""
         self.is_in_progress = True
 
-    def record(self, end: AttemptEnd) -> None:
-        """Record how the attempt in progress ended."""
-        self.is_in_progress = False
+    def record(self, end: AttemptEnd, *, is_resumed: bool = False) -> None:
+        """Record how an attempt ended.
+
+        Parameters
+        ----------
+        is_resumed
+            Whether it is the rest of an attempt that was counted before.
+        """
         self.last_end = end
+        if is_resumed:
+            return
+        self.is_in_progress = False
         if end.was_sent:
             self.sent += 1
         if not end.has_not_run:
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -14,13 +14,14 @@
 from ..crashes import CrashWatch
 from ..decision_log import DecisionLog
 from ..endpoints.attempt import Attempt
-from ..endpoints.fallback_stream import FallbackStream, KeptFallback
+from ..endpoints.fallback import Fallback, KeptFallback
 from ..endpoints.relay import AnswerRelay
-from ..endpoints.resumed_attempt import ResumedAttempt
+from ..endpoints.resumed_attempt import resume
 from ..endpoints.time_limit import ending_within
 from ..errors import (
     AttemptError,
     CallerDisconnectedError,
+    FallbackReadyError,
 )
 from ..placement.dispatcher import Placement
 from ..placement.placing import Placer
@@ -51,7 +52,7 @@
     watches
         Makes the watches of attempts, and holds the slot of the next one.
     fallback
-        A stream that was given up, until another attempt replaces it.
+        An attempt that was given up, until another one replaces it.
     excluded
         Endpoints at which attempts have failed.
     outcome
@@ -154,7 +155,21 @@
             )
         is_over = False
         while not is_over:
-            is_over = await self._attempt_next(placer, relay)
+            try:
+                async with self.fallback.ending_when_ready():
+                    is_over = await self._attempt_next(placer, relay)
+            except FallbackReadyError:
+                is_over = await self._replace_attempt(call, relay)
+
+    async def _replace_attempt(
+        self, call: AdmittedRequest, relay: AnswerRelay
+    ) -> bool:
+        """Take the answer of an attempt that was given up; see `_resume`."""
+        if self.attempts.is_in_progress:
+            self.attempts.record(AttemptEnd.REPLACED)
+        fallback = self.fallback.take(AttemptEnd.REPLACED)
+        assert fallback is not None
+        return await self._resume(fallback, call, relay)
 
     async def _attempt_next(self, placer: Placer, relay: AnswerRelay) -> bool:
         """Make the next attempt; return whether the request is over.
@@ -185,15 +200,15 @@
 
     async def _resume(
         self,
-        fallback: FallbackStream,
+        fallback: Fallback,
         call: AdmittedRequest,
         relay: AnswerRelay,
     ) -> bool:
-        """Go on with a stream that was given up; return whether it is over."""
+        """Go on with what was given up; return whether the request is over."""
         self.watches.release_slot()
         self.last_endpoint = fallback.placement.primary.endpoint
         watch = self.watches.make(call, fallback.placement)
-        attempt = ResumedAttempt(watch, fallback)
+        attempt = resume(watch, fallback)
         self.crashes.record_resumed(attempt)
         return await self._run_attempt(attempt, call, relay)
 
@@ -212,7 +227,7 @@
                     self.fallback.keep(attempt.fallback, error.end)
                 self.answer.request.is_at_endpoint = False
                 return await self._handle_failure(call, attempt, error, relay)
-        self._record_end(attempt, AttemptEnd.ANSWERED)
+        self.attempts.record(AttemptEnd.ANSWERED, is_resumed=attempt.is_resumed)
         self.crashes.record_answer(call)
         self.outcome.label = 'answered'
         return True
@@ -291,7 +306,7 @@
         relay: AnswerRelay,
     ) -> bool:
         """Handle a failed attempt; return whether the request is over."""
-        self._record_end(attempt, error.end)
+        self.attempts.record(error.end, is_resumed=attempt.is_resumed)
         self.answer.end_if_sent_early()
         self.attempts.answer_has_begun = self.answer.has_begun
         await self.crashes.handle_failed_attempt(call, attempt, error)
@@ -320,14 +335,9 @@
         await self.outcome.fail()
         return True
 
-    def _record_end(self, attempt: Attempt, end: AttemptEnd) -> None:
-        """Record how an attempt ended; a resumed one was counted before."""
-        if attempt.is_resumed:
-            self.attempts.last_end = end
-        else:
-            self.attempts.record(end)
-
     def _record_first_event(self) -> None:
+        """Record that an answer is about to be forwarded."""
+        self.fallback.close()
         elapsed = self._now() - self.request.arrived_at
         self.first_event_ms = elapsed * _MS
         call = self.call
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/answer_reader.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/answer_reader.py
@@ -37,6 +37,9 @@
     on_end
         Called once no more bytes will arrive, perhaps repeatedly; None if
         nothing depends on it.
+    on_news
+        Called when the answer has ended, or its buffer is full; None if nothing
+        depends on it.
     """
 
     def __init__(self, held: HeldBytes) -> None:
@@ -48,6 +51,7 @@
         self.is_interrupted = False
         self.is_closed = False
         self.on_end: Callable[[], None] | None = None
+        self.on_news: Callable[[], None] | None = None
         self._chunks: list[bytes] = []
         self._waiting_bytes = 0
         self._held_bytes = 0
@@ -74,7 +78,9 @@
             self.held.add(len(chunk))
             self._held_bytes += len(chunk)
         self._arrived.set()
-        while self._has_to_wait:
+        if self.is_full:
+            self._report_news()
+        while self.is_full:
             self._consumed.clear()
             await self._consumed.wait()
 
@@ -93,6 +99,7 @@
         self._arrived.set()
         if self.on_end is not None:
             self.on_end()
+        self._report_news()
 
     def close(self) -> None:
         """Record that nobody takes further bytes, and stop waiting for it.
@@ -141,6 +148,16 @@
         self._consumed.set()
         return body
 
+    def put_back(self, body: bytes) -> None:
+        """Return bytes that were taken and are not used."""
+        if not body:
+            return
+        self._chunks.insert(0, body)
+        self._waiting_bytes += len(body)
+        if not self.is_over:
+            self.held.add(len(body))
+            self._held_bytes += len(body)
+
     def release(self) -> None:
         """Count the buffered bytes no longer as held.
 
@@ -150,7 +167,7 @@
         self._held_bytes = 0
 
     @property
-    def _has_to_wait(self) -> bool:
+    def is_full(self) -> bool:
         """Whether nothing more is read until the buffer has been taken.
 
         An empty buffer takes a piece even if the process holds too many bytes,
@@ -161,3 +178,7 @@
         if self._waiting_bytes > _BUFFER_BYTES:
             return True
         return bool(self._waiting_bytes) and self.held.is_full
+
+    def _report_news(self) -> None:
+        if self.on_news is not None:
+            self.on_news()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/attempt.py
@@ -3,16 +3,20 @@
 from collections.abc import Callable
 
 from sycamore_core.decisions.direct import AttemptEnd
+from sycamore_core.routing import RouteKind
 from sycamore_core.tasks import start_logged
 
 from ..calls import AdmittedRequest
 from ..errors import AttemptError
+from ..placement.plain_admission import PlainTiming
 from ..placement.read_requests import make_assignments
 from ..wire import AnswerHead, Helper
 from .answer_observer import AnswerObserver
 from .beginning import Beginning
 from .channel import EndpointChannel
 from .end_scope import EndScope
+from .fallback import Fallback
+from .fallback_answer import FallbackAnswer
 from .fallback_stream import FallbackStream
 from .interval_meter import IntervalMeter
 from .outgoing_request import OutgoingRequest
@@ -38,7 +42,9 @@
     stream
         The stream that is relayed; None for other answers, and before.
     fallback
-        The stream of an attempt that was given up, if it may go on.
+        What is left of an attempt that was given up, if it may go on.
+    timing
+        Measures a plain call; None if it is not measured.
     """
 
     #: Whether the request was sent, and counted, by an earlier attempt.
@@ -59,7 +65,8 @@
         self.intervals = IntervalMeter(watch)
         self.check_sending = check_sending
         self.stream: RelayedStream | None = None
-        self.fallback: FallbackStream | None = None
+        self.fallback: Fallback | None = None
+        self.timing: PlainTiming | None = None
         self.reservations: Reservations | None = None
         self._connect_seconds: float = 0
         self.usage = self.context.shares.meter_attempt(
@@ -76,14 +83,18 @@
             If the caller has not received a complete answer.
         """
         started_at = self._now()
-        timing = self.watch.hold.plain.measure(self.placement)
+        self.timing = self.watch.hold.plain.measure(self.placement)
         self.context.dispatcher.record_request(self.placement)
         await self._run_counted(relay)
         if self.watch.is_short:
             elapsed = self._now() - started_at
             self.context.dispatcher.record_short_request(elapsed)
-        if timing is not None:
-            timing.end(self._now())
+        self.end_timing()
+
+    def end_timing(self) -> None:
+        """Record that a plain call was answered."""
+        if self.timing is not None:
+            self.timing.end(self._now())
 
     def shows_fault(self, error: AttemptError) -> bool:
         """Return whether an attempt failed because of the endpoint.
@@ -95,6 +106,18 @@
             return not self.watch.is_endpoint_alive
         return error.end in {AttemptEnd.BROKEN, AttemptEnd.NOT_SENT}
 
+    def keep_or_close(self, channel: EndpointChannel) -> None:
+        """Keep an answer that was given up, in case none replaces it."""
+        stream = self.stream
+        if stream is not None and stream.may_go_on:
+            self.fallback = FallbackStream(
+                self.watch, stream, self.reservations
+            )
+        elif channel.is_interrupted and self.call.route.kind == RouteKind.SAFE:
+            self.fallback = FallbackAnswer(self.watch, channel, self.timing)
+        else:
+            channel.close()
+
     async def _run_counted(self, relay: AnswerRelay) -> None:
         """Run the attempt while its endpoints count it."""
         dispatcher = self.context.dispatcher
@@ -161,22 +184,12 @@
             self._send(channel, relay, reserved)
             await self._relay(channel, relay)
         except AttemptError:
-            self._keep_or_close(channel)
+            self.keep_or_close(channel)
             raise
         except BaseException:
             channel.close()
             raise
 
-    def _keep_or_close(self, channel: EndpointChannel) -> None:
-        """Keep a stream that was given up, in case it can not be resumed."""
-        stream = self.stream
-        if stream is not None and stream.may_go_on:
-            self.fallback = FallbackStream(
-                self.watch, stream, self.reservations
-            )
-        else:
-            channel.close()
-
     def _check_still_accepts(self, connect_seconds: float) -> None:
         """Raise if the request, an endpoint or a helper may not be used now.
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
@@ -18,7 +18,6 @@
     HTTPInputError,
     HTTPOutputError,
     RequestStartLine,
-    ResponseStartLine,
 )
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -185,18 +184,47 @@
         AttemptError
             If the connection ends, or is interrupted, before the headers.
         """
-        while self.head is None:
-            start = self.reader.start
-            if start:
-                self._parse_head(start)
-            elif self.reader.is_over:
+        while True:
+            head = self.take_head()
+            if head is not None:
+                return head
+            if self.reader.is_over:
                 raise AttemptError(
                     AttemptEnd.BROKEN,
                     'connection closed before the answer',
                 )
-            else:
-                await self.reader.wait()
-        return self.head
+            await self.reader.wait()
+
+    def take_head(self) -> AnswerHead | None:
+        """Return status and headers of the answer; None before they arrive.
+
+        Raises
+        ------
+        AttemptError
+            If they cannot be read, or are those of another answer.
+        """
+        start = self.reader.start
+        if self.head is not None or start is None:
+            return self.head
+        headers = self.reader.headers or HTTPHeaders()
+        try:
+            head = self.wire.read_head(start.code, headers)
+        except Exception as error:
+            # Any endpoint may send any header.
+            raise AttemptError(
+                AttemptEnd.BROKEN, f'unreadable head: {describe_error(error)}'
+            ) from error
+        if head.request_id and head.request_id != self._request_id:
+            # A late answer to an earlier request. The connection is closed,
+            # as later answers could not be matched to their requests.
+            raise AttemptError(
+                AttemptEnd.BROKEN,
+                'the answer belongs to another request',
+            )
+        self.head = head
+        if head.idle_seconds is not None:
+            self.idle_seconds = head.idle_seconds
+        return head
 
     async def read_chunk(self) -> bytes:
         """Return the next bytes of the body; empty once it is complete.
@@ -279,26 +307,6 @@
             and 'Transfer-Encoding' not in headers
         )
 
-    def _parse_head(self, start: ResponseStartLine) -> None:
-        headers = self.reader.headers or HTTPHeaders()
-        try:
-            head = self.wire.read_head(start.code, headers)
-        except Exception as error:
-            # Any endpoint may send any header.
-            raise AttemptError(
-                AttemptEnd.BROKEN, f'unreadable head: {describe_error(error)}'
-            ) from error
-        if head.request_id and head.request_id != self._request_id:
-            # A late answer to an earlier request. The connection is closed,
-            # as later answers could not be matched to their requests.
-            raise AttemptError(
-                AttemptEnd.BROKEN,
-                'the answer belongs to another request',
-            )
-        self.head = head
-        if head.idle_seconds is not None:
-            self.idle_seconds = head.idle_seconds
-
     def _check_complete(self) -> None:
         if not self.reader.is_complete:
             raise AttemptError(AttemptEnd.BROKEN, 'the answer is incomplete')
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/held_body.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/held_body.py
@@ -3,6 +3,7 @@
 from types import TracebackType
 from typing import Self
 
+from ..errors import AttemptError
 from ..flow_control import CONNECTION_BYTES, HeldBytes
 from .channel import EndpointChannel
 
@@ -47,6 +48,14 @@
         AttemptError
             If the connection ends before the body is complete.
         """
+        try:
+            return await self._read(channel)
+        except AttemptError:
+            # An attempt that was given up may go on.
+            channel.reader.put_back(self.take())
+            raise
+
+    async def _read(self, channel: EndpointChannel) -> bool:
         chunk = await channel.read_chunk()
         while chunk:
             self._chunks.append(chunk)
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/errors.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/errors.py
@@ -73,3 +73,7 @@
     def __init__(self, end: AttemptEnd, cause: LifetimeEnd) -> None:
         super().__init__(end, f'the endpoint has ended: {cause.evidence}')
         self.cause = cause
+
+
+class FallbackReadyError(ForwardingError):
+    """The answer of an attempt that was given up has arrived."""
