Let a closing node finish what it is sending

Cause: Node.close cancelled the tasks of its peers at once, and with them a send that pynng had been handed and not yet taken. The task ended, its socket was closed, and the message was lost.

The node now waits for the sends in progress, for half of the time that its end may take; the other half is left for the tasks as before.

--- a/packages/sycamore-core/src/sycamore_core/transport/node.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/node.py
@@ -1,6 +1,7 @@
 """The listening socket of a process and its peers."""
 
 import asyncio
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import msgspec
@@ -104,19 +105,21 @@
     async def close(self, seconds: float = CANCEL_SECONDS) -> None:
         """Stop receiving and cancel the tasks of all peers.
 
-        Messages that are still queued are dropped.
+        Messages that are still queued are dropped. Those that are being sent
+        would be lost with their task.
 
         Parameters
         ----------
         seconds
             Longest time for the ends of the tasks.
         """
+        await self._wait_sent(seconds / 2)
         tasks = list(self._own_tasks)
         for peer_tasks in self._tasks.values():
             tasks.extend(peer_tasks)
         if self._socket is not None:
             self._socket.close()
-        await cancel_all(tasks, seconds, self.log)
+        await cancel_all(tasks, seconds / 2, self.log)
 
     def peer(self, address: str) -> Peer:
         """Return the peer at `address`, adding it if it is not known."""
@@ -138,6 +141,12 @@
         for task in self._tasks.pop(address, ()):
             task.cancel()
 
+    async def _wait_sent(self, seconds: float) -> None:
+        waits = [peer.wait_sent() for peer in self.peers.values()]
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await asyncio.gather(*waits)
+
     def _ages_of(self, address: str) -> PacketAges:
         """Return the age estimates of the packets of a peer.
 
--- a/packages/sycamore-core/src/sycamore_core/transport/peer.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/peer.py
@@ -73,6 +73,12 @@
         self._wake = asyncio.Event()
         self._urgent = asyncio.Event()
         self._dialled: DialledSocket | None = None
+        self._is_free = asyncio.Event()
+        self._is_free.set()
+
+    async def wait_sent(self) -> None:
+        """Wait until no packet is being sent."""
+        await self._is_free.wait()
 
     def post(self, message: Message, *, urgent: bool = True) -> bool:
         """Queue a message for the peer.
@@ -181,7 +187,12 @@
     async def _send_packet(self, dialled: DialledSocket) -> None:
         messages = self._pop_batch()
         packet = self.codec.encode(messages, self.clock.monotonic())
-        if not await dialled.send(packet):
+        self._is_free.clear()
+        try:
+            is_sent = await dialled.send(packet)
+        finally:
+            self._is_free.set()
+        if not is_sent:
             # The peer is stopped or disconnected. All exchanges tolerate lost
             # messages, so the packet is dropped rather than kept.
             self.counts.lost_packets += 1
--- a/packages/sycamore-core/src/sycamore_core/transport/tests/test_node.py
+++ b/packages/sycamore-core/src/sycamore_core/transport/tests/test_node.py
@@ -1,11 +1,15 @@
 """Tests of the exchange between two nodes over loopback."""
 
 import asyncio
+import time
+
+import pytest
 
 from ...clock import SystemClock
 from ...ids import Incarnation, KeyId, PeerId
 from ...messages import Message, PacketCodec, PeerKeys, SettingsWanted
 from .. import Node, NodeAddress, Peer
+from ..dialled import DialledSocket
 from .free_ports import LOOPBACK, free_port
 
 KEYS = PeerKeys({KeyId('k'): b'k' * 16}, KeyId('k'))
@@ -142,3 +146,38 @@
 def test_message_that_was_being_sent_outlives_a_short_close() -> None:
     """Guards against a last word that the end of a process takes back."""
     assert asyncio.run(received_from_closed_node()) == SettingsWanted(2)
+
+
+async def sent_before_close(send_seconds: float) -> list[bytes]:
+    """Return what a node has sent that closes as a message is being sent."""
+    sent: list[bytes] = []
+    began = asyncio.Event()
+
+    async def send(_: DialledSocket, packet: bytes) -> bool:
+        began.set()
+        await asyncio.sleep(send_seconds)
+        sent.append(packet)
+        return True
+
+    there = make_node('right', Recorder())
+    there.start()
+    left = make_node('left', Recorder())
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(DialledSocket, 'send', send)
+        left.peer(there.address.advertise).post(SettingsWanted(1))
+        await began.wait()
+        await left.close(SHORT_SECONDS)
+    await there.close()
+    return sent
+
+
+def test_close_waits_for_a_message_that_is_being_sent() -> None:
+    """Guards against a message that is lost with the task that sends it."""
+    assert len(asyncio.run(sent_before_close(SHORT_SECONDS / 5))) == 1
+
+
+def test_close_does_not_wait_for_a_peer_that_does_not_receive() -> None:
+    """Guards against a process that is kept by a stopped peer."""
+    began = time.monotonic()
+    assert not asyncio.run(sent_before_close(WAIT_SECONDS))
+    assert time.monotonic() - began < WAIT_SECONDS / 2
