--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_fallback.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_fallback.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Callable
 
 import msgspec
+from sycamore_core.ids import ServiceId
 from sycamore_core.routing import RouteKind
 
 from .builders import (
@@ -116,11 +117,13 @@
             await asyncio.sleep(0.005)
 
 
-def assert_nothing_is_held(entry: TestEntry) -> None:
+def assert_nothing_is_held(
+    entry: TestEntry, service: ServiceId = MODEL
+) -> None:
     """Check that a request that is over has left nothing behind."""
     context = entry.context
     assert not context.dispatcher.loads.own
-    assert not context.retry_budget(MODEL).held
+    assert not context.retry_budget(service).held
     assert not context.suspects.places.by_endpoint
     assert not context.keeper.ended._listeners
     assert not any(context.running.by_zone.values())
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_kept_calls.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_kept_calls.py
@@ -16,7 +16,7 @@
     route,
     running_entry,
 )
-from .builders_fallback import wait_until
+from .builders_fallback import assert_nothing_is_held, wait_until
 
 LIMIT_SECONDS = 1.5
 #: The first replica is left after .6 s.
@@ -80,13 +80,8 @@
     async with running_entry(SAFE, *replicas.fleet) as entry:
         yield entry
         await wait_until(lambda: not entry.connections.tasks)
-        context = entry.context
-        assert not context.dispatcher.loads.own
-        assert not context.retry_budget(SERVICE).held
-        assert not context.suspects.places.by_endpoint
-        assert not context.keeper.ended._listeners
-        assert not any(context.running.by_zone.values())
-        assert not context.flow.held.count
+        assert_nothing_is_held(entry, SERVICE)
+        assert not entry.context.flow.held.count
 
 
 async def answer_of(*scripts: Script) -> tuple[bytes, Replicas]:
