--- a/packages/sycamore-core/src/sycamore_core/decisions/ended_callers.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/ended_callers.py
@@ -72,12 +72,13 @@
         self._silent_seconds = silent_seconds
         self._run_seconds += min(passed, CHECK_SECONDS)
         self._passed_seconds = passed
-        self._late_checks += self._is_late
+        if self._is_late:
+            self._late_checks += 1
 
     def may_last(self) -> bool:
         """Return whether the endpoint may still be about to answer."""
         if self._silent_seconds >= LONGEST_SECONDS:
-            return self._has_outlasted_work
+            return self._is_after_long_stall
         if self._late_checks > 1 and self._is_late:
             next_check = self._silent_seconds + self._passed_seconds
             return next_check < _WORK_SECONDS
@@ -88,8 +89,8 @@
         return self._passed_seconds > _LATE_SECONDS
 
     @property
-    def _has_outlasted_work(self) -> bool:
-        """Whether a single stall has lasted until the time was over."""
+    def _is_after_long_stall(self) -> bool:
+        """Whether a single stall has lasted until the half second was over."""
         is_over = self._silent_seconds >= _WORK_SECONDS
         return is_over and self._is_late and self._late_checks == 1
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/answer_reader.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/answer_reader.py
@@ -37,9 +37,9 @@
     on_end
         Called once no more bytes will arrive, perhaps repeatedly; None if
         nothing depends on it.
-    on_news
-        Called when the answer has ended, or its buffer is full; None if nothing
-        depends on it.
+    on_reading_stopped
+        Called when the answer has ended, or waits because its buffer is full;
+        None if nothing depends on it.
     """
 
     def __init__(self, held: HeldBytes) -> None:
@@ -51,7 +51,7 @@
         self.is_interrupted = False
         self.is_closed = False
         self.on_end: Callable[[], None] | None = None
-        self.on_news: Callable[[], None] | None = None
+        self.on_reading_stopped: Callable[[], None] | None = None
         self._chunks: list[bytes] = []
         self._waiting_bytes = 0
         self._held_bytes = 0
@@ -79,7 +79,7 @@
             self._held_bytes += len(chunk)
         self._arrived.set()
         if self.is_full:
-            self._report_news()
+            self._report_stop()
         while self.is_full:
             self._consumed.clear()
             await self._consumed.wait()
@@ -99,7 +99,7 @@
         self._arrived.set()
         if self.on_end is not None:
             self.on_end()
-        self._report_news()
+        self._report_stop()
 
     def close(self) -> None:
         """Record that nobody takes further bytes, and stop waiting for it.
@@ -179,6 +179,6 @@
             return True
         return bool(self._waiting_bytes) and self.held.is_full
 
-    def _report_news(self) -> None:
-        if self.on_news is not None:
-            self.on_news()
+    def _report_stop(self) -> None:
+        if self.on_reading_stopped is not None:
+            self.on_reading_stopped()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/fallback.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/fallback.py
@@ -189,7 +189,7 @@
 
     def _watch(self, fallback: Fallback, scope: asyncio.Timeout) -> None:
         self._scope = scope
-        fallback.channel.reader.on_news = self._end_if_ready
+        fallback.channel.reader.on_reading_stopped = self._end_if_ready
         self._end_if_ready()
 
     def _end_if_ready(self) -> None:
@@ -200,7 +200,7 @@
     def _forget(self) -> None:
         """Let the next attempt go on, whatever the kept one does."""
         if self.kept is not None:
-            self.kept.channel.reader.on_news = None
+            self.kept.channel.reader.on_reading_stopped = None
         self.kept = None
         if self._scope is not None and not self._scope.expired():
             self._scope.reschedule(None)
