Ask of each stall what its length allows

The property on a stall between checks in time was wrong for some of its own inputs since: with the bound at .35 s, four gaps of .095 s are the end of a caller before any stall, so that no check follows one.

It now tells such a caller apart, which must have been given up between .35 and .5 s, and has it as an example.

--- a/packages/sycamore-core/src/sycamore_core/decisions/tests/test_ended_callers.py
+++ b/packages/sycamore-core/src/sycamore_core/decisions/tests/test_ended_callers.py
@@ -1,9 +1,10 @@
 """Requests whose callers have ended their sending sides."""
 
 from collections.abc import Iterable, Iterator
+from itertools import repeat
 
 import msgspec
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from ...hashes import stable_fraction
@@ -24,6 +25,9 @@
 PATIENCE_SECONDS = 0.3
 #: Most checks of a caller by an entry that is late each time.
 MOST_LATE_CHECKS = 10
+#: Gaps after which a caller is given up without a stall, and others in time.
+GIVEN_UP_BEFORE = list(repeat(1.9 * CHECK_SECONDS, 4))
+IN_TIME = list(repeat(CHECK_SECONDS, 9))
 _in_time = st.floats(CHECK_SECONDS, 1.9 * CHECK_SECONDS)
 _late = st.floats(2.1 * CHECK_SECONDS, 9)
 _busy = st.floats(CHECK_SECONDS, 3 * CHECK_SECONDS)
@@ -134,6 +138,7 @@
     assert ANSWER_SECONDS <= last <= GONE_SECONDS + 1e-6
 
 
+@example(GIVEN_UP_BEFORE, 4 * CHECK_SECONDS, IN_TIME)
 @given(
     st.lists(_in_time, max_size=4),
     _late,
@@ -144,13 +149,17 @@
 ) -> None:
     """Guards against taking a late entry for a slow endpoint."""
     times = given_up_at((*before, late, *after))
-    stalled_until = sum((*before, late))
-    if stalled_until >= GONE_SECONDS + 1e-6:
+    if len(times) <= len(before):
+        # It was given up before the entry was late.
+        assert LONGEST_SECONDS <= times[-1] <= GONE_SECONDS
+        return
+    stalled_until = times[len(before)]
+    if stalled_until >= GONE_SECONDS:
         assert len(times) == len(before) + 2
-    elif stalled_until < LONGEST_SECONDS:
-        assert times[-1] > stalled_until
-    if stalled_until <= GONE_SECONDS:
-        assert times[-1] <= GONE_SECONDS + 1e-6
+    elif stalled_until >= LONGEST_SECONDS:
+        assert len(times) == len(before) + 1
+    else:
+        assert stalled_until < times[-1] <= GONE_SECONDS + 1e-6
 
 
 @given(st.lists(_late, min_size=99, max_size=99))
