Close what was given up by the one callback that is for it

The relay now calls that one before plain answers as well, and the record of the first event only records. The callback is named after what it precedes: on_output.

The order is as before: the fallback is closed before anything of another answer is written.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/callers/exchange.py
@@ -336,8 +336,6 @@
         return True
 
     def _record_first_event(self) -> None:
-        """Record that an answer is about to be forwarded."""
-        self.fallback.close()
         elapsed = self._now() - self.request.arrived_at
         self.first_event_ms = elapsed * _MS
         call = self.call
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/relay.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/relay.py
@@ -27,8 +27,9 @@
     ----------
     on_first_bytes
         Called before the first bytes of an answer are forwarded.
-    on_events
-        Called before events are forwarded, and before a stream is completed.
+    on_output
+        Called before an answer or events are forwarded, and before a stream is
+        completed.
 
     Attributes
     ----------
@@ -45,12 +46,12 @@
         answer: CallerAnswer,
         route: Route,
         on_first_bytes: Callable[[], None],
-        on_events: Callable[[], None],
+        on_output: Callable[[], None],
     ) -> None:
         self.answer = answer
         self.route = route
         self.on_first_bytes = on_first_bytes
-        self.on_events = on_events
+        self.on_output = on_output
         self.last_event_id = _NO_EVENT
         self.forward_seconds: float = 0
         self.failure: tuple[AnswerHead, bytes] | None = None
@@ -128,12 +129,14 @@
         if not head.is_success:
             self.failure = (head, body)
             raise AttemptError(AttemptEnd.FAILED, f'status {head.status}')
+        self.on_output()
         self.on_first_bytes()
         await self.answer.send(head.status, head.headers, body)
 
     async def _begin_rest(
         self, head: AnswerHead, channel: EndpointChannel
     ) -> None:
+        self.on_output()
         self.on_first_bytes()
         if channel.content_length is not None:
             head.headers['Content-Length'] = channel.content_length
@@ -192,7 +195,7 @@
         ]
         if not events:
             return b''
-        self.on_events()
+        self.on_output()
         stream.has_forwarded = True
         # The last of them may be a comment, which has no id.
         numbers = (event.number for event in events)
@@ -220,7 +223,7 @@
                     'the stream has no event',
                 )
             await self.answer.begin(stream.head.status, stream.head.headers)
-        self.on_events()
+        self.on_output()
         await self.answer.finish()
 
 
