Give the TCP connection to an endpoint a module of its own

The socket and the stream are now in endpoint_stream.py, as the stream is about to record how a connection ended and the reader of answers needs it. Moved unchanged; EndpointStream.create makes the socket, which connect did before. The tests of retry delay, whole, unframed and endless answers, late connections, descriptors and ended endpoints pass.

--- /dev/null
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/endpoint_stream.py
@@ -0,0 +1,86 @@
+"""The TCP connection to an endpoint."""
+
+import socket
+from typing import Self
+
+from sycamore_core.decisions.direct import AttemptEnd
+from tornado.iostream import IOStream
+
+from ..errors import NoDescriptorError
+
+#: Time after which unacknowledged bytes end a connection, in milliseconds.
+#: Without it, a broken network would keep the connection for many minutes. The
+#: probes of an idle connection count as well: the second one is due after 2 s,
+#: and the third, 3 s after the last acknowledgement, ends the connection.
+UNACKNOWLEDGED_TIMEOUT_MS = 2900
+#: Idle time until the first probe of a connection, interval of the probes, in
+#: seconds, and number of unanswered probes that end the connection. Together
+#: they detect within 3 s that an instance is gone.
+_PROBE_IDLE_SECONDS = 1
+_PROBE_INTERVAL_SECONDS = 1
+_PROBES = 2
+_TCP_OPTIONS = (
+    (socket.TCP_NODELAY, 1),
+    (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
+    (socket.TCP_KEEPIDLE, _PROBE_IDLE_SECONDS),
+    (socket.TCP_KEEPINTVL, _PROBE_INTERVAL_SECONDS),
+    (socket.TCP_KEEPCNT, _PROBES),
+)
+
+
+class EndpointStream(IOStream):
+    """A TCP connection that reports whether it can carry another request."""
+
+    @classmethod
+    def create(cls) -> Self:
+        """Return a connection that is not open yet.
+
+        Raises
+        ------
+        NoDescriptorError
+            If the process can open no connection.
+        """
+        return cls(_new_socket())
+
+    @property
+    def has_unread_bytes(self) -> bool:
+        """Whether bytes have arrived that were not read yet."""
+        if self.closed():
+            return False
+        if self._read_buffer_size:
+            return True
+        try:
+            return bool(self.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether the connection is open and has received no stray bytes.
+
+        Without this check, a second answer that an endpoint sends would be
+        read as the answer to the next request on the connection.
+        """
+        if self.closed() or self._read_buffer_size:
+            return False
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
+def _new_socket() -> socket.socket:
+    try:
+        new_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        raise NoDescriptorError(
+            AttemptEnd.NOT_ACCEPTING, f'no connection: {error}'
+        ) from error
+    new_socket.setblocking(False)
+    new_socket.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in _TCP_OPTIONS:
+        new_socket.setsockopt(socket.IPPROTO_TCP, option, value)
+    return new_socket
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_retry_delay.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_retry_delay.py
@@ -10,8 +10,10 @@
 from ..endpoints.channel import (
     CONNECT_SECONDS,
     LATE_CONNECT_SECONDS,
-    UNACKNOWLEDGED_TIMEOUT_MS,
     EndpointChannel,
+)
+from ..endpoints.endpoint_stream import (
+    UNACKNOWLEDGED_TIMEOUT_MS,
     EndpointStream,
 )
 from ..errors import AttemptError
