Take a status that HTTP does not define for no answer

Callers got 'HTTP/1.1 0 Unknown', 99, 600 or 999 as an answer, signed where the endpoint had signed it, on each kind of route (MIXED).

Cause: the parser takes any three digits, and the reader of answers took what the parser lets pass. Each status that was no success counted as a failure of the endpoint, which is forwarded. What such a head reported about its endpoint was applied as well: a limit, a backoff, or that it leaves.

The reader refuses such a head as the parser refuses one that it cannot read: before anything of it is stored. So no place that uses answers can see it (callers, streams, resumed attempts, fallbacks, orders, reports), the connection is closed, and a request that may have run ends with 502.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/answer_reader.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/answer_reader.py
@@ -4,8 +4,10 @@
 from collections.abc import Callable
 
 from sycamore_core.decisions.direct import AttemptEnd
+from sycamore_core.http_status import is_http_status
 from tornado.httputil import (
     HTTPHeaders,
+    HTTPInputError,
     HTTPMessageDelegate,
     RequestStartLine,
     ResponseStartLine,
@@ -30,6 +32,8 @@
 
     Attributes
     ----------
+    fault
+        What is wrong with the answer; empty if nothing is known to be.
     is_interrupted
         Whether the buffered bytes are the last that are taken for now.
     is_closed
@@ -46,6 +50,7 @@
         self.held = held
         self.start: ResponseStartLine | None = None
         self.headers: HTTPHeaders | None = None
+        self.fault = ''
         self.is_complete = False
         self.is_over = False
         self.is_interrupted = False
@@ -63,8 +68,19 @@
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
     ) -> None:
-        """Store status and headers."""
-        self.start = start_line  # type: ignore[assignment]
+        """Store status and headers.
+
+        Raises
+        ------
+        HTTPInputError
+            If HTTP does not define the status. The connection is then closed,
+            as after a head that cannot be parsed.
+        """
+        assert isinstance(start_line, ResponseStartLine)
+        if not is_http_status(start_line.code):
+            self.fault = f'status {start_line.code} is not one of HTTP'
+            raise HTTPInputError(self.fault)
+        self.start = start_line
         self.headers = headers
         self._arrived.set()
 
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
@@ -140,7 +140,7 @@
             if self.reader.is_over:
                 raise AttemptError(
                     AttemptEnd.BROKEN,
-                    'connection closed before the answer',
+                    self.reader.fault or 'connection closed before the answer',
                 )
             await self.reader.wait()
 
