Wait for the answer behind an interim answer

A caller got 'HTTP/1.1 103 Early Hints' or 'HTTP/1.1 100 Continue', signed if the interim answer was, with the length and the body of the answer that followed it: a status that the endpoint did not give to this body. It happened whenever the two came more than a turn of the event loop apart.

Cause: the parser reports the head of an interim answer like any other and goes on to the next one. The reader stored it, and the attempt took it for the answer.

Evidence: test_interim_answer_is_not_the_answer, 100 and 103 before a 404, on each kind of route, failed 8 of 8 before.

The reader now leaves out heads below 200, so that the next head is the first that anything sees. An endpoint that sends only such heads has given no answer (101 and 199 alone: 502, as before), and interim answers without end are ended as before (test_endless_bytes).

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/answer_reader.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/answer_reader.py
@@ -20,6 +20,7 @@
 #: The next piece is added to them. As many bytes wait to be written meanwhile,
 #: and one piece is being written.
 _BUFFER_BYTES = (CONNECTION_BYTES - PIECE_BYTES) // 2 - PIECE_BYTES
+_FIRST_FINAL_STATUS = 200
 
 
 class AnswerReader(HTTPMessageDelegate):
@@ -68,7 +69,7 @@
         start_line: RequestStartLine | ResponseStartLine,
         headers: HTTPHeaders,
     ) -> None:
-        """Store status and headers.
+        """Store status and headers, but not those of an interim answer.
 
         Raises
         ------
@@ -80,6 +81,8 @@
         if not is_http_status(start_line.code):
             self.fault = f'status {start_line.code} is not one of HTTP'
             raise HTTPInputError(self.fault)
+        if start_line.code < _FIRST_FINAL_STATUS:
+            return
         self.start = start_line
         self.headers = headers
         self._arrived.set()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_odd_statuses.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_odd_statuses.py
@@ -1,4 +1,6 @@
-"""Answers whose status HTTP does not define."""
+"""Answers whose status HTTP does not define, and interim answers."""
+
+import asyncio
 
 import msgspec
 import pytest
@@ -7,6 +9,7 @@
 from .builders import (
     LAST_CHUNK,
     MODEL,
+    PAUSE_SECONDS,
     RawEndpoint,
     chunk,
     event,
@@ -118,3 +121,23 @@
     answer = await forwarded(UNSAFE, full_answer('sound', status))
     assert answer.startswith(f'HTTP/1.1 {status} '.encode())
     assert answer.endswith(b'sound')
+
+
+@pytest.mark.parametrize('served', ROUTES, ids=lambda one: one.kind.value)
+@pytest.mark.parametrize('status', [100, 103])
+async def test_interim_answer_is_not_the_answer(
+    served: Route, status: int
+) -> None:
+    """Guards against a caller that gets the status of an interim answer."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(f'HTTP/1.1 {status} Wait\r\n{SIGNED}\r\n\r\n'.encode())
+        await asyncio.sleep(PAUSE_SECONDS)
+        writer.write(full_answer('sound', 404))
+
+    async with running_entry(served, RawEndpoint('e1', script)) as entry:
+        answer = await entry.ask(Prompt='1000')
+    assert answer.startswith(b'HTTP/1.1 404 ')
+    assert answer.endswith(b'sound')
