Let only its endpoint end an answer without a length

A caller got the first part of an answer as a complete 200.

Cause: the parser ends such an answer with any end of the connection. The channel looked for an error of the connection afterwards, and a close by the entry leaves none. Those that ask whether an answer is complete without reading it did not look at all: a call that was kept while another replica was asked counted as ready when its connection was reset, so that the attempt at the other replica was ended and the caller got 502.

The connection now records the end that its endpoint sent, where it reads it, and the reader of answers decides by that alone whether an answer without a length is complete. is_complete means the same for all that ask. Which connections are used again does not change.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/answer_reader.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/answer_reader.py
@@ -15,12 +15,15 @@
 
 from ..errors import AttemptError
 from ..flow_control import CONNECTION_BYTES, PIECE_BYTES, HeldBytes
+from .endpoint_stream import EndpointStream
 
 #: Bytes of an answer that are buffered for a slow caller before reading stops.
 #: The next piece is added to them. As many bytes wait to be written meanwhile,
 #: and one piece is being written.
 _BUFFER_BYTES = (CONNECTION_BYTES - PIECE_BYTES) // 2 - PIECE_BYTES
 _FIRST_FINAL_STATUS = 200
+#: Statuses of answers that have no body, as in section 6.3 of RFC 9112.
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
 class AnswerReader(HTTPMessageDelegate):
@@ -30,11 +33,17 @@
     ----------
     held
         Bytes that the process holds.
+    stream
+        The connection on which the answer arrives.
+    method
+        Method of the request.
 
     Attributes
     ----------
     fault
         What is wrong with the answer; empty if nothing is known to be.
+    is_complete
+        Whether the answer has arrived completely.
     is_interrupted
         Whether the buffered bytes are the last that are taken for now.
     is_closed
@@ -47,8 +56,12 @@
         None if nothing depends on it.
     """
 
-    def __init__(self, held: HeldBytes) -> None:
+    def __init__(
+        self, held: HeldBytes, stream: EndpointStream, method: str = ''
+    ) -> None:
         self.held = held
+        self.stream = stream
+        self.method = method
         self.start: ResponseStartLine | None = None
         self.headers: HTTPHeaders | None = None
         self.fault = ''
@@ -104,8 +117,14 @@
             await self._consumed.wait()
 
     def finish(self) -> None:
-        """Record that the answer is complete."""
-        self.is_complete = not self.is_closed
+        """Record that the answer is complete, unless it broke off.
+
+        The parser takes any end of the connection for the end of an answer
+        without a length: also a reset, and a close by the entry itself.
+        """
+        if self.ends_with_connection and not self.stream.has_ended_in_order:
+            self.fault = 'an answer without a length was broken off'
+        self.is_complete = not (self.is_closed or self.fault)
         self.end()
 
     def on_connection_close(self) -> None:
@@ -153,6 +172,20 @@
         await self._arrived.wait()
         self._arrived.clear()
 
+    @property
+    def has_length(self) -> bool:
+        """Whether the head has a length, or announces chunks."""
+        headers = self.headers or HTTPHeaders()
+        return 'Content-Length' in headers or 'Transfer-Encoding' in headers
+
+    @property
+    def ends_with_connection(self) -> bool:
+        """Whether only the end of the connection ends the answer."""
+        if self.has_length or self.start is None:
+            return False
+        has_body = self.start.code not in _STATUSES_WITHOUT_BODY
+        return has_body and self.method != 'HEAD'
+
     @property
     def has_chunks(self) -> bool:
         """Whether bytes of the body are buffered."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
@@ -65,7 +65,7 @@
         self.idle_since: float = 0
         self.idle_seconds: float | None = None
         self.head: AnswerHead | None = None
-        self.reader = AnswerReader(flow.held)
+        self.reader = AnswerReader(flow.held, stream)
         self._request_id = ''
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -113,7 +113,7 @@
     ) -> None:
         """Send a request and start to read its answer."""
         self.head = None
-        self.reader = AnswerReader(self.flow.held)
+        self.reader = AnswerReader(self.flow.held, self.stream, start.method)
         self._request_id = request_id
         connection = HTTP1Connection(self.stream, is_client=True)
         self._tasks = [asyncio.create_task(self._read(connection))]
@@ -189,8 +189,12 @@
             if chunk:
                 return chunk
             if self.reader.is_over:
-                self._check_complete()
-                return b''
+                if self.reader.is_complete:
+                    return b''
+                raise AttemptError(
+                    AttemptEnd.BROKEN,
+                    self.reader.fault or 'the answer is incomplete',
+                )
             await self.reader.wait()
 
     def interrupt(self) -> None:
@@ -233,10 +237,11 @@
         head = self.head
         if head is None or not self.reader.is_complete or head.closes:
             return False
-        is_framed = not self._is_unframed
+        if not self.reader.has_length:
+            return False
         if not all(task.done() for task in self._tasks[1:]):
             return False
-        return is_framed and not self.stream.writing() and self.stream.is_clean
+        return not self.stream.writing() and self.stream.is_clean
 
     def close(self) -> None:
         """Close the connection; the endpoint then cancels its request."""
@@ -246,27 +251,6 @@
         # The task that reads ends, as it finds the connection closed.
         self.stream.close()
 
-    @property
-    def _is_unframed(self) -> bool:
-        headers = self.reader.headers
-        if headers is None:
-            return True
-        return (
-            'Content-Length' not in headers
-            and 'Transfer-Encoding' not in headers
-        )
-
-    def _check_complete(self) -> None:
-        if not self.reader.is_complete:
-            raise AttemptError(AttemptEnd.BROKEN, 'the answer is incomplete')
-        if self._is_unframed and self.stream.error is not None:
-            # Without a length, only an orderly close marks the end of the
-            # body. A reset may occur in the middle.
-            raise AttemptError(
-                AttemptEnd.BROKEN,
-                'connection reset during an answer without a length',
-            )
-
     async def _send_body(
         self,
         connection: HTTP1Connection,
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/endpoint_stream.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/endpoint_stream.py
@@ -29,7 +29,22 @@
 
 
 class EndpointStream(IOStream):
-    """A TCP connection that reports whether it can carry another request."""
+    """A TCP connection that reports how it ended, and whether it is clean.
+
+    Parameters
+    ----------
+    new_socket
+        Its socket, not connected yet.
+
+    Attributes
+    ----------
+    has_ended_in_order
+        Whether the endpoint has ended its sending side.
+    """
+
+    def __init__(self, new_socket: socket.socket) -> None:
+        super().__init__(new_socket)
+        self.has_ended_in_order = False
 
     @classmethod
     def create(cls) -> Self:
@@ -42,6 +57,21 @@
         """
         return cls(_new_socket())
 
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the socket, and record the end that the endpoint sent.
+
+        Neither a reset nor a close by the entry itself is seen here.
+
+        Raises
+        ------
+        OSError
+            If the connection broke.
+        """
+        size = super().read_from_fd(buf)
+        if size == 0:
+            self.has_ended_in_order = True
+        return size
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether bytes have arrived that were not read yet."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_broken.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/builders_broken.py
@@ -1,6 +1,7 @@
 """Endpoints in trouble, whose answers are no answers or are not whole."""
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 
 from sycamore_core.routing import Route
@@ -20,8 +21,10 @@
 BROKEN = 'broken'
 #: Statuses of three digits that HTTP does not define.
 ODD_STATUSES = ('000', '099', '600', '999')
-#: Body of a request that no endpoint takes without reading it.
+#: Body of a request that no system takes without its being read.
 UPLOAD = b'x' * 4_000_000
+#: Size of a buffer for received bytes, in bytes.
+_BUFFER_BYTES = 4096
 #: Head of a success without a length.
 UNFRAMED_HEAD = b'HTTP/1.1 200 OK\r\nSigned: yes\r\n\r\n'
 
@@ -90,6 +93,15 @@
         self.part = part
         self.ending = ending
 
+    async def start(self) -> None:
+        """Listen with a buffer in which the system takes little of a body."""
+        await super().start()
+        assert self.server is not None
+        for listening in self.server.sockets:
+            listening.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER_BYTES
+            )
+
     async def receive(self, reader: asyncio.StreamReader) -> dict[str, str]:
         """Return the headers of the next request."""
         return parse_headers((await reader.readuntil(b'\r\n\r\n')).decode())
