Keep the error of a connection that a check has found

A part of an answer without a length reached its caller as a complete 200 although the endpoint had reset the connection, if a check for silence, or for an end of the endpoint, looked for unread bytes between the reset and the next read.

Cause: the check peeks at the socket. The system reports an error of a connection once, to whoever asks first, and an end to the next. The check dropped the error, and the read that followed found an end like one in order. A missing acknowledgement (ETIMEDOUT) was lost in the same way.

Both checks now peek in one place, which keeps the error at the connection, and an end after an error is not one in order.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/endpoint_stream.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/endpoint_stream.py
@@ -69,7 +69,7 @@
         """
         size = super().read_from_fd(buf)
         if size == 0:
-            self.has_ended_in_order = True
+            self.has_ended_in_order = self.error is None
         return size
 
     @property
@@ -77,12 +77,7 @@
         """Whether bytes have arrived that were not read yet."""
         if self.closed():
             return False
-        if self._read_buffer_size:
-            return True
-        try:
-            return bool(self.socket.recv(1, socket.MSG_PEEK))
-        except OSError:
-            return False
+        return bool(self._read_buffer_size or self._peek())
 
     @property
     def is_clean(self) -> bool:
@@ -93,13 +88,21 @@
         """
         if self.closed() or self._read_buffer_size:
             return False
+        return self._peek() is None
+
+    def _peek(self) -> bytes | None:
+        """Return the next byte; None before it arrives, empty at the end.
+
+        The system reports an error of the connection once, and an end after
+        that. It is kept, so that this end is not taken for the endpoint's.
+        """
         try:
-            self.socket.recv(1, socket.MSG_PEEK)
+            return self.socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+            return None
+        except OSError as error:
+            self.error = error
+            return b''
 
 
 def _new_socket() -> socket.socket:
