Take an end before the request has arrived for none

A part of over 128 KB was forwarded and ended with the last chunk.

Cause: an end in order was taken for the end of the answer whatever was still to be sent. The reset that follows it comes too late: the parser has closed by then.

An end now counts only if nothing of the request is on its way: all pieces are written, the stream has handed them to the system, and the endpoint's system has acknowledged them. An endpoint that has read a request acknowledges it with its answer, so that a sound one is not refused however soon it ends; the flag for further pieces is taken back as the last piece is written, not once the task that writes goes on, since the end may be read before.

Refused now: an endpoint that ends an answer without a length before it has taken the request and reads on. It can't be told from one that broke off, and its request is cut by the close in any case; the caller of an unsafe request gets 502, that of a safe one the answer of another endpoint. Not seen by this rule: a body that the endpoint's system has taken and the endpoint has not read.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
@@ -122,6 +122,7 @@
             connection.finish()
             return
         connection.write_headers(start, headers)
+        self.stream.is_sending = True
         sending = asyncio.create_task(self._send_body(connection, body))
         self._tasks.append(sending)
 
@@ -264,7 +265,9 @@
         view = memoryview(body)
         try:
             for begin in range(0, len(body), PIECE_BYTES):
-                piece = bytes(view[begin : begin + PIECE_BYTES])
+                end = begin + PIECE_BYTES
+                piece = bytes(view[begin:end])
+                self.stream.is_sending = end < len(body)
                 await self.flow.drain(
                     self.stream,
                     connection.write(piece),
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/endpoint_stream.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/endpoint_stream.py
@@ -7,6 +7,7 @@
 from tornado.iostream import IOStream
 
 from ..errors import NoDescriptorError
+from ..socket_state import count_undelivered
 
 #: Time after which unacknowledged bytes end a connection, in milliseconds.
 #: Without it, a broken network would keep the connection for many minutes. The
@@ -38,12 +39,16 @@
 
     Attributes
     ----------
+    is_sending
+        Whether a part of the request has yet to be written to the stream.
     has_ended_in_order
-        Whether the endpoint has ended its sending side.
+        Whether the endpoint has ended its sending side, after all that was
+        written had been delivered to it.
     """
 
     def __init__(self, new_socket: socket.socket) -> None:
         super().__init__(new_socket)
+        self.is_sending = False
         self.has_ended_in_order = False
 
     @classmethod
@@ -69,9 +74,23 @@
         """
         size = super().read_from_fd(buf)
         if size == 0:
-            self.has_ended_in_order = self.error is None
+            is_sound = self.error is None
+            self.has_ended_in_order = (
+                is_sound and not self.has_undelivered_bytes
+            )
         return size
 
+    @property
+    def has_undelivered_bytes(self) -> bool:
+        """Whether a part of the request has not reached the endpoint.
+
+        An endpoint that ends its connection then will not read that part, and
+        may as well have broken off its answer.
+        """
+        if self.is_sending or self.writing():
+            return True
+        return bool(count_undelivered(self.socket))
+
     @property
     def has_unread_bytes(self) -> bool:
         """Whether bytes have arrived that were not read yet."""
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_early_answers.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_early_answers.py
@@ -18,6 +18,7 @@
     SimpleWire,
     event,
     full_answer,
+    reply_with,
     route,
     running_entry,
 )
@@ -28,6 +29,7 @@
     Ending,
     answer_with_status,
     close_with_unread_bytes,
+    end_and_reset,
     keep_open,
     reset_at_once,
     reset_later,
@@ -41,6 +43,9 @@
 SLOW_ENDPOINT = f'{ReaderSide.__module__}.SLOW_ENDPOINT_SECONDS'
 #: Time after which the entry closes for an unread request, in seconds.
 UNREAD_SECONDS = 0.3
+#: Body that the system of the entry takes at once, and that of an endpoint does
+#: not take without its being read.
+UNDELIVERED = b'x' * 60_000
 
 
 async def upload_to(
@@ -53,7 +58,7 @@
 
 @pytest.mark.parametrize(
     'ending',
-    [reset_at_once, reset_later, close_with_unread_bytes],
+    [reset_at_once, reset_later, close_with_unread_bytes, end_and_reset],
 )
 @pytest.mark.parametrize('served', [SAFE, UNSAFE])
 async def test_part_that_breaks_off_during_an_upload_is_no_answer(
@@ -65,6 +70,13 @@
     assert b'part' not in answer
 
 
+async def test_part_that_ends_before_the_request_is_delivered() -> None:
+    """Guards against a request that only the entry's system has taken."""
+    endpoint = EarlyEndpoint('e1', PART, end_and_reset)
+    answer = await upload_to(UNSAFE, endpoint, body=UNDELIVERED)
+    assert answer.startswith(b'HTTP/1.1 502 ')
+
+
 @pytest.mark.parametrize(
     'part', [PART, answer_with_status('000', 'close', 'Signed: yes')]
 )
@@ -78,6 +90,15 @@
     assert b'part' not in answer
 
 
+async def test_long_part_that_breaks_off_looks_cut() -> None:
+    """Guards against the end of a forwarded part that looks orderly."""
+    part = b''.join((PART, b'x' * 500_000))
+    endpoint = EarlyEndpoint('e1', part, end_and_reset)
+    answer = await upload_to(UNSAFE, endpoint)
+    assert answer.startswith(b'HTTP/1.1 200 ')
+    assert not answer.endswith(LAST_CHUNK)
+
+
 async def test_own_close_is_no_end_of_a_stream(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -106,6 +127,14 @@
     assert not opened.is_complete
 
 
+async def test_other_endpoint_answers_after_a_part() -> None:
+    """Guards against a caller that pays for an endpoint in trouble."""
+    sound = RawEndpoint('e2', reply_with(full_answer('sound')))
+    for _ in range(2):
+        broken = EarlyEndpoint('e1', PART, end_and_reset)
+        assert (await upload_to(SAFE, broken, sound)).endswith(b'sound')
+
+
 async def test_whole_answer_during_an_upload_is_forwarded() -> None:
     """Guards against the loss of an answer with a length that comes early."""
     endpoint = EarlyEndpoint('e1', full_answer('early'), keep_open)
