Say in one place when an answer needs the end of its connection

The clients of back ends need the same rule as the reader of endpoints' answers. It moves to core beside the rule on statuses (http_answers.py).

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/answer_reader.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/answer_reader.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from sycamore_core.decisions.direct import AttemptEnd
-from sycamore_core.http_status import is_http_status
+from sycamore_core.http_answers import ends_with_connection, is_http_status
 from tornado.httputil import (
     HTTPHeaders,
     HTTPInputError,
@@ -22,8 +22,6 @@
 #: and one piece is being written.
 _BUFFER_BYTES = (CONNECTION_BYTES - PIECE_BYTES) // 2 - PIECE_BYTES
 _FIRST_FINAL_STATUS = 200
-#: Statuses of answers that have no body, as in section 6.3 of RFC 9112.
-_STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
 class AnswerReader(HTTPMessageDelegate):
@@ -122,7 +120,7 @@
         The parser takes any end of the connection for the end of an answer
         without a length: also a reset, and a close by the entry itself.
         """
-        if self.ends_with_connection and not self.stream.has_ended_in_order:
+        if self._is_broken_off():
             self.fault = 'an answer without a length was broken off'
         self.is_complete = not (self.is_closed or self.fault)
         self.end()
@@ -172,20 +170,6 @@
         await self._arrived.wait()
         self._arrived.clear()
 
-    @property
-    def has_length(self) -> bool:
-        """Whether the head has a length, or announces chunks."""
-        headers = self.headers or HTTPHeaders()
-        return 'Content-Length' in headers or 'Transfer-Encoding' in headers
-
-    @property
-    def ends_with_connection(self) -> bool:
-        """Whether only the end of the connection ends the answer."""
-        if self.has_length or self.start is None:
-            return False
-        has_body = self.start.code not in _STATUSES_WITHOUT_BODY
-        return has_body and self.method != 'HEAD'
-
     @property
     def has_chunks(self) -> bool:
         """Whether bytes of the body are buffered."""
@@ -231,6 +215,14 @@
             return True
         return bool(self._waiting_bytes) and self.held.is_full
 
+    def _is_broken_off(self) -> bool:
+        """Return whether the answer lacks the end that completes it."""
+        if self.start is None or self.headers is None:
+            return False
+        if self.stream.has_ended_in_order:
+            return False
+        return ends_with_connection(self.method, self.start.code, self.headers)
+
     def _report_stop(self) -> None:
         if self.on_reading_stopped is not None:
             self.on_reading_stopped()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
@@ -11,6 +11,7 @@
 
 from sycamore_core.decisions.direct import AttemptEnd
 from sycamore_core.error_translation import describe_error
+from sycamore_core.http_answers import has_length
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import (
     HTTPHeaders,
@@ -238,7 +239,7 @@
         head = self.head
         if head is None or not self.reader.is_complete or head.closes:
             return False
-        if not self.reader.has_length:
+        if not has_length(self.reader.headers or HTTPHeaders()):
             return False
         if not all(task.done() for task in self._tasks[1:]):
             return False
