Read the heads of back ends' answers strictly

A plain service behind an endpoint process could answer with status 600 or 999, and the caller got it as an answer. An answer in whose head the name of a field held a blank, a tab or a control byte, or that had a folded line or a control byte in a value, was taken as well; the line itself is not passed on, but 'Transfer Encoding: chunked' is a different body to a client that reads it as the header.

Cause: the calls to back ends read the lines of the head that libcurl hands on. libcurl refuses 000 and 099 and, of odd names, NUL and CR, and takes the rest. 099 counted as an answer that had begun, since its line had been stored before. A first line that cannot be parsed raised in a callback of libcurl: a traceback on the output, outside the log.

AnswerHead reads each line as the entry's parser does, with the rule on statuses of core, and a line that is none of HTTP ends the transfer.

--- a/packages/sycamore-endpoint/src/sycamore_endpoint/backends/plain.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/backends/plain.py
@@ -62,7 +62,7 @@
 
 async def _read_answer(call: StreamCall) -> AsyncIterator[AnswerChunk]:
     chunk = await call.read()
-    reply = PlainReply(call.status, call.content_type)
+    reply = PlainReply(call.status, call.head.content_type)
     yield AnswerChunk(chunk, plain_reply=reply)
     while chunk := await call.read():
         yield AnswerChunk(chunk)
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/backends/stream.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/backends/stream.py
@@ -11,13 +11,13 @@
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
 from tornado.httpclient import HTTPError, HTTPRequest, HTTPResponse
-from tornado.httputil import parse_response_start_line
 
 from ..errors import (
     BackendUnreachableError,
     NotStartedError,
     StreamInterruptedError,
 )
+from .answer_head import AnswerHead
 from .base import StartGate
 
 #: Bytes buffered for the reader before the transfer is paused. One step of an
@@ -30,10 +30,6 @@
 TIMEOUT_MARGIN_SECONDS = 5.0
 
 
-_STATUS_LINE = 'HTTP/'
-_CONTENT_TYPE = 'content-type:'
-
-
 class StreamCall:
     """An HTTP call whose answer is read chunk by chunk.
 
@@ -41,8 +37,8 @@
     ----------
     sending_started
         Whether any part of the body may have been sent.
-    status
-        HTTP status of the answer; 0 until the status line arrives.
+    head
+        Status and headers of the answer, as far as they have arrived.
     """
 
     def __init__(
@@ -54,8 +50,7 @@
         self.client = client
         self.gate = gate
         self.sending_started = False
-        self.status = 0
-        self.content_type = ''
+        self.head = AnswerHead(request.method)
         self.error: Exception | None = None
         self._request = request
         self._body = memoryview(request.body or b'')
@@ -68,6 +63,11 @@
         self._data_ready = asyncio.Event()
         request.prepare_curl_callback = self._configure_curl
 
+    @property
+    def status(self) -> int:
+        """Return the status of the answer; 0 until its status line arrives."""
+        return self.head.status
+
     def start(self) -> None:
         """Send the request."""
         fetch = self.client.fetch(self._request, raise_error=False)
@@ -134,13 +134,9 @@
         if not self.sending_started:
             raise NotStartedError('run may no longer start')
 
-    def _record_header(self, line: bytes) -> None:
-        text = line.decode('latin-1').strip()
-        if text.startswith(_STATUS_LINE):
-            self.status = parse_response_start_line(text).code
-            self.content_type = ''
-        elif text.lower().startswith(_CONTENT_TYPE):
-            self.content_type = text[len(_CONTENT_TYPE) :].strip()
+    def _record_header(self, line: bytes) -> int:
+        """Read a line of the head; end the transfer if it is none of HTTP."""
+        return len(line) if self.head.take_line(line) else 0
 
     def _receive_chunk(self, chunk: bytes) -> int:
         if self._aborted:
@@ -182,6 +178,7 @@
             raise NotStartedError(str(self.error))
         if self.error is None:
             return
+        message = self.head.fault or str(self.error)
         if self.status:
-            raise StreamInterruptedError(str(self.error))
-        raise BackendUnreachableError(str(self.error))
+            raise StreamInterruptedError(message)
+        raise BackendUnreachableError(message)
