Take an early end of a back end's answer for a break

Cause: as at the entry, an end in order was taken for the end of the answer whatever was still to be sent; libcurl reports such a transfer as done.

--- a/packages/sycamore-endpoint/src/sycamore_endpoint/backends/stream.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/backends/stream.py
@@ -165,6 +165,19 @@
         self.error = fetch.exception()
         if self.error is None:
             self._record_response(fetch.result())
+        if self.error is None and self._is_broken_off:
+            self.error = StreamInterruptedError(
+                'an answer without a length was broken off'
+            )
+
+    @property
+    def _is_broken_off(self) -> bool:
+        """Whether an answer without a length ended before its request.
+
+        A back end that ends its connection then will not read the rest, and
+        may as well have broken off its answer.
+        """
+        return bool(self._body) and self.head.ends_with_connection
 
     def _record_response(self, response: HTTPResponse) -> None:
         is_http_error = isinstance(response.error, HTTPError)
--- a/packages/sycamore-endpoint/src/sycamore_endpoint/backends/tests/test_broken_answers.py
+++ b/packages/sycamore-endpoint/src/sycamore_endpoint/backends/tests/test_broken_answers.py
@@ -104,6 +104,16 @@
             await call_plain(server)
 
 
+@pytest.mark.parametrize('ending', Ending)
+async def test_part_that_ends_before_a_plain_service_takes_the_request(
+    ending: Ending,
+) -> None:
+    """Guards against a part that looks complete."""
+    async with BrokenServer(UNFRAMED, ending, takes_body=False) as server:
+        with pytest.raises(StreamInterruptedError):
+            await call_plain(server, UPLOAD)
+
+
 @pytest.mark.parametrize('payload', [b'text', UPLOAD])
 @pytest.mark.parametrize(
     'answer',
