Name the two tasks of a channel

Reading and sending were the first and the rest of a list. No change of behaviour; all tests of the forwarding entry pass but the known failure.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/channel.py
@@ -68,7 +68,8 @@
         self.head: AnswerHead | None = None
         self.reader = AnswerReader(flow.held, stream)
         self._request_id = ''
-        self._tasks: list[asyncio.Task[None]] = []
+        self._reading: asyncio.Task[None] | None = None
+        self._sending: asyncio.Task[None] | None = None
 
     @classmethod
     async def connect(
@@ -117,15 +118,15 @@
         self.reader = AnswerReader(self.flow.held, self.stream, start.method)
         self._request_id = request_id
         connection = HTTP1Connection(self.stream, is_client=True)
-        self._tasks = [asyncio.create_task(self._read(connection))]
+        self._reading = asyncio.create_task(self._read(connection))
+        self._sending = None
         if len(body) <= PIECE_BYTES:
             connection.write_headers(start, headers, body or None)
             connection.finish()
             return
         connection.write_headers(start, headers)
         self.stream.is_sending = True
-        sending = asyncio.create_task(self._send_body(connection, body))
-        self._tasks.append(sending)
+        self._sending = asyncio.create_task(self._send_body(connection, body))
 
     async def read_head(self) -> AnswerHead:
         """Return status and headers of the answer.
@@ -241,14 +242,14 @@
             return False
         if not has_length(self.reader.headers or HTTPHeaders()):
             return False
-        if not all(task.done() for task in self._tasks[1:]):
+        if self._sending is not None and not self._sending.done():
             return False
         return not self.stream.writing() and self.stream.is_clean
 
     def close(self) -> None:
         """Close the connection; the endpoint then cancels its request."""
-        for sending in self._tasks[1:]:
-            sending.cancel()
+        if self._sending is not None:
+            self._sending.cancel()
         self.reader.close()
         # The task that reads ends, as it finds the connection closed.
         self.stream.close()
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/endpoint_stream.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/endpoints/endpoint_stream.py
@@ -73,11 +73,8 @@
             If the connection broke.
         """
         size = super().read_from_fd(buf)
-        if size == 0:
-            is_sound = self.error is None
-            self.has_ended_in_order = (
-                is_sound and not self.has_undelivered_bytes
-            )
+        if size == 0 and self.error is None:
+            self.has_ended_in_order = not self.has_undelivered_bytes
         return size
 
     @property
