Test broken answers of kept streams and of requests that run once

test_reset_fallback_without_a_length_replaces_no_wait: a stream without a length, kept while another engine is asked, is reset.

--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_broken_fallback.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_broken_fallback.py
@@ -4,15 +4,18 @@
 
 from sycamore_core.decisions.direct import RetryBudgetLimit
 
+from ..socket_state import reset_at_close
 from .builders import (
     LAST_CHUNK,
     MODEL,
+    Script,
     chunk,
     event,
     full_answer,
     reply_with,
     stream_head,
 )
+from .builders_broken import UNFRAMED_HEAD
 from .builders_ended import StartedEndpoint, one_event
 from .builders_fallback import (
     SOON_SECONDS,
@@ -42,6 +45,20 @@
     await REJECT(reader, writer)
 
 
+def unframed_event(is_over: asyncio.Event) -> Script:
+    """Return a script that sends one event, and resets once it is over."""
+
+    async def script(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(b''.join((UNFRAMED_HEAD, event(0).encode())))
+        await is_over.wait()
+        reset_at_close(writer.get_extra_info('socket'))
+        raise ConnectionError
+
+    return script
+
+
 async def test_broken_fallback_does_not_replace_the_wait_for_a_slot() -> None:
     """Guards against a cut of a stream that has a retry and only lacks a slot.
 
@@ -58,3 +75,19 @@
         empty(entry, 'e3', requests)
         assert is_rest_whole(await read_rest(reader))
     assert full.requests[0]['after'] == '0'
+
+
+async def test_reset_fallback_without_a_length_replaces_no_wait() -> None:
+    """Guards against a reset that counts as the end of the kept stream."""
+    is_over = asyncio.Event()
+    fleet = engine_pair(unframed_event(is_over), reject_late)
+    full = StartedEndpoint('e3', RESUME)
+    async with begun_stream(*fleet, full) as (entry, reader):
+        limit_retries(entry, MODEL, BOUNDS, RETRIES)
+        requests = fill(entry, 'e3')
+        await wait_until(lambda: bool(fleet[1].requests))
+        is_over.set()
+        await asyncio.sleep(2 * SOON_SECONDS)
+        empty(entry, 'e3', requests)
+        assert is_rest_whole(await read_rest(reader))
+    assert full.requests[0]['after'] == '0'
--- a/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_odd_statuses.py
+++ b/packages/sycamore-entry/src/sycamore_entry/forwarding/tests/test_odd_statuses.py
@@ -74,6 +74,18 @@
     assert all(answer.endswith(b'sound') for answer in answers)
 
 
+@pytest.mark.parametrize('status', ODD_STATUSES)
+async def test_unsafe_request_runs_once_beside_an_odd_status(
+    status: str,
+) -> None:
+    """Guards against a second run of a request that may have run."""
+    broken = reply_with(answer_with_status(status, 'length', SIGNED))
+    fleet = [RawEndpoint(name, broken) for name in ('e1', 'e2')]
+    async with running_entry(UNSAFE, *fleet) as entry:
+        assert is_own_failure(await entry.ask())
+    assert sum(len(endpoint.requests) for endpoint in fleet) == 1
+
+
 @pytest.mark.parametrize('report', REPORTS)
 @pytest.mark.parametrize('status', ODD_STATUSES)
 async def test_report_of_no_answer_is_not_applied(
