Send what an engine has written before its stand-in breaks off

Traced: the stand-in writes lines and sends them only where it waits for the next one. If the run is ahead of it by more lines than it sends, it broke the connection with nothing sent; the test's libcurl then sends a request on a kept connection anew, and the engine knows the run. With a wait of .5 s before the lines the test failed 2 of 2 (200, as the run was over by then), and passed 3 of 3 with the same wait and the lines sent before the break. The test stands as it was; no code of the product changes.

--- a/packages/sycamore-standins/src/sycamore_standins/engine/server.py
+++ b/packages/sycamore-standins/src/sycamore_standins/engine/server.py
@@ -62,6 +62,7 @@
             await generation.wait_beyond(sequence)
             while sequence < generation.steps:
                 if sequence == breaks_after:
+                    await self.flush()
                     self.break_off()
                     return
                 self.write_line(_token_line(generation, sequence))
